--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-readonly layers=(core model membership distribution source admin control proxy runtime node cli)
+readonly layers=(core model membership distribution source admin control proxy egress ingress runtime node cli)
 status=0
 
 for ((i = 0; i < ${#layers[@]}; i++)); do
@@ -16,9 +16,10 @@
   done
 done
 
-# proxy stands on model alone: the data path does not know how configuration reaches it.
-if grep -rnE '#include "(membership|distribution|source|admin|control)/' src/proxy; then
-  echo "layers: src/proxy may include only core and model" >&2
+# The data path does not know how configuration reaches it.
+if grep -rnE '#include "(membership|distribution|source|admin|control)/' src/proxy src/egress \
+    src/ingress; then
+  echo "layers: src/proxy, src/egress and src/ingress may include only core, model and proxy" >&2
   status=1
 fi
 
--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -35,7 +35,7 @@
   return readFile(parsed["config"].as<std::string>());
 }
 
-ExitCode run(const Arguments& arguments, Streams streams) {
+ExitCode run(const Arguments& arguments, Streams streams, const node::Extensions& extensions) {
   cxxopts::Options options("coursepond node", "Runs one node until SIGTERM or SIGINT");
   options.add_options()("c,config", "Settings file (TOML)", cxxopts::value<std::string>(), "FILE")(
       "s,set", "Override one setting; may be repeated", cxxopts::value<std::vector<std::string>>(),
@@ -65,14 +65,16 @@
     streams.out << runtime::printSettings(outcome.settings);
     return ExitCode::kOk;
   }
-  return node::runNode(outcome.settings);
+  return node::runNode(outcome.settings, extensions);
 }
 
 }  // namespace
 
-Command nodeCommand() {
+Command nodeCommand(const node::Extensions& extensions) {
   return Command{"node", "Runs one node: a proxy and its part of the control plane", kExamples,
-                 run};
+                 [extensions](const Arguments& arguments, Streams streams) {
+                   return run(arguments, streams, extensions);
+                 }};
 }
 
 }  // namespace coursepond::cli
--- a/src/cli/node_command.h
+++ b/src/cli/node_command.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "cli/command.h"
+#include "node/node.h"
 
 namespace coursepond::cli {
 
-/// `coursepond node`
-Command nodeCommand();
+/// `coursepond node`. `extensions`: what the program brings beyond the product's own parts.
+Command nodeCommand(const node::Extensions& extensions = {});
 
 }  // namespace coursepond::cli
--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -24,5 +24,17 @@
 inline constexpr char kAttempt[] = "X-Attempt";
 /// On every answer of a node: the configuration version the request was served under.
 inline constexpr char kConfigurationVersion[] = "X-Configuration-Version";
+/// From a back end: it did not run the request.
+inline constexpr char kNotRun[] = "X-Not-Run";
+/// Towards a back end: the only instance that may run the request.
+inline constexpr char kTargetInstance[] = "X-Target-Instance";
+/// Towards a back end: the service whose machine the request began on.
+inline constexpr char kCallerService[] = "X-Caller-Service";
+/// From a back end: its instance.
+inline constexpr char kInstance[] = "X-Instance-Id";
+/// From an egress to an ingress: "rank,target latency in ms,repeatable 0|1".
+inline constexpr char kHopClass[] = "X-Hop-Class";
+/// From an ingress to an egress: "running,waiting,slots,mean service time in ms,draining 0|1".
+inline constexpr char kHopLoad[] = "X-Hop-Load";
 
 }  // namespace coursepond::http_headers
--- /dev/null
+++ b/src/egress/egress_flow.cpp
@@ -0,0 +1,375 @@
+#include "egress/egress_flow.h"
+
+#include <algorithm>
+
+#include "core/http_headers.h"
+#include "proxy/deadline_queue.h"
+#include "proxy/reason.h"
+#include "proxy/repeatability.h"
+
+namespace coursepond::egress {
+namespace {
+
+using proxy::AnswerHead;
+using proxy::AttemptFailure;
+using proxy::AttemptId;
+using proxy::Reason;
+
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kLowestServerError = 500;
+constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
+/// A request with less than this left is not begun again.
+constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
+
+bool isSuccess(int status) { return status >= 200 && status < 300; }
+
+class EgressFlow final : public proxy::Exchange, private proxy::DeadlineEntry {
+ public:
+  EgressFlow(proxy::RequestHead head, EgressState& state, Environment& environment,
+             proxy::RequestIo& io)
+      : head_(std::move(head)), state_(state), environment_(environment), io_(io) {}
+
+  ~EgressFlow() override {
+    if (phase_ != Phase::kNew && phase_ != Phase::kFinished) finish();
+  }
+
+  void start() override;
+  void onAttemptFailed(AttemptId attempt, AttemptFailure failure) override;
+  void onAnswerHead(AttemptId attempt, const AnswerHead& answer) override;
+  void onAnswerComplete(AttemptId attempt) override;
+  void onAnswerCut(AttemptId attempt) override;
+  void onCallerGone() override;
+  Version configurationVersion() const override {
+    return routing_ ? routing_->snapshot->version : Version();
+  }
+
+ private:
+  enum class Phase { kNew, kWaiting, kAttempting, kForwarding, kFinished };
+
+  void onDeadline(TimePoint now) override;
+
+  void sendOrWait(TimePoint now);
+  void send(ServerPointer server, TimePoint now);
+  proxy::AttemptPlan makePlan(TimePoint now) const;
+  void waitForServer(TimePoint now);
+
+  bool isCurrent(AttemptId attempt, Phase phase) const {
+    return phase_ == phase && attempt == attempt_;
+  }
+  bool isProper(const AnswerHead& answer) const;
+  bool shouldRepeat(const AnswerHead& answer, TimePoint now);
+  void onNotRun(const AnswerHead& answer, TimePoint now);
+  void onUnknown(Reason reason, TimePoint now);
+  void noteArrival();
+  bool mayRepeat(TimePoint now);
+  void releaseServer();
+
+  void finish();
+  void conclude(Reason reason);
+  proxy::LocalAnswer makeAnswer(Reason reason) const;
+
+  Duration target() const {
+    const Duration target = route_ != nullptr ? route_->target_latency : Duration(0);
+    return target > Duration(0) ? target : state_.settings().default_target;
+  }
+
+  proxy::RequestHead head_;
+  EgressState& state_;
+  Environment& environment_;
+  proxy::RequestIo& io_;
+  std::shared_ptr<const RoutingTable> routing_;
+  const model::Route* route_ = nullptr;  ///< Kept alive by routing_.
+  ServiceName service_;
+  ServerPointer server_;
+  std::vector<EndpointId> tried_;
+  Phase phase_ = Phase::kNew;
+  AttemptId attempt_ = 0;
+  std::uint32_t arrivals_ = 0;  ///< Servers that may have seen the request.
+  std::uint32_t max_attempts_ = 1;
+  bool is_repeatable_ = false;
+  bool may_have_run_ = false;
+  bool was_refused_ = false;
+  bool is_late_ = false;  ///< The deadline ended it.
+  std::optional<Duration> retry_after_;
+  TimePoint deadline_;
+  TimePoint patient_until_;
+  TimePoint attempt_started_;
+};
+
+// ---- Start
+
+void EgressFlow::start() {
+  const TimePoint now = environment_.now();
+  ++state_.statistics().requests;
+  ++state_.inFlight();
+  phase_ = Phase::kWaiting;
+  routing_ = state_.routing();
+  if (!routing_) return conclude(Reason::kNoConfiguration);
+  const std::optional<std::size_t> index = routing_->table.find(head_);
+  if (!index) return conclude(Reason::kNoRoute);
+
+  route_ = &routing_->snapshot->routes[*index];
+  is_repeatable_ = proxy::mayRunTwice(route_->repeatability, head_.method);
+  max_attempts_ = route_->max_attempts > 0 ? route_->max_attempts : 1;
+  const bool is_held = route_->longest_hold > Duration(0);
+  Duration allowed = std::min(head_.deadline.value_or(route_->timeout),
+                              state_.settings().longest_deadline);
+  if (is_held) allowed = std::min(allowed, route_->longest_hold);
+  if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
+  deadline_ = now + allowed;
+  const auto patience = static_cast<Duration::rep>(
+      state_.settings().patience * static_cast<double>(target().count()));
+  patient_until_ = std::min(deadline_, now + Duration(patience));
+  service_ = state_.split().next(*route_);
+  sendOrWait(now);
+}
+
+// ---- Attempts
+
+void EgressFlow::sendOrWait(TimePoint now) {
+  if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
+  if (was_refused_) return conclude(Reason::kQueueFull);
+  waitForServer(now);
+}
+
+/// Nobody can take it just now: servers come and go, so look again soon, but not for long.
+void EgressFlow::waitForServer(TimePoint now) {
+  if (now >= patient_until_) return conclude(Reason::kNoServer);
+  phase_ = Phase::kWaiting;
+  state_.deadlines().arm(*this, std::min(patient_until_, now + state_.settings().look_again));
+}
+
+void EgressFlow::send(ServerPointer server, TimePoint now) {
+  server_ = std::move(server);
+  ++server_->in_flight;
+  phase_ = Phase::kAttempting;
+  ++attempt_;
+  attempt_started_ = now;
+  ++state_.statistics().attempts;
+  state_.deadlines().arm(*this, deadline_);
+  if (arrivals_ == 0 && attempt_ == 1) state_.use(service_).allowance.onFirstAttempt();
+  io_.startAttempt(makePlan(now));
+}
+
+proxy::AttemptPlan EgressFlow::makePlan(TimePoint now) const {
+  proxy::AttemptPlan plan;
+  plan.id = attempt_;
+  plan.service = service_;
+  plan.endpoint = server_->ingress;
+  plan.remaining = std::max(deadline_ - now - state_.settings().deadline_reserve, kLeastRemaining);
+  plan.replayable = true;
+  plan.target_instance = server_->entry.id.value();
+  plan.caller_service = state_.settings().own_service;
+  plan.hop_class = proxy::HopClass{route_->rank, target(), is_repeatable_};
+  return plan;
+}
+
+void EgressFlow::releaseServer() {
+  if (!server_) return;
+  --server_->in_flight;
+  server_.reset();
+}
+
+void EgressFlow::noteArrival() {
+  ++arrivals_;
+  tried_.push_back(server_->entry.id);
+}
+
+void EgressFlow::onAttemptFailed(AttemptId attempt, AttemptFailure failure) {
+  if (isCurrent(attempt, Phase::kForwarding)) return onAnswerCut(attempt);
+  if (!isCurrent(attempt, Phase::kAttempting)) return;
+  const TimePoint now = environment_.now();
+  switch (failure) {
+    case AttemptFailure::kConnectFailed:
+      ++state_.statistics().hop_failures;
+      state_.onUnreachable(*server_, now);
+      releaseServer();
+      return sendOrWait(now);
+    case AttemptFailure::kNoConnectionFree:
+      tried_.push_back(server_->entry.id);
+      releaseServer();
+      return sendOrWait(now);
+    case AttemptFailure::kClosedUnsent: {
+      // The kept connection was dead; a new one to the same ingress will tell.
+      releaseServer();
+      return sendOrWait(now);
+    }
+    case AttemptFailure::kCannotReplay:
+      return conclude(Reason::kConnectFailed);
+    case AttemptFailure::kLostAfterSend:
+      ++state_.statistics().hop_failures;
+      state_.onUnreachable(*server_, now);
+      return onUnknown(Reason::kConnectionLost, now);
+    case AttemptFailure::kMalformedAnswer:
+      ++state_.statistics().bad_answers;
+      return onUnknown(Reason::kMalformedAnswer, now);
+  }
+}
+
+void EgressFlow::onAnswerHead(AttemptId attempt, const AnswerHead& answer) {
+  if (!isCurrent(attempt, Phase::kAttempting)) return;
+  const TimePoint now = environment_.now();
+  if (!isProper(answer)) {
+    ++state_.statistics().bad_answers;
+    io_.cancelAttempt(attempt_);
+    return onUnknown(Reason::kMalformedAnswer, now);
+  }
+  state_.onReached(*server_);
+  if (answer.hop_load) state_.onLoad(*server_, *answer.hop_load, now);
+  if (answer.not_run) {
+    io_.discardAnswer(attempt_);
+    return onNotRun(answer, now);
+  }
+  const bool from_ingress = !answer.node_outcome.empty();
+  if (from_ingress) {
+    io_.discardAnswer(attempt_);
+    const bool was_late = answer.status == kGatewayTimeout;
+    return onUnknown(was_late ? Reason::kDeadline : Reason::kConnectionLost, now);
+  }
+  state_.onLatency(*server_, state_.use(service_), now - attempt_started_);
+  if (shouldRepeat(answer, now)) {
+    io_.discardAnswer(attempt_);
+    releaseServer();
+    return sendOrWait(now);
+  }
+  phase_ = Phase::kForwarding;
+  state_.deadlines().disarm(*this);
+  io_.forwardAnswer(attempt_);
+}
+
+bool EgressFlow::isProper(const AnswerHead& answer) const {
+  if (answer.request_id != head_.request_id) return false;
+  if (!isSuccess(answer.status)) return true;
+  return !answer.is_encoded && (answer.is_signed || !state_.settings().expects_signature);
+}
+
+/// A server's own failure of a repeatable request is worth another server's try, while the first
+/// failure can still be passed on: only when a server for it is at hand.
+bool EgressFlow::shouldRepeat(const AnswerHead& answer, TimePoint now) {
+  if (answer.status < kLowestServerError || answer.status == kGatewayTimeout) return false;
+  if (!is_repeatable_) return false;
+  noteArrival();
+  may_have_run_ = true;
+  if (!state_.pick(service_, tried_, now)) return false;
+  return mayRepeat(now);
+}
+
+void EgressFlow::onNotRun(const AnswerHead& answer, TimePoint now) {
+  was_refused_ = true;
+  if (answer.retry_after) {
+    retry_after_ = std::min(retry_after_.value_or(*answer.retry_after), *answer.retry_after);
+  }
+  const bool server_saw_it = answer.node_reason == reasonWord(Reason::kServerRefused);
+  if (!server_saw_it) {
+    ++state_.statistics().hop_refusals;
+    tried_.push_back(server_->entry.id);
+    releaseServer();
+    if (now >= deadline_) return conclude(Reason::kDeadline);
+    return sendOrWait(now);
+  }
+  ++state_.statistics().server_refusals;
+  noteArrival();
+  releaseServer();
+  if (!mayRepeat(now)) return conclude(Reason::kServerRefused);
+  sendOrWait(now);
+}
+
+/// The attempt may have run and its answer is lost.
+void EgressFlow::onUnknown(Reason reason, TimePoint now) {
+  may_have_run_ = true;
+  noteArrival();
+  releaseServer();
+  if (reason == Reason::kDeadline) is_late_ = true;
+  if (!is_repeatable_ || reason == Reason::kDeadline || !mayRepeat(now)) return conclude(reason);
+  if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
+  conclude(reason);
+}
+
+/// Whether one more server may see the request. Takes it from the allowance.
+bool EgressFlow::mayRepeat(TimePoint now) {
+  if (may_have_run_ && !is_repeatable_) return false;
+  if (arrivals_ >= max_attempts_ || deadline_ - now < kLeastForRepeat) return false;
+  if (!state_.use(service_).allowance.take()) {
+    ++state_.statistics().repeats_denied;
+    return false;
+  }
+  ++state_.statistics().repeats;
+  return true;
+}
+
+// ---- Ends
+
+void EgressFlow::onDeadline(TimePoint now) {
+  if (phase_ == Phase::kAttempting) {
+    if (io_.bytesSent(attempt_)) may_have_run_ = true;
+    io_.cancelAttempt(attempt_);
+    is_late_ = true;
+    return conclude(Reason::kDeadline);
+  }
+  if (now >= deadline_) return conclude(Reason::kDeadline);
+  sendOrWait(now);
+}
+
+void EgressFlow::onAnswerComplete(AttemptId attempt) {
+  if (!isCurrent(attempt, Phase::kForwarding)) return;
+  ++state_.statistics().answers_forwarded;
+  finish();
+}
+
+void EgressFlow::onAnswerCut(AttemptId attempt) {
+  if (!isCurrent(attempt, Phase::kForwarding)) return;
+  ++state_.statistics().answers_cut;
+  finish();
+}
+
+void EgressFlow::onCallerGone() {
+  if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
+  ++state_.statistics().caller_gone;
+  if (phase_ != Phase::kWaiting) io_.cancelAttempt(attempt_);
+  finish();
+}
+
+void EgressFlow::finish() {
+  phase_ = Phase::kFinished;
+  state_.deadlines().disarm(*this);
+  releaseServer();
+  --state_.inFlight();
+}
+
+void EgressFlow::conclude(Reason reason) {
+  const proxy::LocalAnswer answer = makeAnswer(reason);
+  Statistics& statistics = state_.statistics();
+  if (answer.status == kServiceUnavailable) ++statistics.refused;
+  if (answer.status == kNotFound) ++statistics.no_route;
+  if (answer.outcome == proxy::Outcome::kUnknown) ++statistics.unknown;
+  finish();
+  io_.answerLocally(answer);
+}
+
+proxy::LocalAnswer EgressFlow::makeAnswer(Reason reason) const {
+  proxy::LocalAnswer answer;
+  answer.reason = std::string(reasonWord(reason));
+  if (reason == Reason::kNoRoute) {
+    answer.status = kNotFound;
+  } else if (may_have_run_) {
+    answer.status = is_late_ ? kGatewayTimeout : kBadGateway;
+    answer.outcome = proxy::Outcome::kUnknown;
+  } else {
+    answer.status = kServiceUnavailable;
+    answer.retry_after = std::max(retry_after_.value_or(state_.settings().default_retry_after),
+                                  state_.settings().shortest_retry_after);
+  }
+  return answer;
+}
+
+}  // namespace
+
+std::unique_ptr<proxy::Exchange> makeEgressFlow(proxy::RequestHead head, EgressState& state,
+                                                Environment& environment, proxy::RequestIo& io) {
+  return std::make_unique<EgressFlow>(std::move(head), state, environment, io);
+}
+
+}  // namespace coursepond::egress
--- /dev/null
+++ b/src/egress/egress_state.cpp
@@ -0,0 +1,124 @@
+#include "egress/egress_state.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace coursepond::egress {
+namespace {
+
+constexpr std::uint32_t kConnectionsPerIngress = 256;
+constexpr std::uint32_t kLargestAvoidShift = 4;
+constexpr std::uint32_t kUnknownSlots = 8;
+/// Cost factor of a server that is still cold.
+constexpr double kColdFactor = 1.6;
+/// Two costs that differ by less are equal: the choice is then random.
+constexpr double kCostTolerance = 0.02;
+constexpr double kLowestSlowness = 0.4;
+constexpr double kHighestSlowness = 6.0;
+
+double toMillisecondsExact(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+}  // namespace
+
+EgressState::EgressState(Settings settings, Environment& environment)
+    : settings_(std::move(settings)),
+      environment_(environment),
+      directory_(settings_),
+      split_(environment.random(std::numeric_limits<std::uint32_t>::max())),
+      deadlines_(environment) {}
+
+bool EgressState::apply(model::SnapshotPointer snapshot) {
+  if (routing_ && snapshot->version < routing_->snapshot->version) return false;
+  routing_ = std::make_shared<const RoutingTable>(std::move(snapshot));
+  return true;
+}
+
+void EgressState::onDirectoryChanged() {
+  for (auto& [name, service] : uses_) {
+    service.allowance.setBurst(settings_.retry_burst, directory_.all().size());
+  }
+}
+
+ServiceUse& EgressState::use(const ServiceName& service) {
+  const auto found = uses_.find(service);
+  if (found != uses_.end()) return found->second;
+  ServiceUse& made = uses_.emplace(service, ServiceUse(settings_.retry_ratio)).first->second;
+  made.allowance.setBurst(settings_.retry_burst, directory_.all().size());
+  return made;
+}
+
+ServerPointer EgressState::pick(const ServiceName& service, const std::vector<EndpointId>& tried,
+                                TimePoint now) const {
+  ServerPointer best;
+  double best_cost = std::numeric_limits<double>::max();
+  std::uint64_t equals = 0;
+  for (const ServerPointer& server : directory_.usable(service)) {
+    if (server->avoided(now)) continue;
+    if (std::find(tried.begin(), tried.end(), server->entry.id) != tried.end()) continue;
+    const double server_cost = cost(*server, now);
+    if (server_cost < best_cost - kCostTolerance) {
+      best = server;
+      best_cost = server_cost;
+      equals = 1;
+    } else if (server_cost < best_cost + kCostTolerance && environment_.random(++equals) == 0) {
+      best = server;
+    }
+  }
+  return best;
+}
+
+double EgressState::cost(const Server& server, TimePoint now) const {
+  const double slots = server.load.slots > 0    ? server.load.slots
+                       : server.entry.slots > 0 ? server.entry.slots
+                                                : kUnknownSlots;
+  // What was reported, less what was this node's own then, plus what is its own now.
+  const double reported = server.load.running + server.load.waiting;
+  const double others = std::max(0.0, reported - server.in_flight_at_report);
+  const double used = (others + server.in_flight + 1) / slots;
+  double cost = 1.0;
+  if (used > settings_.busy_from) {
+    const double part = std::min(1.0, (used - settings_.busy_from) / (1 - settings_.busy_from));
+    cost += settings_.busy_cost * part;
+  }
+  if (used > 1) cost += settings_.waiting_cost * (used - 1);
+  cost *= server.slowness;
+  if (now < server.cold_until) cost *= kColdFactor;
+  if (server.entry.zone != settings_.own_zone) cost += settings_.remote_zone_cost;
+  return cost;
+}
+
+void EgressState::onReached(Server& server) { server.failures = 0; }
+
+void EgressState::onUnreachable(Server& server, TimePoint now) {
+  const std::uint32_t shift = std::min(server.failures++, kLargestAvoidShift);
+  const Duration pause = std::min(settings_.avoid * (1U << shift), settings_.longest_avoid);
+  server.avoid_until = std::max(server.avoid_until, now + pause);
+}
+
+void EgressState::onLoad(Server& server, const proxy::HopLoad& load, TimePoint now) {
+  server.load = load;
+  server.in_flight_at_report = server.in_flight;
+  if (load.draining) server.avoid_until = now + settings_.avoid_draining;
+}
+
+void EgressState::onLatency(Server& server, ServiceUse& use, Duration latency) {
+  const double latency_ms = toMillisecondsExact(latency);
+  const double weight = settings_.slowness_weight;
+  if (use.average_latency_ms <= 0) use.average_latency_ms = latency_ms;
+  use.average_latency_ms += weight * (latency_ms - use.average_latency_ms);
+  const double sample = latency_ms / std::max(use.average_latency_ms, 1.0);
+  server.slowness += weight * (std::clamp(sample, kLowestSlowness, kHighestSlowness) -
+                               server.slowness);
+}
+
+std::uint32_t EgressState::connectionBudget(const ServiceName&, const EndpointId&) const {
+  return kConnectionsPerIngress;
+}
+
+bool EgressState::usable(const ServiceName&, const EndpointId& endpoint) const {
+  return directory_.all().contains(endpoint);
+}
+
+}  // namespace coursepond::egress
--- /dev/null
+++ b/src/egress/egress_state.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/// What all requests of one egress share: the configuration in force, the servers, the budgets.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/environment.h"
+#include "egress/retry_allowance.h"
+#include "egress/server_directory.h"
+#include "egress/settings.h"
+#include "egress/traffic_split.h"
+#include "model/snapshot.h"
+#include "proxy/connection_policy.h"
+#include "proxy/deadline_queue.h"
+#include "proxy/route_table.h"
+
+namespace coursepond::egress {
+
+/// Counters for /metrics. Never reset.
+struct Statistics {
+  std::uint64_t requests = 0;
+  std::uint64_t answers_forwarded = 0;
+  std::uint64_t answers_cut = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t repeats = 0;          ///< Attempts that a second server saw.
+  std::uint64_t repeats_denied = 0;   ///< For want of allowance.
+  std::uint64_t hop_refusals = 0;     ///< By ingresses: no server saw the request.
+  std::uint64_t server_refusals = 0;  ///< By servers, which did not run it.
+  std::uint64_t hop_failures = 0;     ///< Ingresses that could not be reached, or were lost.
+  std::uint64_t bad_answers = 0;      ///< Not this request's, unsigned, or not whole.
+  std::uint64_t refused = 0;          ///< 503: not run.
+  std::uint64_t unknown = 0;          ///< 502 and 504.
+  std::uint64_t no_route = 0;
+  std::uint64_t caller_gone = 0;
+};
+
+/// A snapshot made ready for routing.
+struct RoutingTable {
+  explicit RoutingTable(model::SnapshotPointer held)
+      : snapshot(std::move(held)), table(snapshot->routes) {}
+  model::SnapshotPointer snapshot;
+  proxy::RouteTable table;
+};
+
+/// One service's state on this node.
+struct ServiceUse {
+  explicit ServiceUse(double retry_ratio) : allowance(retry_ratio) {}
+  RetryAllowance allowance;
+  double average_latency_ms = 0;  ///< Moving average over all its servers; zero: none yet.
+};
+
+class EgressState final : public proxy::ConnectionPolicy {
+ public:
+  EgressState(Settings settings, Environment& environment);
+
+  /// Puts a snapshot in force for requests that start from now on. A lower version than the one in
+  /// force is refused (returns false).
+  bool apply(model::SnapshotPointer snapshot);
+  std::shared_ptr<const RoutingTable> routing() const { return routing_; }
+  Version version() const { return routing_ ? routing_->snapshot->version : Version(); }
+
+  ServerDirectory& directory() { return directory_; }
+  const ServerDirectory& directory() const { return directory_; }
+  /// Call after the directory changed.
+  void onDirectoryChanged();
+
+  /// The cheapest server of `service` outside `tried` that is not avoided, or null.
+  ServerPointer pick(const ServiceName& service, const std::vector<EndpointId>& tried,
+                     TimePoint now) const;
+  /// How dear it is to send the next request there; 1 is an idle server of this zone.
+  double cost(const Server& server, TimePoint now) const;
+
+  void onReached(Server& server);
+  void onUnreachable(Server& server, TimePoint now);
+  void onLoad(Server& server, const proxy::HopLoad& load, TimePoint now);
+  void onLatency(Server& server, ServiceUse& use, Duration latency);
+
+  ServiceUse& use(const ServiceName& service);
+  TrafficSplit& split() { return split_; }
+  proxy::DeadlineQueue& deadlines() { return deadlines_; }
+  const Settings& settings() const { return settings_; }
+  Statistics& statistics() { return statistics_; }
+  std::size_t& inFlight() { return in_flight_; }
+
+  std::uint32_t connectionBudget(const ServiceName& service,
+                                 const EndpointId& endpoint) const override;
+  bool usable(const ServiceName& service, const EndpointId& endpoint) const override;
+  std::vector<proxy::WarmServer> warmServers() const override { return {}; }
+
+ private:
+  Settings settings_;
+  Environment& environment_;
+  ServerDirectory directory_;
+  std::shared_ptr<const RoutingTable> routing_;
+  std::map<ServiceName, ServiceUse> uses_;
+  TrafficSplit split_;
+  proxy::DeadlineQueue deadlines_;
+  Statistics statistics_;
+  std::size_t in_flight_ = 0;
+};
+
+}  // namespace coursepond::egress
--- /dev/null
+++ b/src/egress/server_directory.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// The servers that this egress knows, and what it observed of each and of the ingress beside it.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "core/time.h"
+#include "egress/settings.h"
+#include "model/server_entry.h"
+#include "proxy/request_flow.h"
+
+namespace coursepond::egress {
+
+/// One server behind its ingress. Requests that use it hold a pointer, so that it outlives its
+/// removal from the directory.
+struct Server {
+  model::ServerEntry entry;
+  model::Endpoint ingress;  ///< Named by the server's id; the address is the ingress's.
+  std::uint32_t in_flight = 0;
+  std::uint32_t in_flight_at_report = 0;
+  proxy::HopLoad load;  ///< As last reported; slots zero: never.
+  double slowness = 1.0;  ///< Its latency as a part of its service's average.
+  std::uint32_t failures = 0;  ///< To reach it, in a row.
+  TimePoint avoid_until;
+  TimePoint cold_until;
+
+  bool avoided(TimePoint now) const { return now < avoid_until; }
+  bool draining() const { return entry.state == model::MachineState::kLeaving; }
+};
+
+using ServerPointer = std::shared_ptr<Server>;
+
+class ServerDirectory {
+ public:
+  explicit ServerDirectory(const Settings& settings) : settings_(settings) {}
+
+  /// Takes in one entry; an older one than is held is ignored.
+  void upsert(const model::ServerEntry& entry, TimePoint now);
+  void remove(const EndpointId& id);
+  /// Removes what `entries` doesn't list, and takes in the rest.
+  void replaceAll(const std::vector<model::ServerEntry>& entries, TimePoint now);
+
+  /// Servers that may take new work, by id.
+  const std::vector<ServerPointer>& usable(const ServiceName& service) const;
+  const std::unordered_map<EndpointId, ServerPointer>& all() const { return servers_; }
+
+ private:
+  void rebuild();
+
+  const Settings& settings_;
+  std::unordered_map<EndpointId, ServerPointer> servers_;
+  std::map<ServiceName, std::vector<ServerPointer>> usable_;
+};
+
+}  // namespace coursepond::egress
--- /dev/null
+++ b/src/egress/settings.h
@@ -0,0 +1,57 @@
+#pragma once
+
+/// Settings of the egress: the first of two hops, which takes its machine's requests and sends each
+/// to the ingress beside the server that is to run it.
+
+#include <cstdint>
+
+#include "core/ids.h"
+#include "core/time.h"
+
+namespace coursepond::egress {
+
+struct Settings {
+  ZoneId own_zone;
+  ServiceName own_service;         ///< Told to servers as the caller.
+  std::uint16_t ingress_port = 0;  ///< The same on every machine.
+
+  /// Whether a success without a server's signature is no answer.
+  bool expects_signature = false;
+  /// Kept back from the deadline that is sent on, so that the answer of the next hop still arrives.
+  Duration deadline_reserve = std::chrono::milliseconds(3);
+  Duration longest_deadline = std::chrono::seconds(60);
+  /// Target latency of routes that name none.
+  Duration default_target = std::chrono::seconds(1);
+
+  /// Added to a server's cost for another zone: bytes between zones are dear.
+  double remote_zone_cost = 0.5;
+  /// From this part of its slots on, a server's cost rises.
+  double busy_from = 0.6;
+  /// Cost of a server whose slots are all taken, beyond that of an idle one.
+  double busy_cost = 1.0;
+  /// Cost of each further full turn of waiting requests.
+  double waiting_cost = 2.5;
+  /// Weight of one sample in a server's slowness.
+  double slowness_weight = 0.1;
+
+  /// Repeats allowed to one node, of its first attempts at a service,
+  double retry_ratio = 0.15;
+  /// and in a burst: this many divided by the number of nodes.
+  double retry_burst = 45;
+
+  /// Pause after a server's ingress could not be reached; doubles up to the longest.
+  Duration avoid = std::chrono::milliseconds(150);
+  Duration longest_avoid = std::chrono::seconds(1);
+  /// Pause after an ingress said that it takes no new work.
+  Duration avoid_draining = std::chrono::milliseconds(500);
+
+  /// How often a request without a server looks for one again,
+  Duration look_again = std::chrono::milliseconds(30);
+  /// and for which part of its target latency at most.
+  double patience = 0.2;
+
+  Duration shortest_retry_after = std::chrono::milliseconds(100);
+  Duration default_retry_after = std::chrono::milliseconds(400);
+};
+
+}  // namespace coursepond::egress
--- /dev/null
+++ b/src/ingress/ingress_flow.cpp
@@ -0,0 +1,259 @@
+#include "ingress/ingress_flow.h"
+
+#include <algorithm>
+
+#include "proxy/reason.h"
+
+namespace coursepond::ingress {
+namespace {
+
+using proxy::AnswerHead;
+using proxy::AttemptFailure;
+using proxy::AttemptId;
+using proxy::Reason;
+
+constexpr int kMisdirected = 421;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
+const ServiceName kOwnServer("own");
+
+bool isSuccess(int status) { return status >= 200 && status < 300; }
+
+class IngressFlow final : public proxy::Exchange, private Waiter, private proxy::DeadlineEntry {
+ public:
+  IngressFlow(proxy::RequestHead head, IngressState& state, Environment& environment,
+              proxy::RequestIo& io)
+      : head_(std::move(head)), state_(state), environment_(environment), io_(io) {}
+
+  ~IngressFlow() override {
+    if (phase_ != Phase::kNew && phase_ != Phase::kFinished) finish(environment_.now());
+  }
+
+  void start() override;
+  void onAttemptFailed(AttemptId attempt, AttemptFailure failure) override;
+  void onAnswerHead(AttemptId attempt, const AnswerHead& answer) override;
+  void onAnswerComplete(AttemptId attempt) override;
+  void onAnswerCut(AttemptId attempt) override;
+  void onCallerGone() override;
+  Version configurationVersion() const override { return Version(); }
+  std::optional<proxy::HopLoad> hopLoad() const override { return state_.load(); }
+
+ private:
+  enum class Phase { kNew, kWaiting, kAttempting, kForwarding, kFinished };
+
+  // Waiter
+  void onSlot(TimePoint now) override;
+  void onDisplaced(Reason reason, TimePoint now) override { conclude(reason, now); }
+  // DeadlineEntry
+  void onDeadline(TimePoint now) override;
+
+  void attempt(TimePoint now);
+  bool isCurrent(AttemptId attempt, Phase phase) const {
+    return phase_ == phase && attempt == attempt_;
+  }
+  bool isProper(const AnswerHead& answer) const;
+  void onServerRefused(const AnswerHead& answer, TimePoint now);
+
+  void finish(TimePoint now);
+  void conclude(Reason reason, TimePoint now);
+  void count(Reason reason);
+  proxy::LocalAnswer makeAnswer(Reason reason) const;
+
+  proxy::RequestHead head_;
+  IngressState& state_;
+  Environment& environment_;
+  proxy::RequestIo& io_;
+  Phase phase_ = Phase::kNew;
+  AttemptId attempt_ = 0;
+  bool has_slot_ = false;
+  bool may_have_run_ = false;
+  TimePoint deadline_;
+  TimePoint attempt_started_;
+};
+
+void IngressFlow::start() {
+  const TimePoint now = environment_.now();
+  ++state_.statistics().requests;
+  phase_ = Phase::kWaiting;
+  if (const auto refusal = state_.refusal(head_.target_instance)) return conclude(*refusal, now);
+  const Settings& settings = state_.settings();
+  const Duration allowed = std::min(head_.deadline.value_or(settings.longest_deadline),
+                                    settings.longest_deadline);
+  if (allowed <= Duration(0)) return conclude(Reason::kDeadline, now);
+  deadline_ = now + allowed;
+  const proxy::HopClass hop = head_.hop_class.value_or(proxy::HopClass{});
+  const Duration target =
+      hop.target_latency > Duration(0) ? hop.target_latency : settings.default_target;
+  rank = hop.rank;
+  due = now + target;
+  const auto stretched = static_cast<Duration::rep>(settings.target_stretch *
+                                                    static_cast<double>(target.count()));
+  const TimePoint latest = std::min(deadline_, now + Duration(stretched));
+  if (const auto refusal = state_.admit(*this, latest, now)) return conclude(*refusal, now);
+  if (phase_ == Phase::kWaiting) state_.deadlines().arm(*this, deadline_);
+}
+
+void IngressFlow::onSlot(TimePoint now) {
+  has_slot_ = true;
+  if (now >= deadline_) return conclude(Reason::kDeadline, now);
+  state_.deadlines().arm(*this, deadline_);
+  attempt(now);
+}
+
+void IngressFlow::attempt(TimePoint now) {
+  phase_ = Phase::kAttempting;
+  ++attempt_;
+  attempt_started_ = now;
+  proxy::AttemptPlan plan;
+  plan.id = attempt_;
+  plan.service = kOwnServer;
+  plan.endpoint = state_.endpoint(head_.target_instance);
+  plan.remaining =
+      std::max(deadline_ - now - state_.settings().deadline_reserve, kLeastRemaining);
+  plan.replayable = true;
+  io_.startAttempt(plan);
+}
+
+void IngressFlow::onAttemptFailed(AttemptId attempt, AttemptFailure failure) {
+  if (isCurrent(attempt, Phase::kForwarding)) return onAnswerCut(attempt);
+  if (!isCurrent(attempt, Phase::kAttempting)) return;
+  const TimePoint now = environment_.now();
+  const bool may_try_again = attempt_ < state_.settings().local_tries && now < deadline_;
+  switch (failure) {
+    case AttemptFailure::kClosedUnsent:
+      if (may_try_again) return this->attempt(now);
+      return conclude(Reason::kConnectFailed, now);
+    case AttemptFailure::kConnectFailed:
+      ++state_.statistics().server_unreachable;
+      state_.pause(state_.settings().unreachable_pause, now);
+      return conclude(Reason::kConnectFailed, now);
+    case AttemptFailure::kNoConnectionFree:
+    case AttemptFailure::kCannotReplay:
+      return conclude(Reason::kConnectFailed, now);
+    case AttemptFailure::kLostAfterSend:
+      ++state_.statistics().server_lost;
+      may_have_run_ = true;
+      return conclude(Reason::kConnectionLost, now);
+    case AttemptFailure::kMalformedAnswer:
+      ++state_.statistics().bad_answers;
+      may_have_run_ = true;
+      return conclude(Reason::kMalformedAnswer, now);
+  }
+}
+
+void IngressFlow::onAnswerHead(AttemptId attempt, const AnswerHead& answer) {
+  if (!isCurrent(attempt, Phase::kAttempting)) return;
+  const TimePoint now = environment_.now();
+  const bool was_refused = answer.not_run || answer.status == kMisdirected;
+  if (was_refused && answer.request_id.empty()) return onServerRefused(answer, now);
+  if (!isProper(answer)) {
+    ++state_.statistics().bad_answers;
+    may_have_run_ = true;
+    io_.cancelAttempt(attempt_);
+    return conclude(Reason::kMalformedAnswer, now);
+  }
+  if (was_refused) return onServerRefused(answer, now);
+  state_.onAnswered(now - attempt_started_);
+  phase_ = Phase::kForwarding;
+  state_.deadlines().disarm(*this);
+  io_.forwardAnswer(attempt_);
+}
+
+bool IngressFlow::isProper(const AnswerHead& answer) const {
+  if (answer.request_id != head_.request_id) return false;
+  if (!isSuccess(answer.status)) return true;
+  return !answer.is_encoded && (answer.is_signed || !state_.settings().expects_signature);
+}
+
+void IngressFlow::onServerRefused(const AnswerHead& answer, TimePoint now) {
+  ++state_.statistics().server_refusals;
+  io_.discardAnswer(attempt_);
+  if (answer.status != kMisdirected) state_.pause(state_.settings().refused_pause, now);
+  conclude(Reason::kServerRefused, now);
+}
+
+void IngressFlow::onDeadline(TimePoint now) {
+  if (phase_ == Phase::kAttempting) {
+    if (io_.bytesSent(attempt_)) may_have_run_ = true;
+    io_.cancelAttempt(attempt_);
+  }
+  conclude(Reason::kDeadline, now);
+}
+
+void IngressFlow::onAnswerComplete(AttemptId attempt) {
+  if (!isCurrent(attempt, Phase::kForwarding)) return;
+  ++state_.statistics().answers_forwarded;
+  finish(environment_.now());
+}
+
+void IngressFlow::onAnswerCut(AttemptId attempt) {
+  if (!isCurrent(attempt, Phase::kForwarding)) return;
+  ++state_.statistics().answers_cut;
+  finish(environment_.now());
+}
+
+void IngressFlow::onCallerGone() {
+  if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
+  ++state_.statistics().caller_gone;
+  if (phase_ != Phase::kWaiting) io_.cancelAttempt(attempt_);
+  finish(environment_.now());
+}
+
+void IngressFlow::finish(TimePoint now) {
+  phase_ = Phase::kFinished;
+  state_.deadlines().disarm(*this);
+  state_.leave(*this);
+  if (!has_slot_) return;
+  has_slot_ = false;
+  state_.release(now);
+}
+
+void IngressFlow::conclude(Reason reason, TimePoint now) {
+  count(reason);
+  const proxy::LocalAnswer answer = makeAnswer(reason);
+  finish(now);
+  io_.answerLocally(answer);
+}
+
+void IngressFlow::count(Reason reason) {
+  Statistics& statistics = state_.statistics();
+  switch (reason) {
+    case Reason::kQueueFull:
+    case Reason::kDeadlineTooShort:
+      ++statistics.refused_full;
+      return;
+    case Reason::kStopping:
+    case Reason::kServerDraining:
+      ++statistics.refused_draining;
+      return;
+    case Reason::kDeadline:
+      ++statistics.expired;
+      return;
+    default:
+      return;
+  }
+}
+
+proxy::LocalAnswer IngressFlow::makeAnswer(Reason reason) const {
+  proxy::LocalAnswer answer;
+  answer.reason = std::string(reasonWord(reason));
+  if (may_have_run_) {
+    answer.status = reason == Reason::kDeadline ? kGatewayTimeout : kBadGateway;
+    answer.outcome = proxy::Outcome::kUnknown;
+  } else {
+    answer.status = kServiceUnavailable;
+    answer.retry_after = state_.retryAfter();
+  }
+  return answer;
+}
+
+}  // namespace
+
+std::unique_ptr<proxy::Exchange> makeIngressFlow(proxy::RequestHead head, IngressState& state,
+                                                 Environment& environment, proxy::RequestIo& io) {
+  return std::make_unique<IngressFlow>(std::move(head), state, environment, io);
+}
+
+}  // namespace coursepond::ingress
--- /dev/null
+++ b/src/ingress/ingress_state.cpp
@@ -0,0 +1,133 @@
+#include "ingress/ingress_state.h"
+
+#include <algorithm>
+
+namespace coursepond::ingress {
+
+using proxy::Reason;
+
+IngressState::IngressState(Settings settings, Environment& environment)
+    : settings_(settings),
+      environment_(environment),
+      service_time_us_(static_cast<double>(settings.first_service_time.count())),
+      deadlines_(environment) {}
+
+void IngressState::setServer(const std::optional<model::ServerEntry>& entry) {
+  server_ = entry;
+  dispatch(environment_.now());
+}
+
+model::Endpoint IngressState::endpoint(const std::string& instance) const {
+  return {EndpointId(instance), address_, ZoneId(), model::MachineState::kLive};
+}
+
+std::optional<Reason> IngressState::refusal(const std::string& instance) const {
+  if (is_stopped_) return Reason::kStopping;
+  if (!server_) return std::nullopt;
+  // The entry may lag behind a server that has just been started anew: it then answers itself.
+  if (server_->id.value() == instance && server_->state == model::MachineState::kLeaving) {
+    return Reason::kServerDraining;
+  }
+  return std::nullopt;
+}
+
+std::uint32_t IngressState::slots() const {
+  if (!server_ || server_->slots == 0) return settings_.unknown_slots;
+  return server_->slots;
+}
+
+bool IngressState::hasFreeSlot(TimePoint now) const {
+  return running_ < slots() && now >= paused_until_;
+}
+
+std::optional<Reason> IngressState::admit(Waiter& waiter, TimePoint latest, TimePoint now) {
+  if (queue_.empty() && hasFreeSlot(now)) {
+    ++running_;
+    waiter.onSlot(now);
+    return std::nullopt;
+  }
+  const std::size_t ahead = queue_.ahead(waiter.rank, waiter.due);
+  const Duration service_time(static_cast<Duration::rep>(service_time_us_));
+  const TimePoint expected = now + expectedWait(ahead + 1) + service_time;
+  if (expected > latest) return Reason::kDeadlineTooShort;
+  const auto room = static_cast<std::size_t>(settings_.queue_per_slot * slots());
+  if (queue_.size() >= room) {
+    if (!queue_.goesBeforeLast(waiter)) return Reason::kQueueFull;
+    Waiter* const displaced = queue_.last();
+    queue_.remove(*displaced);
+    ++statistics_.displaced;
+    displaced->onDisplaced(Reason::kQueueFull, now);
+  }
+  ++statistics_.queued;
+  queue_.add(waiter);
+  wakeAfterPause(now);
+  return std::nullopt;
+}
+
+void IngressState::release(TimePoint now) {
+  --running_;
+  dispatch(now);
+}
+
+/// A waiter may finish from inside onSlot() and release its slot: the loop goes on, without a
+/// second one inside it.
+void IngressState::dispatch(TimePoint now) {
+  if (is_dispatching_) return;
+  is_dispatching_ = true;
+  while (!queue_.empty() && hasFreeSlot(now)) {
+    Waiter* const waiter = queue_.first();
+    queue_.remove(*waiter);
+    ++running_;
+    waiter->onSlot(now);
+  }
+  is_dispatching_ = false;
+  wakeAfterPause(now);
+}
+
+void IngressState::wakeAfterPause(TimePoint now) {
+  if (wake_timer_ != 0 || queue_.empty() || now >= paused_until_) return;
+  wake_timer_ = environment_.schedule(paused_until_ - now, [this] {
+    wake_timer_ = 0;
+    dispatch(environment_.now());
+  });
+}
+
+void IngressState::onAnswered(Duration service_time) {
+  service_time_us_ += settings_.sample_weight *
+                      (static_cast<double>(service_time.count()) - service_time_us_);
+}
+
+void IngressState::pause(Duration length, TimePoint now) {
+  paused_until_ = std::max(paused_until_, now + length);
+}
+
+Duration IngressState::expectedWait(std::size_t ahead) const {
+  const double turns = static_cast<double>(ahead) / slots();
+  return Duration(static_cast<Duration::rep>(turns * service_time_us_));
+}
+
+proxy::HopLoad IngressState::load() const {
+  proxy::HopLoad load;
+  load.running = running_;
+  load.waiting = static_cast<std::uint32_t>(queue_.size());
+  load.slots = slots();
+  load.service_time = Duration(static_cast<Duration::rep>(service_time_us_));
+  const bool server_leaves = server_ && server_->state == model::MachineState::kLeaving;
+  load.draining = is_leaving_ || is_stopped_ || server_leaves;
+  return load;
+}
+
+Duration IngressState::retryAfter() const {
+  return expectedWait(queue_.size() + 1) + settings_.first_service_time;
+}
+
+std::uint32_t IngressState::connectionBudget(const ServiceName&, const EndpointId&) const {
+  const std::uint32_t spare = settings_.spare_connections;
+  return connection_limit_ > spare + 1 ? connection_limit_ - spare : 1;
+}
+
+bool IngressState::usable(const ServiceName&, const EndpointId& endpoint) const {
+  return !server_ || server_->id == endpoint;
+}
+
+}  // namespace coursepond::ingress
--- /dev/null
+++ b/src/ingress/ingress_state.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/// The one server of this machine, owned: who runs on it, who waits, whom it takes no more.
+///
+/// Invariant: never more requests are at the server than it has slots, so that it need not queue,
+/// refuse or reset.
+
+#include <cstdint>
+#include <optional>
+
+#include "core/environment.h"
+#include "ingress/settings.h"
+#include "ingress/work_queue.h"
+#include "model/server_entry.h"
+#include "proxy/connection_policy.h"
+#include "proxy/deadline_queue.h"
+#include "proxy/request_flow.h"
+
+namespace coursepond::ingress {
+
+/// Counters for /metrics. Never reset.
+struct Statistics {
+  std::uint64_t requests = 0;
+  std::uint64_t answers_forwarded = 0;
+  std::uint64_t answers_cut = 0;
+  std::uint64_t queued = 0;
+  std::uint64_t refused_full = 0;      ///< The expected wait is too long.
+  std::uint64_t refused_draining = 0;  ///< The server or this node is leaving.
+  std::uint64_t refused_instance = 0;  ///< Meant for another start of the server.
+  std::uint64_t displaced = 0;         ///< Made room for a more urgent request.
+  std::uint64_t expired = 0;           ///< The deadline passed while waiting.
+  std::uint64_t server_refusals = 0;
+  std::uint64_t server_unreachable = 0;
+  std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
+  std::uint64_t bad_answers = 0;
+  std::uint64_t caller_gone = 0;
+};
+
+class IngressState final : public proxy::ConnectionPolicy {
+ public:
+  IngressState(Settings settings, Environment& environment);
+
+  /// What the server on this machine lists of itself; nothing when it is not listed.
+  void setServer(const std::optional<model::ServerEntry>& entry);
+  void setConnectionLimit(std::uint32_t connections) { connection_limit_ = connections; }
+  /// A planned stop of this node began: egresses are told to go elsewhere.
+  void announceStop() { is_leaving_ = true; }
+  /// From now on, new requests are refused.
+  void beginStop() { is_stopped_ = true; }
+
+  /// Why a request for `instance` may not begin here, if so.
+  std::optional<proxy::Reason> refusal(const std::string& instance) const;
+  const std::optional<model::ServerEntry>& server() const { return server_; }
+  /// Where the server is, and the name its connections are kept under.
+  model::Endpoint endpoint(const std::string& instance) const;
+  void setAddress(Address address) { address_ = std::move(address); }
+
+  /// Gives the waiter a slot now or later, or tells why not.
+  std::optional<proxy::Reason> admit(Waiter& waiter, TimePoint latest, TimePoint now);
+  void leave(Waiter& waiter) { queue_.remove(waiter); }
+  /// Gives the slot back and serves who waits.
+  void release(TimePoint now);
+  void onAnswered(Duration service_time);
+  /// The server takes nothing for a while.
+  void pause(Duration length, TimePoint now);
+
+  proxy::HopLoad load() const;
+  /// When a refused request should come back.
+  Duration retryAfter() const;
+
+  proxy::DeadlineQueue& deadlines() { return deadlines_; }
+  const Settings& settings() const { return settings_; }
+  Statistics& statistics() { return statistics_; }
+  std::size_t running() const { return running_; }
+  std::size_t waiting() const { return queue_.size(); }
+
+  std::uint32_t connectionBudget(const ServiceName& service,
+                                 const EndpointId& endpoint) const override;
+  bool usable(const ServiceName& service, const EndpointId& endpoint) const override;
+  std::vector<proxy::WarmServer> warmServers() const override { return {}; }
+
+ private:
+  std::uint32_t slots() const;
+  Duration expectedWait(std::size_t ahead) const;
+  bool hasFreeSlot(TimePoint now) const;
+  void dispatch(TimePoint now);
+  void wakeAfterPause(TimePoint now);
+
+  Settings settings_;
+  Environment& environment_;
+  Address address_;
+  std::optional<model::ServerEntry> server_;
+  std::uint32_t connection_limit_ = 100;
+  WorkQueue queue_;
+  std::uint32_t running_ = 0;
+  double service_time_us_;
+  TimePoint paused_until_;
+  TimerId wake_timer_ = 0;
+  bool is_dispatching_ = false;
+  bool is_leaving_ = false;
+  bool is_stopped_ = false;
+  proxy::DeadlineQueue deadlines_;
+  Statistics statistics_;
+};
+
+}  // namespace coursepond::ingress
--- /dev/null
+++ b/src/ingress/work_queue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/// The requests that wait for a slot of the ingress's server: lowest rank first, and within a rank
+/// the one whose target comes first.
+
+#include <cstdint>
+#include <set>
+
+#include "core/time.h"
+#include "proxy/reason.h"
+
+namespace coursepond::ingress {
+
+/// A request that needs a slot.
+class Waiter {
+ public:
+  virtual ~Waiter() = default;
+  /// A slot is taken for this request, which must release it.
+  virtual void onSlot(TimePoint now) = 0;
+  /// No longer waiting and without a slot.
+  virtual void onDisplaced(proxy::Reason reason, TimePoint now) = 0;
+
+  std::uint32_t rank = 0;
+  TimePoint due;  ///< When its answer should be there.
+
+ private:
+  friend class WorkQueue;
+  std::uint64_t number_ = 0;  ///< Order of arrival; zero: not waiting.
+};
+
+class WorkQueue {
+ public:
+  void add(Waiter& waiter);
+  /// Does nothing when it doesn't wait.
+  void remove(Waiter& waiter);
+  Waiter* first() const { return waiters_.empty() ? nullptr : *waiters_.begin(); }
+  Waiter* last() const { return waiters_.empty() ? nullptr : *waiters_.rbegin(); }
+  bool empty() const { return waiters_.empty(); }
+  std::size_t size() const { return waiters_.size(); }
+  /// How many of those that wait would go before a request of this rank and time.
+  std::size_t ahead(std::uint32_t rank, TimePoint due) const;
+  /// Whether `waiter` would go before the last of those that wait.
+  bool goesBeforeLast(const Waiter& waiter) const;
+
+ private:
+  struct Order {
+    bool operator()(const Waiter* left, const Waiter* right) const;
+  };
+  std::set<Waiter*, Order> waiters_;
+  std::uint64_t last_number_ = 0;
+};
+
+}  // namespace coursepond::ingress
--- a/src/model/codec.cpp
+++ b/src/model/codec.cpp
@@ -18,6 +18,12 @@
 constexpr NumberRange kQueueRange{0, 1'000'000};
 constexpr NumberRange kPercentRange{0, 100};
 constexpr NumberRange kAttemptRange{1, 10};
+constexpr NumberRange kRouteAttemptRange{0, 10};
+constexpr NumberRange kOptionalTimeRange{0, 3'600'000};
+constexpr NumberRange kRankRange{0, 1000};
+constexpr NumberRange kWeightRange{0, 1'000'000};
+constexpr NumberRange kHeadBytesRange{0, 1U << 24U};
+constexpr NumberRange kBodyBytesRange{0, 1ULL << 40U};
 
 /// Headers that frame a request; a secret in one of them would corrupt the connection.
 constexpr std::array<std::string_view, 6> kFramingHeaders = {
@@ -96,6 +102,52 @@
   return static_cast<std::uint32_t>(reader.numberOr(key, fallback, range));
 }
 
+std::chrono::milliseconds readOptionalTime(ObjectReader& reader, std::string_view key) {
+  return std::chrono::milliseconds(reader.numberOr(key, 0, kOptionalTimeRange));
+}
+
+std::vector<WeightedService> readSplit(ObjectReader& reader) {
+  std::vector<WeightedService> split;
+  std::uint64_t sum = 0;
+  reader.optionalObjects("split", [&](ObjectReader& element) {
+    WeightedService part;
+    part.service = ServiceName(element.text("service", rules::kName));
+    part.weight = static_cast<std::uint32_t>(element.number("weight", kWeightRange));
+    sum += part.weight;
+    split.push_back(std::move(part));
+  });
+  if (!split.empty() && sum == 0) {
+    reader.refuse("split", ErrorKind::kInvalidArgument, "no part has a weight above zero",
+                  "give at least one part a weight of 1 or more");
+  }
+  return split;
+}
+
+/// What has its default is left out: configurations that don't use it keep their digest.
+void addRouteBounds(Json& json, const Route& route) {
+  if (!route.split.empty()) {
+    Json split = Json::array();
+    for (const WeightedService& part : route.split) {
+      split.push_back({{"service", part.service.value()}, {"weight", part.weight}});
+    }
+    json["split"] = std::move(split);
+  }
+  if (route.longest_hold > Duration(0)) json["longest_hold_ms"] = toMilliseconds(route.longest_hold);
+  if (route.target_latency > Duration(0)) {
+    json["target_latency_ms"] = toMilliseconds(route.target_latency);
+  }
+  if (route.rank > 0) json["rank"] = route.rank;
+  if (route.max_attempts > 0) json["max_attempts"] = route.max_attempts;
+}
+
+void readRouteBounds(ObjectReader& reader, Route& route) {
+  route.split = readSplit(reader);
+  route.longest_hold = readOptionalTime(reader, "longest_hold_ms");
+  route.target_latency = readOptionalTime(reader, "target_latency_ms");
+  route.rank = readSmallNumber(reader, "rank", 0, kRankRange);
+  route.max_attempts = readSmallNumber(reader, "max_attempts", 0, kRouteAttemptRange);
+}
+
 }  // namespace
 
 Json routeToJson(const Route& route) {
@@ -110,7 +162,7 @@
   Json zones = Json::array();
   for (const ZoneId& zone : route.zones) zones.push_back(zone.value());
 
-  return {{"name", route.name.value()},
+  Json json = {{"name", route.name.value()},
           {"host", route.match.host},
           {"path_prefix", route.match.path_prefix},
           {"methods", route.match.methods},
@@ -121,6 +173,8 @@
           {"priority", kPriorityWords[static_cast<std::size_t>(route.priority)]},
           {"repeatable", kRepeatabilityWords[static_cast<std::size_t>(route.repeatability)]},
           {"timeout_ms", toMilliseconds(route.timeout)}};
+  addRouteBounds(json, route);
+  return json;
 }
 
 Json serviceToJson(const Service& service) {
@@ -132,6 +186,13 @@
           {"max_attempts", service.max_attempts}};
 }
 
+Json limitsToJson(const CallerLimits& limits) {
+  return {{"head_bytes", limits.head_bytes},
+          {"body_bytes", limits.body_bytes},
+          {"head_timeout_ms", toMilliseconds(limits.head_timeout)},
+          {"idle_timeout_ms", toMilliseconds(limits.idle_timeout)}};
+}
+
 Json descriptorToJson(const SecretDescriptor& descriptor) {
   return {{"name", descriptor.name.value()}, {"digest", descriptor.digest.toHex()}};
 }
@@ -151,9 +212,19 @@
   const auto default_timeout = static_cast<std::uint64_t>(toMilliseconds(route.timeout));
   route.timeout =
       std::chrono::milliseconds(reader.numberOr("timeout_ms", default_timeout, kTimeoutRange));
+  readRouteBounds(reader, route);
   return route;
 }
 
+CallerLimits readLimits(ObjectReader& reader) {
+  CallerLimits limits;
+  limits.head_bytes = readSmallNumber(reader, "head_bytes", 0, kHeadBytesRange);
+  limits.body_bytes = reader.numberOr("body_bytes", 0, kBodyBytesRange);
+  limits.head_timeout = readOptionalTime(reader, "head_timeout_ms");
+  limits.idle_timeout = readOptionalTime(reader, "idle_timeout_ms");
+  return limits;
+}
+
 Service readService(ObjectReader& reader) {
   Service service;
   service.name = ServiceName(reader.text("name", rules::kName));
--- a/src/model/codec.h
+++ b/src/model/codec.h
@@ -12,10 +12,12 @@
 
 nlohmann::json routeToJson(const Route& route);
 nlohmann::json serviceToJson(const Service& service);
+nlohmann::json limitsToJson(const CallerLimits& limits);
 nlohmann::json descriptorToJson(const SecretDescriptor& descriptor);
 
 Route readRoute(ObjectReader& reader);
 Service readService(ObjectReader& reader);
+CallerLimits readLimits(ObjectReader& reader);
 SecretDescriptor readDescriptor(ObjectReader& reader);
 
 }  // namespace coursepond::model
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -39,6 +39,13 @@
   kNever,
 };
 
+/// One part of a route whose requests go to several services.
+struct WeightedService {
+  ServiceName service;
+  std::uint32_t weight = 0;  ///< Of the sum of the route's weights.
+  friend bool operator==(const WeightedService&, const WeightedService&) = default;
+};
+
 /// A secret that the route's requests carry to the back end.
 struct SecretUse {
   SecretName secret;
@@ -50,11 +57,16 @@
   RouteName name;
   RouteMatch match;
   ServiceName service;
+  std::vector<WeightedService> split;  ///< Empty: all requests go to `service`.
   std::vector<SecretUse> secrets;
   std::vector<ZoneId> zones;  ///< The zones whose proxies hold this route; empty means all.
   Priority priority = Priority::kInteractive;
   Repeatability repeatability = Repeatability::kByMethod;
   Duration timeout = std::chrono::seconds(5);  ///< When the caller names no deadline.
+  Duration longest_hold{};      ///< Answered by then whatever the caller's deadline; zero: no bound.
+  Duration target_latency{};    ///< Within which an answer has its full worth; zero: not known.
+  std::uint32_t rank = 0;       ///< Among waiting requests, the lowest rank goes first.
+  std::uint32_t max_attempts = 0;  ///< Servers one request may be sent to; zero: the service's.
   friend bool operator==(const Route&, const Route&) = default;
 };
 
@@ -90,12 +102,22 @@
 
 using SecretValues = std::map<SecretName, SecretValue>;
 
+/// What callers may send and how long they may take. Zero: the node's own setting.
+struct CallerLimits {
+  std::uint32_t head_bytes = 0;
+  std::uint64_t body_bytes = 0;
+  Duration head_timeout{};
+  Duration idle_timeout{};
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
 /// One numbered version without secret values. Its digest covers everything but the version.
 struct Configuration {
   Version version;
   std::map<RouteName, Route> routes;
   std::map<ServiceName, Service> services;
   std::map<SecretName, SecretDescriptor> secrets;
+  CallerLimits limits;
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
 
@@ -105,6 +127,9 @@
   SecretValues secret_values;
 };
 
+/// Every service that `route` may send a request to.
+std::vector<ServiceName> servicesOf(const Route& route);
+
 /// Digest that binds a secret's value to its name.
 Digest digestOfSecret(const SecretName& name, const SecretValue& value);
 
--- a/src/model/delta.cpp
+++ b/src/model/delta.cpp
@@ -104,6 +104,7 @@
   delta.removed_services = changes.services.removed;
   delta.upserted_secrets = upserts(changes.secrets, target.secrets);
   delta.removed_secrets = changes.secrets.removed;
+  delta.limits = target.limits;
   return delta;
 }
 
@@ -119,6 +120,7 @@
   change(target.routes, delta.upserted_routes, delta.removed_routes);
   change(target.services, delta.upserted_services, delta.removed_services);
   change(target.secrets, delta.upserted_secrets, delta.removed_secrets);
+  target.limits = delta.limits;
   if (contentDigest(target) != delta.target_digest) {
     return Error{ErrorKind::kDigestMismatch,
                  "the delta does not give the content it names for version " +
@@ -139,6 +141,7 @@
   addUnlessEmpty(json, "removed_services", namesToJson(delta.removed_services));
   addUnlessEmpty(json, "upserted_secrets", itemsToJson(delta.upserted_secrets, descriptorToJson));
   addUnlessEmpty(json, "removed_secrets", namesToJson(delta.removed_secrets));
+  if (delta.limits != CallerLimits()) json["limits"] = limitsToJson(delta.limits);
   return json.dump();
 }
 
@@ -159,6 +162,8 @@
   delta.removed_services = readNames<ServiceName>(reader, "removed_services");
   delta.upserted_secrets = readItems(reader, "upserted_secrets", readDescriptor);
   delta.removed_secrets = readNames<SecretName>(reader, "removed_secrets");
+  reader.optionalObject(
+      "limits", [&delta](ObjectReader& element) { delta.limits = readLimits(element); });
   reader.refuseUnknownKeys();
   if (mistakes.empty()) return delta;
   Error error = mistakes.front().error;
--- a/src/model/delta.h
+++ b/src/model/delta.h
@@ -41,6 +41,7 @@
   std::vector<ServiceName> removed_services;
   std::vector<SecretDescriptor> upserted_secrets;
   std::vector<SecretName> removed_secrets;
+  CallerLimits limits;  ///< Of the target.
   friend bool operator==(const Delta&, const Delta&) = default;
 };
 
--- a/src/model/document.cpp
+++ b/src/model/document.cpp
@@ -83,6 +83,12 @@
   });
 }
 
+void readCallerLimits(ObjectReader& reader, Configuration& configuration) {
+  reader.optionalObject("limits", [&configuration](ObjectReader& element) {
+    configuration.limits = readLimits(element);
+  });
+}
+
 /// A name that could not be read stands as an empty one: then it cannot be told whether what
 /// refers to it is missing. The same holds when no service could be read at all.
 bool canJudgeClosure(const Configuration& configuration) {
@@ -93,7 +99,11 @@
 
 /// The configuration less what its routes name with a mistake already reported.
 Configuration withoutUnnamedReferences(Configuration configuration) {
-  std::erase_if(configuration.routes, [](const auto& item) { return item.second.service.empty(); });
+  std::erase_if(configuration.routes, [](const auto& item) {
+    const std::vector<ServiceName> services = servicesOf(item.second);
+    return std::any_of(services.begin(), services.end(),
+                       [](const ServiceName& service) { return service.empty(); });
+  });
   for (auto& [name, route] : configuration.routes) {
     std::erase_if(route.secrets, [](const SecretUse& use) { return use.secret.empty(); });
   }
@@ -110,6 +120,7 @@
   readRoutes(reader, document.configuration);
   readServices(reader, document.configuration);
   readSecrets(reader, document);
+  readCallerLimits(reader, document.configuration);
   reader.refuseUnknownKeys();
 
   const bool sections_read = mistakes.empty() || canJudgeClosure(document.configuration);
@@ -119,9 +130,10 @@
   return document;
 }
 
-void requireService(const Configuration& configuration, const Route& route, Mistakes& mistakes) {
-  if (configuration.services.contains(route.service)) return;
-  const std::string& service = route.service.value();
+void requireService(const Configuration& configuration, const Route& route,
+                    const ServiceName& name, Mistakes& mistakes) {
+  if (configuration.services.contains(name)) return;
+  const std::string& service = name.value();
   mistakes.push_back({"routes['" + route.name.value() + "'].service",
                       Error{ErrorKind::kMissingDependency,
                             "route '" + route.name.value() + "' needs service '" + service +
@@ -157,7 +169,9 @@
 std::vector<DocumentMistake> checkClosure(const Configuration& configuration) {
   Mistakes mistakes;
   for (const auto& [name, route] : configuration.routes) {
-    requireService(configuration, route, mistakes);
+    for (const ServiceName& service : servicesOf(route)) {
+      requireService(configuration, route, service, mistakes);
+    }
     for (const SecretUse& use : route.secrets) {
       requireSecret(configuration, route, use.secret, mistakes);
     }
@@ -176,9 +190,10 @@
   for (const auto& [name, descriptor] : configuration.secrets) {
     secrets.push_back(descriptorToJson(descriptor));
   }
-  const Json json = {{"routes", std::move(routes)},
-                     {"services", std::move(services)},
-                     {"secrets", std::move(secrets)}};
+  Json json = {{"routes", std::move(routes)},
+               {"services", std::move(services)},
+               {"secrets", std::move(secrets)}};
+  if (configuration.limits != CallerLimits()) json["limits"] = limitsToJson(configuration.limits);
   return json.dump();
 }
 
@@ -195,6 +210,7 @@
   reader.requiredObjects("secrets", [&configuration](ObjectReader& element) {
     insertOnce(configuration.secrets, readDescriptor(element), element);
   });
+  readCallerLimits(reader, configuration);
   reader.refuseUnknownKeys();
   if (mistakes.empty()) return configuration;
   Error error = mistakes.front().error;
--- a/src/model/document.h
+++ b/src/model/document.h
@@ -8,10 +8,13 @@
 ///    [{"name","value"}],
 ///                  "service", "secrets"?: [{"secret","header"}], "zones"?: [..],
 ///                  "priority"?: "interactive"|"batch",
-///                  "repeatable"?: "by_method"|"always"|"never", "timeout_ms"?}],
+///                  "repeatable"?: "by_method"|"always"|"never", "timeout_ms"?,
+///                  "split"?: [{"service","weight"}], "longest_hold_ms"?, "target_latency_ms"?,
+///                  "rank"?, "max_attempts"?}],
 ///    "services": [{"name", "slots_per_server"?, "connections_per_server"?, "queue_limit"?,
 ///                  "retry_budget_percent"?, "max_attempts"?}],
-///    "secrets":  [{"name", "value"}]}
+///    "secrets":  [{"name", "value"}],
+///    "limits"?:  {"head_bytes"?, "body_bytes"?, "head_timeout_ms"?, "idle_timeout_ms"?}}
 
 #include <string>
 #include <string_view>
--- a/src/model/json_reader.cpp
+++ b/src/model/json_reader.cpp
@@ -273,6 +273,14 @@
   if (value != nullptr) readObjects(*value, key, read);
 }
 
+void ObjectReader::optionalObject(std::string_view key, const ElementReader& read) {
+  const Json* value = find(key);
+  if (value == nullptr) return;
+  ObjectReader element(*value, placeOf(key), mistakes_);
+  read(element);
+  element.refuseUnknownKeys();
+}
+
 void ObjectReader::refuse(std::string_view key, ErrorKind kind, std::string message,
                           std::string remedy) {
   std::string place = placeOf(key);
--- a/src/model/json_reader.h
+++ b/src/model/json_reader.h
@@ -61,6 +61,8 @@
   using ElementReader = std::function<void(ObjectReader&)>;
   void requiredObjects(std::string_view key, const ElementReader& read);
   void optionalObjects(std::string_view key, const ElementReader& read);
+  /// Reads an object, if it is there, and checks it for unknown keys.
+  void optionalObject(std::string_view key, const ElementReader& read);
 
   /// Adds a mistake at `key` of this object (at the object itself when empty).
   void refuse(std::string_view key, ErrorKind kind, std::string message, std::string remedy);
--- a/src/model/snapshot.cpp
+++ b/src/model/snapshot.cpp
@@ -54,10 +54,13 @@
   snapshot->version = configuration.version;
   snapshot->digest = contentDigest(configuration);
   snapshot->services = configuration.services;
+  snapshot->limits = configuration.limits;
   for (const auto& [name, route] : configuration.routes) {
     if (!isUsedIn(route, zone)) continue;
-    if (!configuration.services.contains(route.service)) {
-      return missing(route, "service", route.service.value());
+    for (const ServiceName& service : servicesOf(route)) {
+      if (!configuration.services.contains(service)) {
+        return missing(route, "service", service.value());
+      }
     }
     for (const SecretUse& use : route.secrets) {
       Result<SecretValue> value = findSecret(configuration, secret_values, route, use.secret);
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -19,6 +19,7 @@
   std::vector<Route> routes;  ///< Only the routes of this proxy's zone, by name.
   std::map<ServiceName, Service> services;
   SecretValues secrets;  ///< Only those that `routes` use.
+  CallerLimits limits;
 };
 
 using SnapshotPointer = std::shared_ptr<const Snapshot>;
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -64,6 +64,7 @@
                                   });
   if (!http) return http.error();
   server->server_ = std::move(*http);
+  server->readiness_path_ = settings.readiness_path;
   return server;
 }
 
@@ -78,12 +79,16 @@
 
 void AdminServer::handleApi(const runtime::HttpRequest& request,
                             const runtime::HttpResponder& responder) {
+  if (sources_.api == nullptr) {
+    return responder.respond(
+        text(kNotFound, "no operator API: the source acknowledges versions itself\n"));
+  }
   admin::AdminRequest asked;
   asked.method = request.method;
   asked.path = std::string(request.path());
   asked.bearer_token = bearerToken(request);
   asked.body = request.body;
-  sources_.api.handle(asked, [responder](admin::AdminResponse answer) {
+  sources_.api->handle(asked, [responder](admin::AdminResponse answer) {
     responder.respond(fromApi(std::move(answer)));
   });
 }
@@ -91,7 +96,7 @@
 runtime::HttpResponse AdminServer::page(const runtime::HttpRequest& request) const {
   const std::string_view path = request.path();
   const bool known = path == "/" || path == "/status" || path == "/metrics" || path == "/healthz" ||
-                     path == "/readyz";
+                     path == "/readyz" || path == readiness_path_;
   if (!known) {
     return text(kNotFound, "no such page; there are /, /metrics, /healthz, /readyz and /v1/\n");
   }
@@ -101,7 +106,7 @@
     return response;
   }
   if (path == "/healthz") return text(kOk, "ok\n");
-  if (path == "/readyz") return readiness();
+  if (path == "/readyz" || path == readiness_path_) return readiness();
   if (path != "/metrics") return text(kOk, sources_.status_page());
   runtime::HttpResponse response = text(kOk, sources_.metrics());
   response.content_type = kMetricsType;
--- a/src/node/admin_server.h
+++ b/src/node/admin_server.h
@@ -16,7 +16,7 @@
 
 /// What the server asks the node for.
 struct AdminSources {
-  admin::AdminApi& api;
+  admin::AdminApi* api = nullptr;  ///< Null: this mesh has nothing to plan or confirm.
   std::function<std::string()> metrics;
   std::function<std::string()> status_page;
   /// Empty when the node may get requests; else why not.
@@ -43,6 +43,7 @@
   runtime::HttpResponse readiness() const;
 
   AdminSources sources_;
+  std::string readiness_path_;
   std::unique_ptr<runtime::HttpServer> server_;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -162,7 +162,7 @@
 }
 
 Result<void> Implementation::openAdmin() {
-  AdminSources sources{control_->api(), [this] { return metrics_.exposition(); },
+  AdminSources sources{&control_->api(), [this] { return metrics_.exposition(); },
                        [this] { return renderStatusPage(statusReport()); },
                        [this] { return unreadiness(); }};
   Result<std::unique_ptr<AdminServer>> admin = AdminServer::create(
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,9 +11,19 @@
 #include "core/error.h"
 #include "node/exit_code.h"
 #include "runtime/settings.h"
+#include "source/watch_client.h"
 
 namespace coursepond::node {
 
+/// Makes the client of a watchable source at `address`.
+using WatchClientFactory = std::function<std::unique_ptr<source::WatchClient>(
+    boost::asio::io_context& context, const Address& address)>;
+
+/// What a program brings beyond the product's own parts.
+struct Extensions {
+  WatchClientFactory watch_client;
+};
+
 /// How a node ended.
 enum class StopOutcome {
   kClean,  ///< Every request in flight was answered.
@@ -57,6 +67,6 @@
 
 /// Runs a node until SIGTERM or SIGINT and its planned stop. Trouble at the start goes to standard
 /// error.
-ExitCode runNode(runtime::Settings settings);
+ExitCode runNode(runtime::Settings settings, const Extensions& extensions = {});
 
 }  // namespace coursepond::node
--- /dev/null
+++ b/src/node/two_hop_metrics.cpp
@@ -0,0 +1,105 @@
+#include "node/two_hop_metrics.h"
+
+#include <vector>
+
+namespace coursepond::node {
+namespace {
+
+using runtime::MetricTable;
+
+template <typename Statistics>
+struct CounterField {
+  const char* name;
+  const char* meaning;
+  std::uint64_t Statistics::*field;
+};
+
+template <typename Statistics, typename Read>
+void addCounters(MetricTable& table, const std::vector<CounterField<Statistics>>& fields,
+                 Read read) {
+  for (const CounterField<Statistics>& counter : fields) {
+    table.addCounter(counter.name, counter.meaning,
+                     [read, field = counter.field] { return static_cast<double>(read().*field); });
+  }
+}
+
+void addEgress(MetricTable& table, egress::EgressState& state) {
+  using S = egress::Statistics;
+  addCounters<S>(table,
+                 {{"egress_requests", "Requests taken from callers.", &S::requests},
+                  {"egress_answers", "Server answers passed on whole.", &S::answers_forwarded},
+                  {"egress_attempts", "Requests sent to an ingress.", &S::attempts},
+                  {"egress_repeats", "Requests sent to a further server.", &S::repeats},
+                  {"egress_repeats_denied", "Repeats left out for want of allowance.",
+                   &S::repeats_denied},
+                  {"egress_hop_refusals", "Refusals by ingresses; no server saw the request.",
+                   &S::hop_refusals},
+                  {"egress_server_refusals", "Refusals by servers.", &S::server_refusals},
+                  {"egress_hop_failures", "Ingresses that could not be reached or were lost.",
+                   &S::hop_failures},
+                  {"egress_bad_answers", "Answers that were not the request's own, or unsigned.",
+                   &S::bad_answers},
+                  {"egress_refused", "Requests answered as not run.", &S::refused},
+                  {"egress_unknown", "Requests that may have run and have no answer.",
+                   &S::unknown},
+                  {"egress_no_route", "Requests without a route.", &S::no_route},
+                  {"egress_callers_gone", "Callers that left before their answer.",
+                   &S::caller_gone}},
+                 [&state] { return state.statistics(); });
+  table.addGauge("configuration_version_in_force",
+                 "The configuration version that requests are served under.",
+                 [&state] { return static_cast<double>(state.version().value()); });
+}
+
+void addIngress(MetricTable& table, ingress::IngressState& state) {
+  using S = ingress::Statistics;
+  addCounters<S>(table,
+                 {{"ingress_requests", "Requests that egresses sent.", &S::requests},
+                  {"ingress_answers", "Answers of the server passed on.", &S::answers_forwarded},
+                  {"ingress_queued", "Requests that waited for a slot.", &S::queued},
+                  {"ingress_refused_full", "Refused: the expected wait is too long.",
+                   &S::refused_full},
+                  {"ingress_refused_draining", "Refused: the server or this node is leaving.",
+                   &S::refused_draining},
+                  {"ingress_displaced", "Waiting requests that made room.", &S::displaced},
+                  {"ingress_expired", "Requests whose deadline passed.", &S::expired},
+                  {"ingress_server_refusals", "Refusals by the server.", &S::server_refusals},
+                  {"ingress_server_unreachable", "Connections the server did not take.",
+                   &S::server_unreachable},
+                  {"ingress_server_lost", "Connections lost with a request on them.",
+                   &S::server_lost},
+                  {"ingress_bad_answers", "Answers of the server that were not the request's own.",
+                   &S::bad_answers}},
+                 [&state] { return state.statistics(); });
+  table.addGauge("ingress_running", "Requests at the server.",
+                 [&state] { return static_cast<double>(state.running()); });
+  table.addGauge("ingress_waiting", "Requests that wait for a slot.",
+                 [&state] { return static_cast<double>(state.waiting()); });
+}
+
+void addWatch(MetricTable& table, const std::string& set, const source::WatchLoop& loop) {
+  using S = source::WatchStatistics;
+  const auto add = [&](const char* name, const char* meaning, std::uint64_t S::*field) {
+    table.addCounter("watch_" + set + "_" + name, meaning, [&loop, field] {
+      return static_cast<double>(loop.statistics().*field);
+    });
+  };
+  add("lists", "Whole reads of the source.", &S::lists);
+  add("reads", "Reads that wait for a change.", &S::watches);
+  add("failures", "Reads that failed.", &S::failures);
+  add("history_lost", "Times that the source no longer had what changed.", &S::history_lost);
+  add("rejected", "Items that could not be read.", &S::rejected);
+}
+
+}  // namespace
+
+MetricTable makeTwoHopMetrics(const TwoHopSources& sources) {
+  MetricTable table;
+  addEgress(table, sources.egress);
+  addIngress(table, sources.ingress);
+  addWatch(table, "configuration", sources.configuration);
+  addWatch(table, "servers", sources.servers);
+  return table;
+}
+
+}  // namespace coursepond::node
--- /dev/null
+++ b/src/node/two_hop_metrics.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// The metrics of a two-hop node: what each part's statistics are called on /metrics.
+
+#include "egress/egress_state.h"
+#include "ingress/ingress_state.h"
+#include "runtime/metrics.h"
+#include "runtime/proxy_server.h"
+#include "source/watch_loop.h"
+
+namespace coursepond::node {
+
+/// Where the values come from; all must outlive the table.
+struct TwoHopSources {
+  egress::EgressState& egress;
+  ingress::IngressState& ingress;
+  const source::WatchLoop& configuration;
+  const source::WatchLoop& servers;
+  const runtime::ProxyServer& egress_server;
+  const runtime::ProxyServer& ingress_server;
+};
+
+runtime::MetricTable makeTwoHopMetrics(const TwoHopSources& sources);
+
+}  // namespace coursepond::node
--- /dev/null
+++ b/src/node/two_hop_node.cpp
@@ -0,0 +1,368 @@
+#include "node/two_hop_node.h"
+
+#include <optional>
+#include <utility>
+
+#include "egress/egress_flow.h"
+#include "ingress/ingress_flow.h"
+#include "model/snapshot.h"
+#include "node/admin_server.h"
+#include "node/two_hop_metrics.h"
+#include "runtime/asio_environment.h"
+#include "runtime/logging.h"
+#include "runtime/proxy_server.h"
+#include "source/watch_loop.h"
+
+namespace coursepond::node {
+namespace {
+
+/// An answer up to this long is held until it is whole.
+constexpr std::size_t kWholeAnswerBytes = 256 * 1024;
+/// Servers close idle connections after some seconds; ours are closed before.
+constexpr Duration kServerIdleTimeout = std::chrono::seconds(8);
+constexpr Duration kHopIdleTimeout = std::chrono::seconds(30);
+/// An ingress keeps an egress's connection longer than the egress does.
+constexpr Duration kIngressIdleTimeout = std::chrono::seconds(60);
+constexpr Duration kHopConnectTimeout = std::chrono::milliseconds(400);
+constexpr Duration kServerConnectTimeout = std::chrono::milliseconds(200);
+constexpr std::uint32_t kBufferBytes = 16 * 1024;
+
+runtime::ProxyServerSettings commonServerSettings(const runtime::Settings& settings) {
+  runtime::ProxyServerSettings server;
+  server.connections = settings.proxy.connection_limit;
+  server.head_bytes = static_cast<std::uint32_t>(settings.proxy.header_limit_bytes);
+  server.body_bytes = settings.proxy.body_limit_bytes;
+  server.buffer_bytes = kBufferBytes;
+  server.head_timeout = settings.proxy.header_timeout;
+  server.body_timeout = settings.proxy.body_timeout;
+  server.write_timeout = settings.proxy.write_timeout;
+  server.stop_grace = settings.node.stop_grace;
+  server.stop_drain = settings.node.stop_timeout;
+  server.names = settings.headers;
+  server.exact_retry_after = true;
+  server.whole_answer_bytes = kWholeAnswerBytes;
+  server.upstream.warm_connections = 0;
+  server.upstream.connection.buffer_bytes = kBufferBytes;
+  return server;
+}
+
+runtime::ProxyServerSettings egressServerSettings(const runtime::Settings& settings) {
+  runtime::ProxyServerSettings server = commonServerSettings(settings);
+  server.listen = settings.node.caller_listen;
+  server.idle_timeout = settings.proxy.idle_timeout;
+  server.answer_style = runtime::AnswerStyle::kEgress;
+  server.upstream.connection.connect_timeout = kHopConnectTimeout;
+  server.upstream.connection.idle_timeout = kHopIdleTimeout;
+  return server;
+}
+
+runtime::ProxyServerSettings ingressServerSettings(const runtime::Settings& settings) {
+  runtime::ProxyServerSettings server = commonServerSettings(settings);
+  server.listen = settings.two_hop.ingress_listen;
+  server.idle_timeout = kIngressIdleTimeout;
+  server.answer_style = runtime::AnswerStyle::kIngress;
+  server.upstream.connection.connect_timeout = kServerConnectTimeout;
+  server.upstream.connection.idle_timeout = kServerIdleTimeout;
+  return server;
+}
+
+egress::Settings egressSettings(const runtime::Settings& settings) {
+  egress::Settings egress = settings.egress;
+  egress.own_zone = settings.node.zone;
+  egress.own_service = settings.two_hop.service;
+  egress.ingress_port = settings.two_hop.ingress_listen.port;
+  egress.expects_signature = !settings.headers.signature.empty();
+  return egress;
+}
+
+ingress::Settings ingressSettings(const runtime::Settings& settings) {
+  ingress::Settings ingress = settings.ingress;
+  ingress.expects_signature = !settings.headers.signature.empty();
+  return ingress;
+}
+
+std::string_view setName(source::WatchedSet set) {
+  return set == source::WatchedSet::kConfiguration ? "configuration" : "servers";
+}
+
+}  // namespace
+
+class TwoHopNode::Implementation {
+ public:
+  Implementation(boost::asio::io_context& context, runtime::Settings settings,
+                 std::unique_ptr<source::WatchClient> client)
+      : context_(context),
+        settings_(std::move(settings)),
+        environment_(context),
+        log_(settings_.log.lines_per_second),
+        egress_(egressSettings(settings_), environment_),
+        ingress_(ingressSettings(settings_), environment_),
+        client_(std::move(client)),
+        configuration_loop_(makeLoop(source::WatchedSet::kConfiguration)),
+        server_loop_(makeLoop(source::WatchedSet::kServers)) {
+    ingress_.setAddress(settings_.two_hop.server);
+  }
+
+  Result<void> open();
+  void start();
+  void stop(std::function<void(StopOutcome)> stopped);
+  NodeAddresses addresses() const {
+    return {egress_server_->address(), ingress_server_->address(), admin_->address()};
+  }
+
+ private:
+  std::unique_ptr<source::WatchLoop> makeLoop(source::WatchedSet set);
+  Result<void> openEgress();
+  Result<void> openIngress();
+  Result<void> openAdmin();
+
+  void onBatch(source::WatchedSet set, const source::WatchBatch& batch, bool is_complete);
+  void onConfiguration(const model::Configuration& configuration);
+  void onServers(const source::WatchBatch& batch, bool is_complete);
+  void updateOwnServer();
+  void onWatchFailed(source::WatchedSet set, const Error& error);
+
+  std::string unreadiness() const;
+  std::string statusPage() const;
+  void writeLog(runtime::LogLevel level, std::string_view event,
+                std::vector<runtime::LogField> fields);
+  void beginDrain();
+  void onDrained();
+
+  boost::asio::io_context& context_;
+  runtime::Settings settings_;
+  runtime::AsioEnvironment environment_;
+  runtime::StateLog log_;
+  egress::EgressState egress_;
+  ingress::IngressState ingress_;
+  std::unique_ptr<source::WatchClient> client_;
+  std::unique_ptr<source::WatchLoop> configuration_loop_;
+  std::unique_ptr<source::WatchLoop> server_loop_;
+  std::unique_ptr<runtime::ProxyServer> egress_server_;
+  std::unique_ptr<runtime::ProxyServer> ingress_server_;
+  runtime::MetricTable metrics_;
+  std::unique_ptr<AdminServer> admin_;
+  std::optional<model::ServerEntry> own_server_;
+  bool stopping_ = false;
+  int draining_servers_ = 0;
+  std::function<void(StopOutcome)> stopped_;
+};
+
+using Implementation = TwoHopNode::Implementation;
+
+// ---- Start
+
+std::unique_ptr<source::WatchLoop> Implementation::makeLoop(source::WatchedSet set) {
+  return std::make_unique<source::WatchLoop>(
+      set, settings_.watch, *client_, environment_,
+      [this, set](const source::WatchBatch& batch, bool is_complete) {
+        onBatch(set, batch, is_complete);
+      },
+      [this, set](const Error& error) { onWatchFailed(set, error); });
+}
+
+Result<void> Implementation::open() {
+  if (Result<void> opened = openEgress(); !opened) return opened;
+  if (Result<void> opened = openIngress(); !opened) return opened;
+  metrics_ = makeTwoHopMetrics(
+      {egress_, ingress_, *configuration_loop_, *server_loop_, *egress_server_, *ingress_server_});
+  return openAdmin();
+}
+
+Result<void> Implementation::openEgress() {
+  runtime::ExchangeSource source;
+  source.make = [this](proxy::RequestHead head, proxy::RequestIo& io) {
+    return egress::makeEgressFlow(std::move(head), egress_, environment_, io);
+  };
+  source.policy = &egress_;
+  source.begin_stop = [] {};
+  auto server = runtime::ProxyServer::create(context_, egressServerSettings(settings_),
+                                             std::move(source), environment_);
+  if (!server) return server.error();
+  egress_server_ = std::move(*server);
+  return {};
+}
+
+Result<void> Implementation::openIngress() {
+  runtime::ExchangeSource source;
+  source.make = [this](proxy::RequestHead head, proxy::RequestIo& io) {
+    return ingress::makeIngressFlow(std::move(head), ingress_, environment_, io);
+  };
+  source.policy = &ingress_;
+  source.begin_stop = [this] { ingress_.beginStop(); };
+  auto server = runtime::ProxyServer::create(context_, ingressServerSettings(settings_),
+                                             std::move(source), environment_);
+  if (!server) return server.error();
+  ingress_server_ = std::move(*server);
+  return {};
+}
+
+Result<void> Implementation::openAdmin() {
+  AdminSources sources{nullptr, [this] { return metrics_.exposition(); },
+                       [this] { return statusPage(); }, [this] { return unreadiness(); }};
+  auto admin = AdminServer::create(context_, settings_.node.admin_listen, settings_.admin,
+                                   std::move(sources));
+  if (!admin) return admin.error();
+  admin_ = std::move(*admin);
+  return {};
+}
+
+void Implementation::start() {
+  const NodeAddresses bound = addresses();
+  writeLog(runtime::LogLevel::kInfo, "started",
+           {{"callers", formatAddress(bound.caller)},
+            {"ingress", formatAddress(bound.peer)},
+            {"admin", formatAddress(bound.admin)}});
+  configuration_loop_->start();
+  server_loop_->start();
+}
+
+// ---- What the source says
+
+void Implementation::onBatch(source::WatchedSet set, const source::WatchBatch& batch,
+                             bool is_complete) {
+  for (const Error& error : batch.rejected) {
+    writeLog(runtime::LogLevel::kWarning, "item_rejected",
+             {{"set", std::string(setName(set))}, {"error", describe(error)}});
+  }
+  if (set == source::WatchedSet::kServers) return onServers(batch, is_complete);
+  for (const model::Configuration& configuration : batch.configurations) {
+    onConfiguration(configuration);
+  }
+}
+
+void Implementation::onConfiguration(const model::Configuration& configuration) {
+  if (configuration.version <= egress_.version()) return;
+  Result<model::SnapshotPointer> snapshot =
+      model::buildSnapshot(configuration, {}, settings_.node.zone);
+  if (!snapshot) {
+    writeLog(runtime::LogLevel::kWarning, "configuration_rejected",
+             {{"version", std::to_string(configuration.version.value())},
+              {"error", describe(snapshot.error())}});
+    return;
+  }
+  const model::CallerLimits limits = (*snapshot)->limits;
+  if (!egress_.apply(std::move(*snapshot))) return;
+  egress_server_->setCallerLimits(limits);
+  const auto service = configuration.services.find(settings_.two_hop.service);
+  if (service != configuration.services.end()) {
+    ingress_.setConnectionLimit(service->second.connections_per_server);
+  }
+  writeLog(runtime::LogLevel::kInfo, "configuration_in_force",
+           {{"version", std::to_string(configuration.version.value())},
+            {"routes", std::to_string(configuration.routes.size())}});
+}
+
+void Implementation::onServers(const source::WatchBatch& batch, bool is_complete) {
+  if (batch.servers.empty() && batch.removed_servers.empty() && !is_complete) return;
+  const TimePoint now = environment_.now();
+  if (is_complete) {
+    egress_.directory().replaceAll(batch.servers, now);
+  } else {
+    for (const model::ServerEntry& entry : batch.servers) egress_.directory().upsert(entry, now);
+    for (const EndpointId& id : batch.removed_servers) egress_.directory().remove(id);
+  }
+  egress_.onDirectoryChanged();
+  updateOwnServer();
+}
+
+/// The newest entry at this machine's server address. One that is no longer listed is leaving.
+void Implementation::updateOwnServer() {
+  std::optional<model::ServerEntry> newest;
+  for (const auto& [id, server] : egress_.directory().all()) {
+    const model::ServerEntry& entry = server->entry;
+    if (entry.address != settings_.two_hop.server) continue;
+    if (!newest || entry.revision > newest->revision) newest = entry;
+  }
+  if (newest) {
+    own_server_ = newest;
+  } else if (own_server_) {
+    own_server_->state = model::MachineState::kLeaving;
+  }
+  ingress_.setServer(own_server_);
+}
+
+void Implementation::onWatchFailed(source::WatchedSet set, const Error& error) {
+  writeLog(runtime::LogLevel::kWarning, "source_trouble",
+           {{"set", std::string(setName(set))}, {"error", describe(error)}});
+}
+
+// ---- What others may ask
+
+std::string Implementation::unreadiness() const {
+  if (stopping_) return "stopping";
+  if (!egress_.routing()) return "no configuration is known yet";
+  if (!server_loop_->hasListed()) return "no servers are known yet";
+  return "";
+}
+
+std::string Implementation::statusPage() const {
+  const std::string reason = unreadiness();
+  std::string page = "coursepond " + settings_.node.id.value() + " (two hops)\n";
+  page += reason.empty() ? "ready\n" : "not ready: " + reason + "\n";
+  page += "version in force: " + std::to_string(egress_.version().value()) + "\n";
+  page += "servers known: " + std::to_string(egress_.directory().all().size()) + "\n";
+  page += "own server: " + (own_server_ ? own_server_->id.value() : std::string("none")) + "\n";
+  return page;
+}
+
+void Implementation::writeLog(runtime::LogLevel level, std::string_view event,
+                              std::vector<runtime::LogField> fields) {
+  fields.insert(fields.begin(), {"node", settings_.node.id.value()});
+  log_.write(level, environment_.now(), event, fields);
+}
+
+// ---- Stop
+
+void Implementation::stop(std::function<void(StopOutcome)> stopped) {
+  stopped_ = std::move(stopped);
+  if (stopping_) return stopped_(StopOutcome::kCut);
+  stopping_ = true;
+  writeLog(runtime::LogLevel::kInfo, "stopping", {});
+  ingress_.announceStop();
+  egress_server_->announceClose();
+  environment_.schedule(settings_.node.stop_delay, [this] { beginDrain(); });
+}
+
+void Implementation::beginDrain() {
+  draining_servers_ = 2;
+  egress_server_->beginStop([this] { onDrained(); });
+  ingress_server_->beginStop([this] { onDrained(); });
+}
+
+void Implementation::onDrained() {
+  if (--draining_servers_ > 0) return;
+  const std::uint64_t cut = egress_server_->statistics().cut_at_stop;
+  writeLog(runtime::LogLevel::kInfo, "stopped", {{"requests_cut", std::to_string(cut)}});
+  stopped_(cut > 0 ? StopOutcome::kCut : StopOutcome::kClean);
+}
+
+// ---- The public face
+
+TwoHopNode::TwoHopNode(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+TwoHopNode::~TwoHopNode() = default;
+
+Result<std::unique_ptr<TwoHopNode>> TwoHopNode::create(boost::asio::io_context& context,
+                                                       runtime::Settings settings,
+                                                       const Extensions& extensions) {
+  if (!extensions.watch_client) {
+    return Error{ErrorKind::kInvalidArgument,
+                 "two_hop.ingress_listen is set, but this program has no watchable source",
+                 "run a program that brings one, or leave [two_hop] out"};
+  }
+  auto client = extensions.watch_client(context, settings.platform.address);
+  auto implementation =
+      std::make_unique<Implementation>(context, std::move(settings), std::move(client));
+  if (const Result<void> opened = implementation->open(); !opened) return opened.error();
+  return std::unique_ptr<TwoHopNode>(new TwoHopNode(std::move(implementation)));
+}
+
+void TwoHopNode::start() { implementation_->start(); }
+void TwoHopNode::stop(std::function<void(StopOutcome)> stopped) {
+  implementation_->stop(std::move(stopped));
+}
+NodeAddresses TwoHopNode::addresses() const { return implementation_->addresses(); }
+
+}  // namespace coursepond::node
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -77,6 +77,15 @@
   return server->connections.value(state->connectionShare(), parts_->environment.now());
 }
 
+std::vector<WarmServer> ProxyState::warmServers() const {
+  std::vector<WarmServer> servers;
+  for (const ServerReport& report : serverReports()) {
+    if (report.ejected || !usable(report.service, report.endpoint.id)) continue;
+    servers.push_back({report.service, report.endpoint});
+  }
+  return servers;
+}
+
 bool ProxyState::usable(const ServiceName& service, const EndpointId& endpoint) const {
   const ServiceState* state = parts_->findService(service);
   return state != nullptr && state->servers().isUsable(endpoint);
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -9,6 +9,7 @@
 #include "core/environment.h"
 #include "model/endpoint.h"
 #include "model/snapshot.h"
+#include "proxy/connection_policy.h"
 #include "proxy/settings.h"
 
 namespace coursepond::proxy {
@@ -48,10 +49,10 @@
   bool draining = false;
 };
 
-class ProxyState {
+class ProxyState final : public ConnectionPolicy {
  public:
   ProxyState(ZoneId own_zone, Settings settings, Environment& environment);
-  ~ProxyState();
+  ~ProxyState() override;
 
   /// Puts a snapshot in force for requests that start from now on. A lower version than the one
   /// in force is refused (returns false).
@@ -64,9 +65,12 @@
   /// Connections this node may open to one server of the service (at least 1).
   std::uint32_t connectionBudget(const ServiceName& service) const;
   /// The same for one server; lower while the server refuses connections.
-  std::uint32_t connectionBudget(const ServiceName& service, const EndpointId& endpoint) const;
+  std::uint32_t connectionBudget(const ServiceName& service,
+                                 const EndpointId& endpoint) const override;
   /// True when the server may still be used for new work (known, live, not draining).
-  bool usable(const ServiceName& service, const EndpointId& endpoint) const;
+  bool usable(const ServiceName& service, const EndpointId& endpoint) const override;
+  /// The servers in use that are not ejected.
+  std::vector<WarmServer> warmServers() const override;
 
   /// A planned stop began: new requests are refused, those in flight finish.
   void beginStop();
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -24,6 +24,8 @@
       return "queue_timeout";
     case Reason::kDeadline:
       return "deadline";
+    case Reason::kServerDraining:
+      return "server_draining";
     case Reason::kServerRefused:
       return "server_refused";
     case Reason::kConnectFailed:
--- a/src/proxy/reason.h
+++ b/src/proxy/reason.h
@@ -16,6 +16,7 @@
   kDeadlineTooShort,  ///< The expected wait for a slot is longer than the deadline.
   kQueueTimeout,      ///< Waited for a slot as long as the settings allow.
   kDeadline,          ///< The deadline passed.
+  kServerDraining,    ///< The server or its ingress is leaving.
   kServerRefused,     ///< Servers refused, and no further attempt is allowed.
   kConnectFailed,     ///< No connection could be made.
   kConnectionLost,    ///< The connection was lost after the request was sent.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -422,6 +422,7 @@
     case Reason::kDeadline:
       ++statistics.refused_deadline;
       return;
+    case Reason::kServerDraining:
     case Reason::kServerRefused:
     case Reason::kConnectFailed:
     case Reason::kConnectionLost:
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -28,6 +28,22 @@
   std::string value;
 };
 
+/// What an egress tells an ingress of a request, so that the ingress can order its queue.
+struct HopClass {
+  std::uint32_t rank = 0;     ///< The lowest goes first.
+  Duration target_latency{};  ///< Zero: not known.
+  bool is_repeatable = false;
+};
+
+/// What an ingress tells egresses of its server, with every answer.
+struct HopLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  Duration service_time{};  ///< Moving average.
+  bool draining = false;    ///< Takes no new work: the server or the ingress itself is leaving.
+};
+
 /// What the flow needs of a request's head.
 struct RequestHead {
   std::string request_id;
@@ -37,6 +53,8 @@
   std::vector<HeaderField> headers;
   std::optional<Duration> deadline;  ///< From X-Deadline-Ms.
   std::optional<model::Priority> priority;
+  std::optional<HopClass> hop_class;  ///< From an egress.
+  std::string target_instance;        ///< The only instance that may run it; empty: any.
 };
 
 using AttemptId = std::uint32_t;
@@ -51,6 +69,10 @@
   /// X-Attempt, X-Priority for batch work, and the route's secrets (never log). X-Deadline-Ms and
   /// X-Request-Id are the I/O layer's.
   std::vector<HeaderField> headers_to_set;
+  // Of an egress: what the next hop is told.
+  std::string target_instance;
+  ServiceName caller_service;
+  std::optional<HopClass> hop_class;
 };
 
 /// How an attempt ended without an answer's head.
@@ -66,12 +88,19 @@
 /// The head of a server's answer.
 struct AnswerHead {
   int status = 0;
-  bool not_run = false;   ///< X-Outcome: not-run.
+  bool not_run = false;   ///< X-Outcome: not-run, or the server's own word for it.
   bool draining = false;  ///< X-Draining: 1.
   std::optional<Duration> retry_after;
   std::optional<double> load;  ///< busy/slots of X-Load.
   /// The answer carries X-Configuration-Version: one of our nodes, deeper in the call, made it.
   bool from_node = false;
+  std::string request_id;         ///< As the answer carries it back.
+  bool is_signed = false;         ///< Carries a server's signature.
+  bool is_encoded = false;        ///< Its body is not the server's own bytes.
+  std::string instance;           ///< The server's own instance, if it says so.
+  std::optional<HopLoad> hop_load;
+  std::string_view node_outcome;  ///< X-Outcome: one of our nodes made this answer.
+  std::string_view node_reason;   ///< X-Reason beside it.
 };
 
 enum class Outcome { kNotRun, kUnknown };
@@ -104,25 +133,39 @@
   virtual void answerLocally(const LocalAnswer& answer) = 0;
 };
 
-class RequestFlow {
+/// One request on its way through a node, as the I/O layer drives it.
+class Exchange {
+ public:
+  virtual ~Exchange() = default;
+  virtual void start() = 0;
+  virtual void onAttemptFailed(AttemptId attempt, AttemptFailure failure) = 0;
+  virtual void onAnswerHead(AttemptId attempt, const AnswerHead& head) = 0;
+  /// The whole answer was passed on.
+  virtual void onAnswerComplete(AttemptId attempt) = 0;
+  /// The answer broke off half way: the caller's connection must be cut, never ended short.
+  virtual void onAnswerCut(AttemptId attempt) = 0;
+  virtual void onCallerGone() = 0;
+  /// The version this request is served under (zero when none was in force).
+  virtual Version configurationVersion() const = 0;
+  /// What the next hop towards the caller is told with the answer, if this is an ingress.
+  virtual std::optional<HopLoad> hopLoad() const { return std::nullopt; }
+};
+
+class RequestFlow final : public Exchange {
  public:
   /// `state` (the node's shared data-path state) and `io` must outlive the flow.
   RequestFlow(RequestHead head, ProxyState& state, Environment& environment, RequestIo& io);
-  ~RequestFlow();
+  ~RequestFlow() override;
   RequestFlow(const RequestFlow&) = delete;
   RequestFlow& operator=(const RequestFlow&) = delete;
 
-  void start();
-  void onAttemptFailed(AttemptId attempt, AttemptFailure failure);
-  void onAnswerHead(AttemptId attempt, const AnswerHead& head);
-  /// The whole answer was passed on.
-  void onAnswerComplete(AttemptId attempt);
-  /// The answer broke off half way: the caller's connection must be cut, never ended short.
-  void onAnswerCut(AttemptId attempt);
-  void onCallerGone();
-
-  /// The version this request is served under (zero when none was in force).
-  Version configurationVersion() const;
+  void start() override;
+  void onAttemptFailed(AttemptId attempt, AttemptFailure failure) override;
+  void onAnswerHead(AttemptId attempt, const AnswerHead& head) override;
+  void onAnswerComplete(AttemptId attempt) override;
+  void onAnswerCut(AttemptId attempt) override;
+  void onCallerGone() override;
+  Version configurationVersion() const override;
 
  private:
   class Implementation;
--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -14,8 +14,10 @@
 /// How long a connection that was ended here may still send.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
-ParserLimits requestLimits(const ProxyServerSettings& settings) {
+ParserLimits requestLimits(const ProxyServerShared& shared) {
+  const ProxyServerSettings& settings = shared.settings;
   ParserLimits limits;
+  limits.table = shared.table.get();
   limits.head_bytes = settings.head_bytes;
   if (settings.body_bytes > 0) limits.body_bytes = settings.body_bytes;
   return limits;
@@ -43,7 +45,7 @@
       shared_(std::move(shared)),
       socket_(std::move(socket)),
       received_(std::max(shared_->settings.buffer_bytes, shared_->settings.head_bytes)),
-      parser_(MessageParser::Kind::kRequest, requestLimits(shared_->settings)) {
+      parser_(MessageParser::Kind::kRequest, requestLimits(*shared_)) {
   shared_->connections.insert(this);
 }
 
@@ -130,8 +132,7 @@
   exchange_owner_ = shared_from_this();
   expireNever();
   close_after_ = !parser_.head().keep_alive;
-  flow_.emplace(std::move(head), shared_->state, shared_->environment,
-                static_cast<proxy::RequestIo&>(*this));
+  flow_ = shared_->source.make(std::move(head), static_cast<proxy::RequestIo&>(*this));
   flow_->start();
   read();
 }
@@ -160,7 +161,8 @@
 
 void CallerConnection::sendRequest() {
   upstream_->expectAnswerTo(parser_.head().method == "HEAD");
-  appendRequestHead(upstream_->output(), request_, parser_.head(), plan_);
+  appendRequestHead(upstream_->output(), request_, parser_.head(), plan_,
+                    shared_->settings.names);
   if (!replay_.empty()) appendBody(replay_);
   // A broken body is refused from a later event; until then, the head alone goes out.
   if (!takeBody()) {
@@ -231,6 +233,7 @@
 }
 
 void CallerConnection::cancelAttempt(proxy::AttemptId) {
+  distrusted_ = true;
   if (!upstream_) return;
   upstream_->abandon();
   upstream_.reset();
@@ -250,23 +253,52 @@
 
 void CallerConnection::onUpstreamHead(const MessageHead& head) {
   answer_head_ = &head;
+  collected_.clear();
+  collecting_ = isCollectable(head);
+  if (collecting_) return;
   flow_->onAnswerHead(plan_.id, summarizeAnswer(head));
-  answer_head_ = nullptr;
+}
+
+bool CallerConnection::isCollectable(const MessageHead& head) const {
+  const std::size_t bound = shared_->settings.whole_answer_bytes;
+  if (bound == 0) return false;
+  return head.framing != BodyFraming::kLength || head.content_length <= bound;
+}
+
+/// The answer is longer than what is held: from here on it is streamed.
+void CallerConnection::stopCollecting() {
+  collecting_ = false;
+  flow_->onAnswerHead(plan_.id, summarizeAnswer(*answer_head_));
+  if (!forwarding_) return;
+  const std::string held = std::move(collected_);
+  collected_.clear();
+  onUpstreamBody(held);
 }
 
 void CallerConnection::forwardAnswer(proxy::AttemptId) {
   forwarding_ = true;
-  upstream_->watchStalls();
-  answer_framing_ = framingTowards(*answer_head_, parser_.head().is_http_1_1);
-  if (answer_framing_ == BodyFraming::kUntilClose) close_after_ = true;
-  appendAnswerHead(output_, *answer_head_, answerContext());
+  AnswerContext context = answerContext();
+  if (collecting_) {
+    answer_framing_ = BodyFraming::kLength;
+    context.whole_length = collected_.size();
+  } else {
+    upstream_->watchStalls();
+    answer_framing_ = framingTowards(*answer_head_, parser_.head().is_http_1_1);
+    if (answer_framing_ == BodyFraming::kUntilClose) context.close = close_after_ = true;
+  }
+  appendAnswerHead(output_, *answer_head_, context);
+  if (collecting_) output_.append(collected_);
 }
 
 AnswerContext CallerConnection::answerContext() {
   if (shared_->stopping) close_after_ = true;
   AnswerContext context;
+  context.names = &shared_->table->names();
+  context.style = shared_->settings.answer_style;
+  context.exact_retry_after = shared_->settings.exact_retry_after;
   context.request_id = request_.request_id;
   if (flow_) context.version = flow_->configurationVersion();
+  if (flow_) context.hop_load = flow_->hopLoad();
   context.caller_is_http_1_1 = parser_.head().is_http_1_1;
   context.close = close_after_;
   context.head_request = parser_.headComplete() && parser_.head().method == "HEAD";
@@ -274,6 +306,12 @@
 }
 
 void CallerConnection::onUpstreamBody(std::string_view piece) {
+  if (collecting_) {
+    collected_.append(piece);
+    if (collected_.size() > shared_->settings.whole_answer_bytes) stopCollecting();
+    return;
+  }
+  if (!forwarding_) return;
   if (answer_framing_ == BodyFraming::kChunked) {
     appendChunk(output_, piece);
   } else {
@@ -282,12 +320,24 @@
 }
 
 void CallerConnection::onUpstreamPause() {
+  if (collecting_) return upstream_->resume();
   if (!writing_ && writeNow()) return upstream_->resume();
   flush();
 }
 
 void CallerConnection::onUpstreamComplete() {
+  // The connection owns the answer's head, which is needed below.
+  const std::shared_ptr<UpstreamConnection> connection = std::move(upstream_);
   upstream_.reset();
+  if (collecting_) {
+    distrusted_ = false;
+    flow_->onAnswerHead(plan_.id, summarizeAnswer(*answer_head_));
+    collecting_ = false;
+    if (!forwarding_) {  // Tried elsewhere, or answered by the flow itself.
+      if (distrusted_ && connection->isIdle()) connection->close();
+      return;
+    }
+  }
   if (answer_framing_ == BodyFraming::kChunked) output_.append(kLastChunk);
   answer_complete_ = true;
   flow_->onAnswerComplete(plan_.id);
@@ -297,6 +347,7 @@
 
 void CallerConnection::onUpstreamFailed(UpstreamFailure failure) {
   upstream_.reset();
+  collecting_ = false;
   if (!forwarding_) return flow_->onAttemptFailed(plan_.id, attemptFailureOf(failure));
   ++shared_->statistics.answers_cut;
   flow_->onAnswerCut(plan_.id);
@@ -382,6 +433,8 @@
   plan_.id = 0;
   plan_.headers_to_set.clear();
   answer_framing_ = BodyFraming::kNone;
+  answer_head_ = nullptr;
+  collecting_ = false;
   replay_lost_ = request_sent_ = awaiting_body_ = continue_sent_ = false;
   forwarding_ = answer_complete_ = false;
   if (close_after_) return closeGracefully();
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -25,7 +25,8 @@
 /// What all connections of one ProxyServer share.
 struct ProxyServerShared {
   ProxyServerSettings settings;
-  proxy::ProxyState& state;
+  std::unique_ptr<FieldTable> table;
+  ExchangeSource source;
   Environment& environment;
   std::shared_ptr<DeadlineWatch> watch;
   UpstreamPool pool;
@@ -93,6 +94,8 @@
 
   // The answer towards the caller
   AnswerContext answerContext();
+  bool isCollectable(const MessageHead& head) const;
+  void stopCollecting();
   void refuse(RefusalReason reason);
   void refuseBody(RefusalReason reason);
   void writeLocal(const proxy::LocalAnswer& answer);
@@ -116,10 +119,11 @@
   /// Keeps this alive during a request, also while no operation on the socket is pending.
   std::shared_ptr<CallerConnection> exchange_owner_;
   CallerRequest request_;
-  std::optional<proxy::RequestFlow> flow_;
+  std::unique_ptr<proxy::Exchange> flow_;
   std::shared_ptr<UpstreamConnection> upstream_;
   proxy::AttemptPlan plan_;
   const MessageHead* answer_head_ = nullptr;  ///< While its event is being handled.
+  std::string collected_;                     ///< The body of an answer that is not whole yet.
   BodyFraming answer_framing_ = BodyFraming::kNone;
   std::string replay_;  ///< Body bytes already taken, for a further attempt.
 
@@ -134,6 +138,8 @@
   bool request_sent_ = false;  ///< All of the request went to the current attempt.
   bool awaiting_body_ = false;
   bool continue_sent_ = false;
+  bool collecting_ = false;  ///< The answer's head has come; the flow is told when it is whole.
+  bool distrusted_ = false;  ///< The flow gave up the connection that its answer came on.
   bool forwarding_ = false;
   bool answer_complete_ = false;  ///< All of the answer is in output_ or written.
 };
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -114,8 +114,52 @@
   return std::nullopt;
 }
 
+/// Takes the text up to the next comma off the front of `list`.
+std::string_view takeItem(std::string_view& list) {
+  const std::size_t comma = std::min(list.find(','), list.size());
+  const std::string_view item = list.substr(0, comma);
+  list.remove_prefix(std::min(comma + 1, list.size()));
+  return item;
+}
+
+std::optional<proxy::HopClass> parseHopClass(std::string_view text) {
+  const auto rank = parseNumber<std::uint32_t>(takeItem(text));
+  const auto target_ms = parseNumber<std::uint32_t>(takeItem(text));
+  const std::string_view repeatable = takeItem(text);
+  if (!rank || !target_ms) return std::nullopt;
+  return proxy::HopClass{*rank, std::chrono::milliseconds(*target_ms), repeatable == "1"};
+}
+
+std::optional<proxy::HopLoad> parseHopLoad(std::string_view text) {
+  const auto running = parseNumber<std::uint32_t>(takeItem(text));
+  const auto waiting = parseNumber<std::uint32_t>(takeItem(text));
+  const auto slots = parseNumber<std::uint32_t>(takeItem(text));
+  const auto service_ms = parseNumber<std::uint32_t>(takeItem(text));
+  if (!running || !waiting || !slots || !service_ms) return std::nullopt;
+  return proxy::HopLoad{*running, *waiting, *slots, std::chrono::milliseconds(*service_ms),
+                        text == "1"};
+}
+
+/// "running,waiting,slots" as a number from 0.
+std::optional<double> parseListedLoad(std::string_view text) {
+  const auto running = parseNumber<std::uint32_t>(takeItem(text));
+  const auto waiting = parseNumber<std::uint32_t>(takeItem(text));
+  const auto slots = parseNumber<std::uint32_t>(takeItem(text));
+  if (!running || !waiting || !slots || *slots == 0) return std::nullopt;
+  return static_cast<double>(*running + *waiting) / *slots;
+}
+
+/// Seconds, fractions included.
+std::optional<Duration> parseSeconds(std::string_view text) {
+  constexpr double kLongestSeconds = 86400;
+  const auto seconds = parseNumber<double>(text);
+  if (!seconds || !(*seconds >= 0 && *seconds <= kLongestSeconds)) return std::nullopt;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*seconds));
+}
+
 /// "busy/slots" as a number from 0.
 std::optional<double> parseLoad(std::string_view text) {
+  if (text.find(',') != std::string_view::npos) return parseListedLoad(text);
   const std::size_t slash = text.find('/');
   if (slash == std::string_view::npos) return std::nullopt;
   const auto busy = parseNumber<std::uint32_t>(text.substr(0, slash));
@@ -151,6 +195,10 @@
   if (const auto refusal = readExpectation(head, request)) return refusal;
 
   flow_head.request_id = request.request_id;
+  flow_head.target_instance = head.fields.find(FieldRole::kTargetInstance);
+  if (head.fields.count(FieldRole::kHopClass) == 1) {
+    flow_head.hop_class = parseHopClass(head.fields.find(FieldRole::kHopClass));
+  }
   flow_head.method = head.method;
   flow_head.path =
       std::string_view(request.origin_target).substr(0, request.origin_target.find('?'));
@@ -169,7 +217,29 @@
     const FieldView field = head.fields[index];
     switch (field.role) {
       case FieldRole::kOutcome:
-        answer.not_run = field.value == http_headers::kOutcomeNotRun;
+        answer.node_outcome = field.value;
+        answer.not_run = answer.not_run || field.value == http_headers::kOutcomeNotRun;
+        break;
+      case FieldRole::kReason:
+        answer.node_reason = field.value;
+        break;
+      case FieldRole::kNotRun:
+        answer.not_run = true;
+        break;
+      case FieldRole::kRequestId:
+        answer.request_id = field.value;
+        break;
+      case FieldRole::kSignature:
+        answer.is_signed = !field.value.empty();
+        break;
+      case FieldRole::kContentEncoding:
+        answer.is_encoded = true;
+        break;
+      case FieldRole::kInstance:
+        answer.instance = field.value;
+        break;
+      case FieldRole::kHopLoad:
+        answer.hop_load = parseHopLoad(field.value);
         break;
       case FieldRole::kDraining:
         answer.draining = field.value == "1";
@@ -181,9 +251,7 @@
         answer.from_node = true;
         break;
       case FieldRole::kRetryAfter:
-        if (const auto seconds = parseNumber<std::uint32_t>(field.value)) {
-          answer.retry_after = std::chrono::seconds(*seconds);
-        }
+        answer.retry_after = parseSeconds(field.value);
         break;
       default:
         break;
--- a/src/runtime/http_field.cpp
+++ b/src/runtime/http_field.cpp
@@ -1,60 +1,12 @@
 #include "runtime/http_field.h"
 
 #include <algorithm>
-#include <array>
 
 #include "core/http_headers.h"
 
 namespace coursepond::runtime {
 namespace {
 
-struct KnownField {
-  std::string_view name;
-  FieldRole role;
-};
-
-/// By length, so that few names are compared with each field.
-constexpr std::array kKnownFields = {
-    KnownField{"TE", FieldRole::kHopByHop},
-    KnownField{"Host", FieldRole::kHost},
-    KnownField{"Expect", FieldRole::kExpect},
-    KnownField{http_headers::kLoad, FieldRole::kLoad},
-    KnownField{"Trailer", FieldRole::kHopByHop},
-    KnownField{"Upgrade", FieldRole::kHopByHop},
-    KnownField{http_headers::kAttempt, FieldRole::kAttempt},
-    KnownField{http_headers::kOutcome, FieldRole::kOutcome},
-    KnownField{"Connection", FieldRole::kConnection},
-    KnownField{"Keep-Alive", FieldRole::kHopByHop},
-    KnownField{http_headers::kPriority, FieldRole::kPriority},
-    KnownField{http_headers::kDraining, FieldRole::kDraining},
-    KnownField{"Retry-After", FieldRole::kRetryAfter},
-    KnownField{http_headers::kRequestId, FieldRole::kRequestId},
-    KnownField{http_headers::kDeadlineMs, FieldRole::kDeadline},
-    KnownField{"Content-Length", FieldRole::kContentLength},
-    KnownField{"Proxy-Connection", FieldRole::kHopByHop},
-    KnownField{"Transfer-Encoding", FieldRole::kTransferEncoding},
-    KnownField{"Proxy-Authenticate", FieldRole::kHopByHop},
-    KnownField{"Proxy-Authorization", FieldRole::kHopByHop},
-    KnownField{http_headers::kConfigurationVersion, FieldRole::kConfigurationVersion},
-};
-constexpr std::size_t kLongestKnownName = kKnownFields.back().name.size();
-
-/// For each length, the index of the first known field that is at least that long.
-constexpr auto kFirstOfLength = [] {
-  std::array<std::uint8_t, kLongestKnownName + 2> first{};
-  for (std::size_t length = 0; length < first.size(); ++length) {
-    std::uint8_t index = 0;
-    while (index < kKnownFields.size() && kKnownFields[index].name.size() < length) ++index;
-    first[length] = index;
-  }
-  return first;
-}();
-
-static_assert(std::is_sorted(kKnownFields.begin(), kKnownFields.end(),
-                             [](const KnownField& left, const KnownField& right) {
-                               return left.name.size() < right.name.size();
-                             }));
-
 std::string_view trimmed(std::string_view text) {
   const std::size_t first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) return {};
@@ -72,17 +24,61 @@
 
 }  // namespace
 
-FieldRole roleOf(std::string_view name) {
-  if (name.size() > kLongestKnownName) return FieldRole::kPlain;
-  const std::size_t end = kFirstOfLength[name.size() + 1];
-  for (std::size_t index = kFirstOfLength[name.size()]; index < end; ++index) {
-    if (equalsIgnoringCase(kKnownFields[index].name, name)) return kKnownFields[index].role;
+FieldTable::FieldTable(const HeaderNames& names) : names_(names) {
+  const std::vector<KnownField> known = {
+      {"TE", FieldRole::kHopByHop},
+      {"Host", FieldRole::kHost},
+      {"Expect", FieldRole::kExpect},
+      {"Trailer", FieldRole::kHopByHop},
+      {"Upgrade", FieldRole::kHopByHop},
+      {"Connection", FieldRole::kConnection},
+      {"Keep-Alive", FieldRole::kHopByHop},
+      {"Retry-After", FieldRole::kRetryAfter},
+      {"Content-Length", FieldRole::kContentLength},
+      {"Content-Encoding", FieldRole::kContentEncoding},
+      {"Proxy-Connection", FieldRole::kHopByHop},
+      {"Transfer-Encoding", FieldRole::kTransferEncoding},
+      {"Proxy-Authenticate", FieldRole::kHopByHop},
+      {"Proxy-Authorization", FieldRole::kHopByHop},
+      {http_headers::kAttempt, FieldRole::kAttempt},
+      {http_headers::kOutcome, FieldRole::kOutcome},
+      {http_headers::kPriority, FieldRole::kPriority},
+      {http_headers::kDraining, FieldRole::kDraining},
+      {http_headers::kConfigurationVersion, FieldRole::kConfigurationVersion},
+      {http_headers::kHopClass, FieldRole::kHopClass},
+      {http_headers::kHopLoad, FieldRole::kHopLoad},
+      {http_headers::kReason, FieldRole::kReason},
+      {names.request_id, FieldRole::kRequestId},
+      {names.deadline, FieldRole::kDeadline},
+      {names.load, FieldRole::kLoad},
+      {names.not_run, FieldRole::kNotRun},
+      {names.signature, FieldRole::kSignature},
+      {names.target_instance, FieldRole::kTargetInstance},
+      {names.caller_service, FieldRole::kCallerService},
+      {names.instance, FieldRole::kInstance},
+  };
+  for (const KnownField& field : known) {
+    if (field.name.empty()) continue;
+    if (by_length_.size() <= field.name.size()) by_length_.resize(field.name.size() + 1);
+    by_length_[field.name.size()].push_back(field);
+  }
+}
+
+const FieldTable& FieldTable::standard() {
+  static const FieldTable table{HeaderNames()};
+  return table;
+}
+
+FieldRole FieldTable::roleOf(std::string_view name) const {
+  if (name.size() >= by_length_.size()) return FieldRole::kPlain;
+  for (const KnownField& field : by_length_[name.size()]) {
+    if (equalsIgnoringCase(field.name, name)) return field.role;
   }
   return FieldRole::kPlain;
 }
 
 void FieldBlock::add(std::string_view name, std::string_view value) {
-  const FieldRole role = roleOf(name);
+  const FieldRole role = table_->roleOf(name);
   RoleSummary& summary = summaries_[static_cast<std::size_t>(role)];
   if (summary.count++ == 0) summary.first = static_cast<std::uint32_t>(entries_.size());
   entries_.push_back({static_cast<std::uint32_t>(text_.size()),
--- a/src/runtime/http_field.h
+++ b/src/runtime/http_field.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/ascii.h"
+#include "runtime/header_names.h"
 
 namespace coursepond::runtime {
 
@@ -31,11 +32,41 @@
   kLoad,
   kConfigurationVersion,
   kRetryAfter,
+  kContentEncoding,
+  kSignature,
+  kNotRun,
+  kTargetInstance,
+  kCallerService,
+  kInstance,
+  kHopClass,
+  kHopLoad,
+  kReason,
 };
-inline constexpr std::size_t kFieldRoleCount = 16;
+inline constexpr std::size_t kFieldRoleCount = 25;
 
-/// The role of the field called `name` (compared without case).
-FieldRole roleOf(std::string_view name);
+/// Which names play which role, for one set of header names.
+class FieldTable {
+ public:
+  explicit FieldTable(const HeaderNames& names);
+  /// The table of the default names.
+  static const FieldTable& standard();
+
+  /// The role of the field called `name` (compared without case).
+  FieldRole roleOf(std::string_view name) const;
+  const HeaderNames& names() const { return names_; }
+
+ private:
+  struct KnownField {
+    std::string name;
+    FieldRole role;
+  };
+  HeaderNames names_;
+  /// Indexed by the name's length, so that few names are compared with each field.
+  std::vector<std::vector<KnownField>> by_length_;
+};
+
+/// The role by the default names.
+inline FieldRole roleOf(std::string_view name) { return FieldTable::standard().roleOf(name); }
 
 /// One field; the views last until the block changes.
 struct FieldView {
@@ -47,6 +78,9 @@
 /// The fields of one message in order. clear() keeps the memory for the next message.
 class FieldBlock {
  public:
+  /// `table` must outlive the block.
+  explicit FieldBlock(const FieldTable& table = FieldTable::standard()) : table_(&table) {}
+
   void add(std::string_view name, std::string_view value);
   void clear();
 
@@ -70,6 +104,7 @@
     std::uint32_t count = 0;
     std::uint32_t first = 0;  ///< Index of the first field of the role, if there is one.
   };
+  const FieldTable* table_;
   std::string text_;
   std::vector<Entry> entries_;
   std::array<RoleSummary, kFieldRoleCount> summaries_{};
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -38,14 +38,22 @@
     case FieldRole::kRequestId:
     case FieldRole::kDeadline:
     case FieldRole::kAttempt:
+    case FieldRole::kHopClass:
+    case FieldRole::kHopLoad:
       return false;
     default:
       return true;
   }
 }
 
-bool passesToCaller(FieldRole role) {
+bool passesToCaller(FieldRole role, AnswerStyle style) {
   switch (role) {
+    case FieldRole::kOutcome:
+    case FieldRole::kReason:
+      // Between two hops only the nodes' own answers tell an outcome.
+      return style == AnswerStyle::kDirect;
+    case FieldRole::kHopClass:
+    case FieldRole::kHopLoad:
     case FieldRole::kHopByHop:
     case FieldRole::kConnection:
     case FieldRole::kContentLength:
@@ -107,9 +115,34 @@
   out.append(" ").append(phrase).append(kLineEnd);
 }
 
+void appendHopLoad(std::string& out, const proxy::HopLoad& load) {
+  out.append(http_headers::kHopLoad).append(": ");
+  appendNumber(out, load.running);
+  out.append(",");
+  appendNumber(out, load.waiting);
+  out.append(",");
+  appendNumber(out, load.slots);
+  out.append(",");
+  appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(load.service_time)));
+  out.append(load.draining ? ",1\r\n" : ",0\r\n");
+}
+
+void appendHopClass(std::string& out, const proxy::HopClass& hop) {
+  out.append(http_headers::kHopClass).append(": ");
+  appendNumber(out, hop.rank);
+  out.append(",");
+  appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(hop.target_latency)));
+  out.append(hop.is_repeatable ? ",1\r\n" : ",0\r\n");
+}
+
 void appendContext(std::string& out, const AnswerContext& context) {
-  if (!context.request_id.empty()) appendField(out, http_headers::kRequestId, context.request_id);
-  appendField(out, http_headers::kConfigurationVersion, context.version.value());
+  if (!context.request_id.empty()) {
+    appendField(out, context.names->request_id, context.request_id);
+  }
+  if (context.style == AnswerStyle::kDirect) {
+    appendField(out, http_headers::kConfigurationVersion, context.version.value());
+  }
+  if (context.hop_load) appendHopLoad(out, *context.hop_load);
   if (context.close) {
     appendField(out, "Connection", "close");
   } else if (!context.caller_is_http_1_1) {
@@ -123,26 +156,49 @@
       std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(duration).count()));
 }
 
+void appendRetryAfter(std::string& out, Duration delay, bool exact) {
+  if (!exact) return appendField(out, "Retry-After", wholeSeconds(delay));
+  const auto milliseconds = static_cast<std::uint64_t>(std::max<std::int64_t>(
+      1, std::chrono::ceil<std::chrono::milliseconds>(delay).count()));
+  const std::string thousandths = std::to_string(1000 + milliseconds % 1000);
+  out.append("Retry-After: ");
+  appendNumber(out, milliseconds / 1000);
+  out.append(".").append(thousandths, 1).append(kLineEnd);
+}
+
+/// Whether the plan brings its own value of a field that the caller may have sent.
+bool isReplaced(FieldRole role, const proxy::AttemptPlan& plan) {
+  if (role == FieldRole::kTargetInstance) return !plan.target_instance.empty();
+  if (role == FieldRole::kCallerService) return !plan.caller_service.empty();
+  return false;
+}
+
 }  // namespace
 
 void appendRequestHead(std::string& out, const CallerRequest& request, const MessageHead& head,
-                       const proxy::AttemptPlan& plan) {
+                       const proxy::AttemptPlan& plan, const HeaderNames& names) {
   out.append(head.method).append(" ").append(request.origin_target).append(" HTTP/1.1\r\n");
   appendField(out, "Host", request.host_field);
   const bool has_connection_field = head.fields.count(FieldRole::kConnection) > 0;
   for (std::size_t index = 0; index < head.fields.size(); ++index) {
     const FieldView field = head.fields[index];
     if (!passesToServer(field.role) || isSetByPlan(field.name, plan)) continue;
+    if (isReplaced(field.role, plan)) continue;
     if (has_connection_field && head.fields.connectionNames(field.name)) continue;
     appendField(out, field.name, field.value);
   }
-  appendField(out, http_headers::kRequestId, request.request_id);
+  appendField(out, names.request_id, request.request_id);
   appendField(
-      out, http_headers::kDeadlineMs,
+      out, names.deadline,
       static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMilliseconds(plan.remaining))));
   for (const proxy::HeaderField& field : plan.headers_to_set) {
     appendField(out, field.name, field.value);
   }
+  if (!plan.target_instance.empty()) appendField(out, names.target_instance, plan.target_instance);
+  if (!plan.caller_service.empty()) {
+    appendField(out, names.caller_service, plan.caller_service.value());
+  }
+  if (plan.hop_class) appendHopClass(out, *plan.hop_class);
   appendRequestFraming(out, head);
   out.append(kLineEnd);
 }
@@ -159,11 +215,15 @@
   const bool has_connection_field = answer.fields.count(FieldRole::kConnection) > 0;
   for (std::size_t index = 0; index < answer.fields.size(); ++index) {
     const FieldView field = answer.fields[index];
-    if (!passesToCaller(field.role)) continue;
+    if (!passesToCaller(field.role, context.style)) continue;
     if (has_connection_field && answer.fields.connectionNames(field.name)) continue;
     appendField(out, field.name, field.value);
   }
-  if (framingTowards(answer, context.caller_is_http_1_1) == BodyFraming::kChunked) {
+  if (context.whole_length) {
+    if (answer.framing != BodyFraming::kNone || answer.has_content_length) {
+      appendField(out, "Content-Length", *context.whole_length);
+    }
+  } else if (framingTowards(answer, context.caller_is_http_1_1) == BodyFraming::kChunked) {
     appendField(out, "Transfer-Encoding", "chunked");
   } else if (answer.has_content_length && answer.status != 204) {
     appendField(out, "Content-Length", answer.content_length);
@@ -181,7 +241,7 @@
   appendField(out, http_headers::kOutcome,
               not_run ? http_headers::kOutcomeNotRun : http_headers::kOutcomeUnknown);
   appendField(out, http_headers::kReason, answer.reason);
-  if (answer.retry_after) appendField(out, "Retry-After", wholeSeconds(*answer.retry_after));
+  if (answer.retry_after) appendRetryAfter(out, *answer.retry_after, context.exact_retry_after);
   appendContext(out, context);
   out.append(kLineEnd);
   if (!context.head_request) out.append(answer.reason).append("\n");
--- a/src/runtime/http_head_writer.h
+++ b/src/runtime/http_head_writer.h
@@ -4,6 +4,7 @@
 /// straight into the connection's output, so that head and first body bytes leave in one write.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,10 +17,23 @@
 
 /// Appends the request's head as the server shall see it for this attempt.
 void appendRequestHead(std::string& out, const CallerRequest& request, const MessageHead& head,
-                       const proxy::AttemptPlan& plan);
+                       const proxy::AttemptPlan& plan, const HeaderNames& names = {});
+
+/// Who reads a server's answers and the node's own.
+enum class AnswerStyle {
+  kDirect,   ///< Callers of a node that reaches servers itself; also nodes further up the call.
+  kIngress,  ///< Egresses: told the server's load, and the outcome in a header.
+  kEgress,   ///< Callers of the first of two hops: told by status alone.
+};
 
 /// What an answer to a caller carries whoever made it.
 struct AnswerContext {
+  const HeaderNames* names = &FieldTable::standard().names();
+  AnswerStyle style = AnswerStyle::kDirect;
+  std::optional<proxy::HopLoad> hop_load;
+  /// The whole body is at hand: its length replaces the server's framing.
+  std::optional<std::uint64_t> whole_length;
+  bool exact_retry_after = false;  ///< In fractions of a second; otherwise whole ones.
   std::string_view request_id;
   Version version;
   bool caller_is_http_1_1 = true;
--- a/src/runtime/http_parser.cpp
+++ b/src/runtime/http_parser.cpp
@@ -165,6 +165,7 @@
   } else {
     core_ = std::make_unique<BeastCore<false>>(head_);
   }
+  head_.fields = FieldBlock(*limits_.table);
   reset();
 }
 
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -34,13 +34,13 @@
 class ProxyServer::Implementation : public std::enable_shared_from_this<Implementation> {
  public:
   Implementation(asio::io_context& context, const ProxyServerSettings& settings,
-                 proxy::ProxyState& state, Environment& environment)
+                 ExchangeSource source, Environment& environment)
       : context_(context),
         acceptor_(context),
         accept_timer_(context),
         upkeep_timer_(context),
         stop_timer_(context),
-        shared_(makeShared(context, settings, state, environment)) {}
+        shared_(makeShared(context, settings, std::move(source), environment)) {}
 
   Result<void> listen(const Address& address) {
     error_code error;
@@ -64,7 +64,8 @@
   }
 
   void beginStop(std::function<void()> drained) {
-    if (shared_->stopping) return;
+    if (stop_begun_) return;
+    stop_begun_ = true;
     shared_->stopping = true;
     acceptPending();
     error_code ignored;
@@ -86,21 +87,36 @@
     shared_->pool.shutDown();
   }
 
+  void setCallerLimits(const model::CallerLimits& limits) {
+    ProxyServerSettings& settings = shared_->settings;
+    if (limits.head_bytes > 0) settings.head_bytes = limits.head_bytes;
+    if (limits.body_bytes > 0) settings.body_bytes = limits.body_bytes;
+    if (limits.head_timeout > Duration(0)) settings.head_timeout = limits.head_timeout;
+    if (limits.idle_timeout > Duration(0)) settings.idle_timeout = limits.idle_timeout;
+  }
+
+  void announceClose() { shared_->stopping = true; }
+
   const Address& address() const { return address_; }
   const ProxyServerShared& shared() const { return *shared_; }
 
  private:
   static std::shared_ptr<ProxyServerShared> makeShared(asio::io_context& context,
                                                        const ProxyServerSettings& settings,
-                                                       proxy::ProxyState& state,
+                                                       ExchangeSource source,
                                                        Environment& environment) {
+    auto table = std::make_unique<FieldTable>(settings.names);
     auto watch = std::make_shared<DeadlineWatch>(context, kWatchTick);
+    UpstreamPoolSettings upstream = settings.upstream;
+    upstream.connection.table = table.get();
+    const proxy::ConnectionPolicy& policy = *source.policy;
     return std::shared_ptr<ProxyServerShared>(
         new ProxyServerShared{settings,
-                              state,
+                              std::move(table),
+                              std::move(source),
                               environment,
                               watch,
-                              UpstreamPool(context, watch, settings.upstream, state),
+                              UpstreamPool(context, watch, upstream, policy),
                               {},
                               {},
                               false,
@@ -163,7 +179,7 @@
   }
 
   void onGraceOver() {
-    shared_->state.beginStop();
+    shared_->source.begin_stop();
     for (const auto& connection : liveConnections()) connection->closeIfIdle();
     waitForStop(shared_->settings.stop_drain, &Implementation::onDrainOver);
   }
@@ -182,7 +198,7 @@
     if (!callback) return;
     asio::post(acceptor_.get_executor(),
                [self = shared_from_this(), done = std::exchange(callback, nullptr)] {
-                 self->shared_->state.beginStop();
+                 self->shared_->source.begin_stop();
                  self->shared_->pool.closeIdle();
                  done();
                });
@@ -204,6 +220,7 @@
   asio::steady_timer stop_timer_;
   std::shared_ptr<ProxyServerShared> shared_;
   Address address_;
+  bool stop_begun_ = false;
 };
 
 ProxyServer::ProxyServer(std::shared_ptr<Implementation> implementation)
@@ -215,7 +232,21 @@
                                                          const ProxyServerSettings& settings,
                                                          proxy::ProxyState& state,
                                                          Environment& environment) {
-  auto implementation = std::make_shared<Implementation>(context, settings, state, environment);
+  ExchangeSource source;
+  source.make = [&state, &environment](proxy::RequestHead head, proxy::RequestIo& io) {
+    return std::make_unique<proxy::RequestFlow>(std::move(head), state, environment, io);
+  };
+  source.policy = &state;
+  source.begin_stop = [&state] { state.beginStop(); };
+  return create(context, settings, std::move(source), environment);
+}
+
+Result<std::unique_ptr<ProxyServer>> ProxyServer::create(asio::io_context& context,
+                                                         const ProxyServerSettings& settings,
+                                                         ExchangeSource source,
+                                                         Environment& environment) {
+  auto implementation =
+      std::make_shared<Implementation>(context, settings, std::move(source), environment);
   if (auto listening = implementation->listen(settings.listen); !listening) {
     return listening.error();
   }
@@ -227,6 +258,10 @@
 void ProxyServer::beginStop(std::function<void()> drained) {
   implementation_->beginStop(std::move(drained));
 }
+void ProxyServer::setCallerLimits(const model::CallerLimits& limits) {
+  implementation_->setCallerLimits(limits);
+}
+void ProxyServer::announceClose() { implementation_->announceClose(); }
 const ProxyServerStatistics& ProxyServer::statistics() const {
   return implementation_->shared().statistics;
 }
--- a/src/runtime/proxy_server.h
+++ b/src/runtime/proxy_server.h
@@ -11,7 +11,12 @@
 #include "core/address.h"
 #include "core/environment.h"
 #include "core/error.h"
+#include "model/configuration.h"
+#include "proxy/connection_policy.h"
 #include "proxy/proxy_state.h"
+#include "proxy/request_flow.h"
+#include "runtime/header_names.h"
+#include "runtime/http_head_writer.h"
 #include "runtime/proxy_refusal.h"
 #include "runtime/upstream_pool.h"
 
@@ -35,6 +40,23 @@
   /// A planned stop cuts what is still in flight after this long.
   Duration stop_drain = std::chrono::seconds(30);
   UpstreamPoolSettings upstream;
+  HeaderNames names;
+  AnswerStyle answer_style = AnswerStyle::kDirect;
+  bool exact_retry_after = false;  ///< Retry-After in fractions of a second.
+  /// An answer up to this long is held until it is whole: one that breaks off is then no answer,
+  /// and the request may still be tried elsewhere. Zero: every answer is streamed.
+  std::size_t whole_answer_bytes = 0;
+};
+
+/// Makes the state machine of one request.
+using ExchangeFactory =
+    std::function<std::unique_ptr<proxy::Exchange>(proxy::RequestHead, proxy::RequestIo&)>;
+
+/// What decides on the requests of one ProxyServer.
+struct ExchangeSource {
+  ExchangeFactory make;
+  proxy::ConnectionPolicy* policy = nullptr;
+  std::function<void()> begin_stop;  ///< From now on, new requests are refused.
 };
 
 /// Counters for /metrics. Never reset.
@@ -57,6 +79,11 @@
                                                      const ProxyServerSettings& settings,
                                                      proxy::ProxyState& state,
                                                      Environment& environment);
+  /// The same with other state machines. What `source` refers to must outlive the server.
+  static Result<std::unique_ptr<ProxyServer>> create(boost::asio::io_context& context,
+                                                     const ProxyServerSettings& settings,
+                                                     ExchangeSource source,
+                                                     Environment& environment);
   /// Cuts everything at once.
   ~ProxyServer();
   ProxyServer(const ProxyServer&) = delete;
@@ -69,6 +96,11 @@
   /// ProxyState::beginStop() after the grace, and `drained` once no caller is connected.
   void beginStop(std::function<void()> drained);
 
+  /// Puts an operator's limits in force; a zero leaves the setting as it is.
+  void setCallerLimits(const model::CallerLimits& limits);
+  /// From now on every answer asks its caller to close; connections are still accepted.
+  void announceClose();
+
   const ProxyServerStatistics& statistics() const;
   const UpstreamStatistics& upstreamStatistics() const;
   std::size_t callerConnectionCount() const;
--- a/src/runtime/setting_types.cpp
+++ b/src/runtime/setting_types.cpp
@@ -39,6 +39,23 @@
                  "use 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.'");
 }
 
+std::optional<Error> checkHeaderName(const std::string& text) {
+  const bool valid = text.size() <= 64 && std::all_of(text.begin(), text.end(), [](char letter) {
+    return std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '-' || letter == '_';
+  });
+  if (valid) return std::nullopt;
+  return Error{ErrorKind::kInvalidArgument, "'" + text + "' is not a header's name",
+               "write up to 64 letters, digits, '-' and '_'"};
+}
+
+std::optional<Error> checkPath(const std::string& text) {
+  const bool visible = std::all_of(text.begin(), text.end(),
+                                   [](char letter) { return letter > ' ' && letter < '\x7f'; });
+  if (text.starts_with('/') && visible) return std::nullopt;
+  return Error{ErrorKind::kInvalidArgument, "'" + text + "' is not a path",
+               "write a path that begins with a slash, for example /readyz"};
+}
+
 std::optional<Error> checkRange(std::int64_t value, const Range& range) {
   if (value >= range.lowest && value <= range.highest) return std::nullopt;
   const bool too_low = value < range.lowest;
--- a/src/runtime/setting_types.h
+++ b/src/runtime/setting_types.h
@@ -4,6 +4,7 @@
 /// field. A field is given as a function object that takes (const) Settings& and returns a
 /// reference into it.
 
+#include <cmath>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -40,6 +41,10 @@
 std::string formatList(const std::vector<std::string>& elements);
 /// Letters, digits, '-', '_' and '.', so that a name is safe in logs, labels and paths.
 std::optional<Error> checkName(const std::string& text);
+/// A header's name; empty: the header is not used.
+std::optional<Error> checkHeaderName(const std::string& text);
+/// A path that begins with a slash.
+std::optional<Error> checkPath(const std::string& text);
 std::optional<Error> checkRange(std::int64_t value, const Range& range);
 std::string describeRange(const Range& range, const std::string& unit);
 /// An IP number and a port; port 0 only to listen.
@@ -89,6 +94,42 @@
   return entry;
 }
 
+/// Text with a rule of its own; `check` returns what is wrong with it.
+template <typename Field>
+SettingKey textKey(std::string section, std::string key, std::string expected, std::string meaning,
+                   std::optional<Error> (*check)(const std::string&), Field field) {
+  SettingKey entry = makeKey(std::move(section), std::move(key), std::move(meaning),
+                             std::move(expected), SettingType::kText);
+  entry.assign = [field, check](Settings& settings,
+                                const SettingValue& value) -> std::optional<Error> {
+    const std::string& text = std::get<std::string>(value);
+    if (std::optional<Error> error = check(text)) return error;
+    field(settings) = text;
+    return std::nullopt;
+  };
+  entry.format = [field](const Settings& settings) { return quoted(field(settings)); };
+  return entry;
+}
+
+/// A part or factor, written in hundredths.
+template <typename Field>
+SettingKey percentKey(std::string section, std::string key, Range range, std::string meaning,
+                      Field field) {
+  SettingKey entry = makeKey(std::move(section), std::move(key), std::move(meaning),
+                             describeRange(range, " of hundredths"), SettingType::kInteger);
+  entry.assign = [field, range](Settings& settings,
+                                const SettingValue& value) -> std::optional<Error> {
+    const std::int64_t number = std::get<std::int64_t>(value);
+    if (std::optional<Error> error = checkRange(number, range)) return error;
+    field(settings) = static_cast<double>(number) / 100.0;
+    return std::nullopt;
+  };
+  entry.format = [field](const Settings& settings) {
+    return std::to_string(std::llround(field(settings) * 100.0));
+  };
+  return entry;
+}
+
 template <typename Field>
 SettingKey addressKey(std::string section, std::string key, AddressUse use, std::string meaning,
                       Field field) {
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -13,7 +13,11 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "egress/settings.h"
+#include "ingress/settings.h"
 #include "proxy/settings.h"
+#include "runtime/header_names.h"
+#include "source/watch_loop.h"
 
 namespace coursepond::runtime {
 
@@ -73,11 +77,22 @@
   std::uint32_t warm_connections = 1;
 };
 
+/// [two_hop]: this machine has one server of its own, reached only through this node. Requests go
+/// from the egress of the machine they begin on to the ingress beside the server that runs them.
+struct TwoHopSettings {
+  Address ingress_listen;  ///< Where other nodes' egresses connect. Empty: servers are reached directly.
+  Address server;          ///< This machine's server.
+  ServiceName service;     ///< That server's service.
+
+  bool enabled() const { return !ingress_listen.host.empty(); }
+};
+
 /// [admin]: the operator API.
 struct AdminSettings {
   SecretText token;
   std::uint64_t body_limit_bytes = 64ULL << 10;
   std::uint32_t connection_limit = 64;
+  std::string readiness_path = "/readyz";
 };
 
 enum class LogLevel { kInfo, kWarning, kError };
@@ -98,6 +113,11 @@
   PeerSettings peer;
   ProxyLimits proxy;
   proxy::Settings data_path;
+  TwoHopSettings two_hop;
+  egress::Settings egress;
+  ingress::Settings ingress;
+  source::WatchSettings watch;
+  HeaderNames headers;
   AdminSettings admin;
   LogSettings log;
 };
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -271,8 +271,98 @@
                                  FIELD(data_path.leaving_mark_hold)));
 }
 
+void addTwoHopKeys(Keys& keys) {
+  const std::string section = "two_hop";
+  keys.push_back(addressKey(section, "ingress_listen", AddressUse::kOptionalConnect,
+                            "Where other nodes' egresses connect. Set: this node owns the one "
+                            "server of its machine. Empty: it reaches servers directly.",
+                            FIELD(two_hop.ingress_listen)));
+  keys.push_back(addressKey(section, "server", AddressUse::kOptionalConnect,
+                            "This machine's server.", FIELD(two_hop.server)));
+  keys.push_back(nameKey<ServiceName>(section, "service", false, "That server's service.",
+                                      FIELD(two_hop.service)));
+}
+
+void addWatchKeys(Keys& keys) {
+  const std::string section = "watch";
+  keys.push_back(millisecondsKey(section, "wait_ms", {50, 30'000},
+                                 "How long one read of a watchable source waits for a change.",
+                                 FIELD(watch.wait)));
+  keys.push_back(millisecondsKey(section, "answer_timeout_ms", {10, kMinuteMs},
+                                 "How long beyond that a read may take.",
+                                 FIELD(watch.answer_timeout)));
+  keys.push_back(millisecondsKey(section, "patient_timeout_ms", {10, kMinuteMs},
+                                 "The same after a read that failed.",
+                                 FIELD(watch.patient_timeout)));
+  keys.push_back(millisecondsKey(section, "backoff_base_ms", {1, kMinuteMs},
+                                 "The first pause after a failed read; it doubles with each "
+                                 "further one.",
+                                 FIELD(watch.backoff_base)));
+  keys.push_back(millisecondsKey(section, "backoff_limit_ms", {1, kMinuteMs},
+                                 "Its longest.", FIELD(watch.backoff_limit)));
+  keys.push_back(millisecondsKey(section, "relist_ms", {0, kHourMs},
+                                 "How often everything is read anew; 0: never.",
+                                 FIELD(watch.relist)));
+}
+
+void addEgressKeys(Keys& keys) {
+  const std::string section = "egress";
+  keys.push_back(percentKey(section, "retry_ratio_percent", {0, 100},
+                            "Repeats that one node may add to a service, of its first attempts.",
+                            FIELD(egress.retry_ratio)));
+  keys.push_back(numberKey(section, "retry_burst", {0, 100'000}, "",
+                           "Repeats that all nodes together may add at once.",
+                           FIELD(egress.retry_burst)));
+  keys.push_back(percentKey(section, "remote_zone_cost_percent", {0, 10'000},
+                            "How much dearer a server of another zone is; 100: as much as one "
+                            "whole idle server.",
+                            FIELD(egress.remote_zone_cost)));
+  keys.push_back(percentKey(section, "busy_from_percent", {0, 100},
+                            "From this part of its slots on, a server becomes dearer.",
+                            FIELD(egress.busy_from)));
+  keys.push_back(percentKey(section, "patience_percent", {0, 100},
+                            "How long a request waits for a server to appear, of its target "
+                            "latency.",
+                            FIELD(egress.patience)));
+}
+
+void addIngressKeys(Keys& keys) {
+  const std::string section = "ingress";
+  keys.push_back(percentKey(section, "queue_per_slot_percent", {0, 10'000},
+                            "Requests that may wait for the server, of its slots.",
+                            FIELD(ingress.queue_per_slot)));
+  keys.push_back(percentKey(section, "target_stretch_percent", {1, 10'000},
+                            "A request may wait while its answer is expected within this part of "
+                            "its target latency.",
+                            FIELD(ingress.target_stretch)));
+  keys.push_back(numberKey(section, "spare_connections", {0, 100'000}, "",
+                           "Connections kept back from the server's limit.",
+                           FIELD(ingress.spare_connections)));
+}
+
+void addHeaderKeys(Keys& keys) {
+  const std::string section = "headers";
+  const auto add = [&](const char* key, const char* meaning, auto field) {
+    keys.push_back(textKey(section, key, "a header's name", meaning, checkHeaderName, field));
+  };
+  add("request_id", "A caller's id of a request.", FIELD(headers.request_id));
+  add("deadline", "Milliseconds the caller will still wait.", FIELD(headers.deadline));
+  add("load", "A server's load.", FIELD(headers.load));
+  add("not_run", "On a server's answer: it did not run the request.", FIELD(headers.not_run));
+  add("signature", "On a server's answer: proves that the server made it. Empty: none is expected.",
+      FIELD(headers.signature));
+  add("target_instance", "Towards a server: the only instance that may run the request.",
+      FIELD(headers.target_instance));
+  add("caller_service", "Towards a server: the service whose machine the request began on.",
+      FIELD(headers.caller_service));
+  add("instance", "On a server's answer: its instance.", FIELD(headers.instance));
+}
+
 void addAdminKeys(Keys& keys) {
   const std::string section = "admin";
+  keys.push_back(textKey(section, "readiness_path", "a path",
+                         "Where readiness is asked: 200 while the node may get requests, else 503.",
+                         checkPath, FIELD(admin.readiness_path)));
   keys.push_back(secretKey(section, "token",
                            "The bearer token of the operator API, the same on every node. Never "
                            "printed.",
@@ -315,6 +405,11 @@
   addConfirmKeys(keys);
   addPeerKeys(keys);
   addProxyKeys(keys);
+  addTwoHopKeys(keys);
+  addWatchKeys(keys);
+  addEgressKeys(keys);
+  addIngressKeys(keys);
+  addHeaderKeys(keys);
   addAdminKeys(keys);
   addLogKeys(keys);
   return keys;
--- a/src/runtime/upstream_pool.cpp
+++ b/src/runtime/upstream_pool.cpp
@@ -5,8 +5,8 @@
 namespace coursepond::runtime {
 
 UpstreamPool::UpstreamPool(boost::asio::io_context& context, std::shared_ptr<DeadlineWatch> watch,
-                           const UpstreamPoolSettings& settings, const proxy::ProxyState& state)
-    : context_(context), watch_(std::move(watch)), settings_(settings), state_(state) {}
+                           const UpstreamPoolSettings& settings, const proxy::ConnectionPolicy& policy)
+    : context_(context), watch_(std::move(watch)), settings_(settings), policy_(policy) {}
 
 UpstreamPool::~UpstreamPool() { shutDown(); }
 
@@ -31,7 +31,7 @@
     kept->assign(user);
     return kept;
   }
-  if (server.open.size() >= state_.connectionBudget(service, endpoint.id)) {
+  if (server.open.size() >= policy_.connectionBudget(service, endpoint.id)) {
     ++statistics_.over_budget;
     return nullptr;
   }
@@ -86,7 +86,7 @@
     Server& server = entry->second;
     const std::vector<ConnectionPointer> idle = server.idle;
     for (const ConnectionPointer& connection : idle) {
-      if (!state_.usable(connection->service(), connection->endpoint().id)) connection->close();
+      if (!policy_.usable(connection->service(), connection->endpoint().id)) connection->close();
     }
     entry = server.open.empty() ? servers_.erase(entry) : std::next(entry);
   }
@@ -94,13 +94,12 @@
 
 void UpstreamPool::openWarm() {
   if (settings_.warm_connections == 0) return;
-  for (const proxy::ServerReport& report : state_.serverReports()) {
-    const EndpointId& id = report.endpoint.id;
-    if (report.ejected || !state_.usable(report.service, id)) continue;
+  for (const proxy::WarmServer& warm : policy_.warmServers()) {
+    const EndpointId& id = warm.endpoint.id;
     Server& server = servers_[id];
     const std::size_t wanted = std::min<std::size_t>(settings_.warm_connections,
-                                                     state_.connectionBudget(report.service, id));
-    while (server.open.size() < wanted) open(server, report.service, report.endpoint, nullptr);
+                                                     policy_.connectionBudget(warm.service, id));
+    while (server.open.size() < wanted) open(server, warm.service, warm.endpoint, nullptr);
   }
 }
 
--- a/src/runtime/upstream_pool.h
+++ b/src/runtime/upstream_pool.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "proxy/proxy_state.h"
+#include "proxy/connection_policy.h"
 #include "runtime/upstream_connection.h"
 
 namespace coursepond::runtime {
@@ -22,9 +22,9 @@
 
 class UpstreamPool final : private UpstreamOwner {
  public:
-  /// `context` and `state` must outlive the pool.
+  /// `context` and `policy` must outlive the pool.
   UpstreamPool(boost::asio::io_context& context, std::shared_ptr<DeadlineWatch> watch,
-               const UpstreamPoolSettings& settings, const proxy::ProxyState& state);
+               const UpstreamPoolSettings& settings, const proxy::ConnectionPolicy& policy);
   ~UpstreamPool() override;
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
@@ -63,7 +63,7 @@
   boost::asio::io_context& context_;
   std::shared_ptr<DeadlineWatch> watch_;
   UpstreamPoolSettings settings_;
-  const proxy::ProxyState& state_;
+  const proxy::ConnectionPolicy& policy_;
   UpstreamStatistics statistics_;
   std::unordered_map<EndpointId, Server> servers_;
 };
--- /dev/null
+++ b/src/source/watch_client.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// A source that acknowledges what operators write and that can be watched: each change has a
+/// revision, and a reader that names the last revision it holds gets what came after. Other than
+/// with PlatformClient, a version that such a source shows is in force: no confirmation is needed.
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/error.h"
+#include "core/ids.h"
+#include "core/time.h"
+#include "model/configuration.h"
+#include "model/server_entry.h"
+
+namespace coursepond::source {
+
+/// What is watched, each with a loop of its own.
+enum class WatchedSet { kConfiguration, kServers };
+
+/// What one read gave. A list holds everything; a watch what changed, in order.
+struct WatchBatch {
+  Generation revision;  ///< Go on from here.
+  std::vector<model::Configuration> configurations;
+  std::vector<model::ServerEntry> servers;
+  std::vector<EndpointId> removed_servers;
+  std::vector<Error> rejected;  ///< Items that could not be read; what was held stays in force.
+};
+
+using WatchCallback = std::function<void(Result<WatchBatch>)>;
+
+/// Each call makes one read (a list may need several pages) and calls back exactly once, never from
+/// inside the call. Errors: kBaseMismatch (the source no longer has the changes after that
+/// revision: list again), kOverloaded (too many reads), kUnavailable, kTimeout, kMalformed.
+class WatchClient {
+ public:
+  virtual ~WatchClient() = default;
+  virtual void list(WatchedSet set, Duration timeout, WatchCallback callback) = 0;
+  /// Answers at the first change after `after`, or without one after `wait`.
+  virtual void watch(WatchedSet set, Generation after, Duration wait, Duration timeout,
+                     WatchCallback callback) = 0;
+};
+
+}  // namespace coursepond::source
--- /dev/null
+++ b/src/source/watch_loop.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/// Keeps one watched set current: lists once, then watches from the last revision; lists again when
+/// the source has lost its history; backs off with jitter while it fails.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "core/environment.h"
+#include "source/watch_client.h"
+
+namespace coursepond::source {
+
+struct WatchSettings {
+  /// The longest that a read waits for a change. Also how soon a silent connection is noticed.
+  Duration wait = std::chrono::milliseconds(1500);
+  /// A read without an answer for this long beyond its wait counts as failed.
+  Duration answer_timeout = std::chrono::milliseconds(700);
+  /// The same for a read that a slow source has failed before.
+  Duration patient_timeout = std::chrono::milliseconds(2500);
+  /// The first pause after a failure; doubles with each further one. Half of it is jitter.
+  Duration backoff_base = std::chrono::milliseconds(100);
+  Duration backoff_limit = std::chrono::milliseconds(800);
+  /// What was held is listed anew after this, in case a change was missed. Zero: never.
+  Duration relist = std::chrono::seconds(30);
+};
+
+struct WatchStatistics {
+  std::uint64_t lists = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t failures = 0;
+  std::uint64_t history_lost = 0;
+  std::uint64_t rejected = 0;  ///< Items that could not be read.
+};
+
+class WatchLoop {
+ public:
+  using BatchHandler = std::function<void(const WatchBatch& batch, bool is_complete)>;
+  using FailureHandler = std::function<void(const Error& error)>;
+
+  /// `client` and `environment` must outlive the loop.
+  WatchLoop(WatchedSet set, const WatchSettings& settings, WatchClient& client,
+            Environment& environment, BatchHandler on_batch, FailureHandler on_failure);
+  ~WatchLoop();
+  WatchLoop(const WatchLoop&) = delete;
+  WatchLoop& operator=(const WatchLoop&) = delete;
+
+  void start();
+  void stop();
+
+  /// When the source last answered; the epoch when it never did.
+  TimePoint lastAnswer() const { return last_answer_; }
+  bool hasListed() const { return has_listed_; }
+  Generation revision() const { return revision_; }
+  const WatchStatistics& statistics() const { return statistics_; }
+
+ private:
+  void list();
+  void watch();
+  void onList(const Result<WatchBatch>& answer);
+  void onWatch(const Result<WatchBatch>& answer);
+  void onFailed(const Error& error);
+  void noteAnswer(const WatchBatch& batch);
+  Duration timeout() const;
+  WatchCallback guarded(void (WatchLoop::*handler)(const Result<WatchBatch>&));
+
+  WatchedSet set_;
+  const WatchSettings& settings_;
+  WatchClient& client_;
+  Environment& environment_;
+  BatchHandler on_batch_;
+  FailureHandler on_failure_;
+  /// Callbacks of earlier reads hold a weak reference: they end with the loop.
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  std::uint64_t read_ = 0;  ///< Answers to earlier reads are ignored.
+  TimerId timer_ = 0;
+  bool running_ = false;
+  bool has_listed_ = false;
+  bool must_list_ = true;
+  std::uint32_t failures_in_a_row_ = 0;
+  Generation revision_;
+  TimePoint last_answer_;
+  TimePoint last_list_;
+  WatchStatistics statistics_;
+};
+
+}  // namespace coursepond::source
