Ingress: a server that was started anew is used as soon as it says so itself

Ruled out: the nodes' own start (0.1 s) and the queue (the refusals came within 1 ms with reason server_refused). Change: the server's refusal names its instance; the ingress sends there at once and to it from then on. An address that went to another service is told apart by the service the egress names. Also new: a line for each decision.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -67,6 +67,7 @@
   bool mayRepeat(TimePoint now);
   void releaseServer();
 
+  void note(proxy::DecisionKind kind, std::string_view reason, int status) const;
   void finish();
   void conclude(Reason reason);
   proxy::LocalAnswer makeAnswer(Reason reason) const;
@@ -95,6 +96,7 @@
   bool is_late_ = false;  ///< The deadline ended it.
   std::optional<Duration> retry_after_;
   TimePoint deadline_;
+  TimePoint started_;
   TimePoint patient_until_;
   TimePoint attempt_started_;
 };
@@ -105,6 +107,7 @@
   const TimePoint now = environment_.now();
   ++state_.statistics().requests;
   ++state_.inFlight();
+  started_ = now;
   phase_ = Phase::kWaiting;
   routing_ = state_.routing();
   if (!routing_) return conclude(Reason::kNoConfiguration);
@@ -163,7 +166,7 @@
   plan.replayable = true;
   plan.target_instance = server_->entry.id.value();
   plan.caller_service = state_.settings().own_service;
-  plan.hop_class = proxy::HopClass{route_->rank, target(), is_repeatable_};
+  plan.hop_class = proxy::HopClass{service_.value(), route_->rank, target(), is_repeatable_};
   return plan;
 }
 
@@ -182,6 +185,7 @@
   if (isCurrent(attempt, Phase::kForwarding)) return onAnswerCut(attempt);
   if (!isCurrent(attempt, Phase::kAttempting)) return;
   const TimePoint now = environment_.now();
+  note(proxy::DecisionKind::kAttemptEnded, failureWord(failure), 0);
   switch (failure) {
     case AttemptFailure::kConnectFailed:
       ++state_.statistics().hop_failures;
@@ -213,6 +217,7 @@
   if (!isCurrent(attempt, Phase::kAttempting)) return;
   const TimePoint now = environment_.now();
   if (!isProper(answer)) {
+    note(proxy::DecisionKind::kAttemptEnded, "not_its_answer", 0);
     ++state_.statistics().bad_answers;
     io_.cancelAttempt(attempt_);
     return onUnknown(Reason::kMalformedAnswer, now);
@@ -220,21 +225,25 @@
   state_.onReached(*server_);
   if (answer.hop_load) state_.onLoad(*server_, *answer.hop_load, now);
   if (answer.not_run) {
+    note(proxy::DecisionKind::kAttemptEnded, answer.node_reason, 0);
     io_.discardAnswer(attempt_);
     return onNotRun(answer, now);
   }
   const bool from_ingress = !answer.node_outcome.empty();
   if (from_ingress) {
+    note(proxy::DecisionKind::kAttemptEnded, answer.node_reason, 0);
     io_.discardAnswer(attempt_);
     const bool was_late = answer.status == kGatewayTimeout;
     return onUnknown(was_late ? Reason::kDeadline : Reason::kConnectionLost, now);
   }
   state_.onLatency(*server_, state_.use(service_), now - attempt_started_);
   if (shouldRepeat(answer, now)) {
+    note(proxy::DecisionKind::kAttemptEnded, "server_failed", 0);
     io_.discardAnswer(attempt_);
     releaseServer();
     return sendOrWait(now);
   }
+  note(proxy::DecisionKind::kForwarded, "", answer.status);
   phase_ = Phase::kForwarding;
   state_.deadlines().disarm(*this);
   io_.forwardAnswer(attempt_);
@@ -332,6 +341,20 @@
   finish();
 }
 
+void EgressFlow::note(proxy::DecisionKind kind, std::string_view reason, int status) const {
+  proxy::Decision decision;
+  decision.kind = kind;
+  decision.side = "egress";
+  decision.request = head_.request_id;
+  decision.attempt = attempt_;
+  if (server_) decision.server = server_->entry.id.value();
+  decision.reason = reason;
+  decision.status = status;
+  decision.elapsed = environment_.now() - started_;
+  decision.version = configurationVersion();
+  state_.note(decision);
+}
+
 void EgressFlow::finish() {
   phase_ = Phase::kFinished;
   state_.deadlines().disarm(*this);
@@ -345,6 +368,7 @@
   if (answer.status == kServiceUnavailable) ++statistics.refused;
   if (answer.status == kNotFound) ++statistics.no_route;
   if (answer.outcome == proxy::Outcome::kUnknown) ++statistics.unknown;
+  note(proxy::DecisionKind::kAnsweredItself, answer.reason, answer.status);
   finish();
   io_.answerLocally(answer);
 }
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -15,6 +15,7 @@
 #include "egress/traffic_split.h"
 #include "model/snapshot.h"
 #include "proxy/connection_policy.h"
+#include "proxy/decision_log.h"
 #include "proxy/deadline_queue.h"
 #include "proxy/route_table.h"
 
@@ -84,6 +85,11 @@
   proxy::DeadlineQueue& deadlines() { return deadlines_; }
   const Settings& settings() const { return settings_; }
   Statistics& statistics() { return statistics_; }
+  /// `log` may be null.
+  void setDecisionLog(proxy::DecisionLog* log) { log_ = log; }
+  void note(const proxy::Decision& decision) const {
+    if (log_ != nullptr) log_->onDecision(decision);
+  }
   std::size_t& inFlight() { return in_flight_; }
 
   std::uint32_t connectionBudget(const ServiceName& service,
@@ -100,6 +106,7 @@
   TrafficSplit split_;
   proxy::DeadlineQueue deadlines_;
   Statistics statistics_;
+  proxy::DecisionLog* log_ = nullptr;
   std::size_t in_flight_ = 0;
 };
 
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -56,6 +56,7 @@
   bool isProper(const AnswerHead& answer) const;
   void onServerRefused(const AnswerHead& answer, TimePoint now);
 
+  void note(proxy::DecisionKind kind, std::string_view reason, int status) const;
   void finish(TimePoint now);
   void conclude(Reason reason, TimePoint now);
   void count(Reason reason);
@@ -67,8 +68,10 @@
   proxy::RequestIo& io_;
   Phase phase_ = Phase::kNew;
   AttemptId attempt_ = 0;
+  std::string instance_;  ///< That the current attempt is for.
   bool has_slot_ = false;
   bool may_have_run_ = false;
+  TimePoint started_;
   TimePoint deadline_;
   TimePoint attempt_started_;
 };
@@ -76,8 +79,9 @@
 void IngressFlow::start() {
   const TimePoint now = environment_.now();
   ++state_.statistics().requests;
+  started_ = now;
   phase_ = Phase::kWaiting;
-  if (const auto refusal = state_.refusal(head_.target_instance)) return conclude(*refusal, now);
+  if (const auto refusal = state_.refusal(head_.hop_class)) return conclude(*refusal, now);
   const Settings& settings = state_.settings();
   const Duration allowed = std::min(head_.deadline.value_or(settings.longest_deadline),
                                     settings.longest_deadline);
@@ -109,7 +113,9 @@
   proxy::AttemptPlan plan;
   plan.id = attempt_;
   plan.service = kOwnServer;
-  plan.endpoint = state_.endpoint(head_.target_instance);
+  plan.target_instance = state_.instanceOr(head_.target_instance);
+  plan.endpoint = state_.endpoint(plan.target_instance);
+  instance_ = plan.target_instance;
   plan.remaining =
       std::max(deadline_ - now - state_.settings().deadline_reserve, kLeastRemaining);
   plan.replayable = true;
@@ -120,6 +126,7 @@
   if (isCurrent(attempt, Phase::kForwarding)) return onAnswerCut(attempt);
   if (!isCurrent(attempt, Phase::kAttempting)) return;
   const TimePoint now = environment_.now();
+  note(proxy::DecisionKind::kAttemptEnded, failureWord(failure), 0);
   const bool may_try_again = attempt_ < state_.settings().local_tries && now < deadline_;
   switch (failure) {
     case AttemptFailure::kClosedUnsent:
@@ -155,6 +162,7 @@
     return conclude(Reason::kMalformedAnswer, now);
   }
   if (was_refused) return onServerRefused(answer, now);
+  note(proxy::DecisionKind::kForwarded, "", answer.status);
   state_.onAnswered(now - attempt_started_);
   phase_ = Phase::kForwarding;
   state_.deadlines().disarm(*this);
@@ -170,6 +178,12 @@
 void IngressFlow::onServerRefused(const AnswerHead& answer, TimePoint now) {
   ++state_.statistics().server_refusals;
   io_.discardAnswer(attempt_);
+  const bool was_started_anew = answer.status == kMisdirected && !answer.instance.empty() &&
+                                answer.instance != instance_;
+  if (was_started_anew && attempt_ < state_.settings().local_tries && now < deadline_) {
+    state_.learnInstance(answer.instance);
+    return attempt(now);
+  }
   if (answer.status != kMisdirected) state_.pause(state_.settings().refused_pause, now);
   conclude(Reason::kServerRefused, now);
 }
@@ -201,6 +215,19 @@
   finish(environment_.now());
 }
 
+void IngressFlow::note(proxy::DecisionKind kind, std::string_view reason, int status) const {
+  proxy::Decision decision;
+  decision.kind = kind;
+  decision.side = "ingress";
+  decision.request = head_.request_id;
+  decision.attempt = attempt_;
+  decision.server = instance_;
+  decision.reason = reason;
+  decision.status = status;
+  decision.elapsed = environment_.now() - started_;
+  state_.note(decision);
+}
+
 void IngressFlow::finish(TimePoint now) {
   phase_ = Phase::kFinished;
   state_.deadlines().disarm(*this);
@@ -213,6 +240,7 @@
 void IngressFlow::conclude(Reason reason, TimePoint now) {
   count(reason);
   const proxy::LocalAnswer answer = makeAnswer(reason);
+  note(proxy::DecisionKind::kAnsweredItself, answer.reason, answer.status);
   finish(now);
   io_.answerLocally(answer);
 }
@@ -226,6 +254,7 @@
       return;
     case Reason::kStopping:
     case Reason::kServerDraining:
+    case Reason::kWrongService:
       ++statistics.refused_draining;
       return;
     case Reason::kDeadline:
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -13,6 +13,8 @@
       deadlines_(environment) {}
 
 void IngressState::setServer(const std::optional<model::ServerEntry>& entry) {
+  const bool is_another = entry && (!server_ || server_->id != entry->id);
+  if (is_another) instance_ = entry->id.value();
   server_ = entry;
   dispatch(environment_.now());
 }
@@ -21,16 +23,20 @@
   return {EndpointId(instance), address_, ZoneId(), model::MachineState::kLive};
 }
 
-std::optional<Reason> IngressState::refusal(const std::string& instance) const {
+std::optional<Reason> IngressState::refusal(const std::optional<proxy::HopClass>& hop) const {
   if (is_stopped_) return Reason::kStopping;
-  if (!server_) return std::nullopt;
-  // The entry may lag behind a server that has just been started anew: it then answers itself.
-  if (server_->id.value() == instance && server_->state == model::MachineState::kLeaving) {
-    return Reason::kServerDraining;
-  }
+  // An address goes to a machine of another service after a while: nothing of the old one runs.
+  if (hop && hop->service != settings_.own_service.value()) return Reason::kWrongService;
+  if (isServerLeaving()) return Reason::kServerDraining;
   return std::nullopt;
 }
 
+/// An entry of an earlier start says nothing about the one that has the address now.
+bool IngressState::isServerLeaving() const {
+  return server_ && server_->state == model::MachineState::kLeaving &&
+         server_->id.value() == instance_;
+}
+
 std::uint32_t IngressState::slots() const {
   if (!server_ || server_->slots == 0) return settings_.unknown_slots;
   return server_->slots;
@@ -112,8 +118,7 @@
   load.waiting = static_cast<std::uint32_t>(queue_.size());
   load.slots = slots();
   load.service_time = Duration(static_cast<Duration::rep>(service_time_us_));
-  const bool server_leaves = server_ && server_->state == model::MachineState::kLeaving;
-  load.draining = is_leaving_ || is_stopped_ || server_leaves;
+  load.draining = is_leaving_ || is_stopped_ || isServerLeaving();
   return load;
 }
 
@@ -127,7 +132,7 @@
 }
 
 bool IngressState::usable(const ServiceName&, const EndpointId& endpoint) const {
-  return !server_ || server_->id == endpoint;
+  return instance_.empty() || instance_ == endpoint.value();
 }
 
 }  // namespace coursepond::ingress
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -13,6 +13,7 @@
 #include "ingress/work_queue.h"
 #include "model/server_entry.h"
 #include "proxy/connection_policy.h"
+#include "proxy/decision_log.h"
 #include "proxy/deadline_queue.h"
 #include "proxy/request_flow.h"
 
@@ -48,8 +49,15 @@
   /// From now on, new requests are refused.
   void beginStop() { is_stopped_ = true; }
 
-  /// Why a request for `instance` may not begin here, if so.
-  std::optional<proxy::Reason> refusal(const std::string& instance) const;
+  /// Why a request may not begin here, if so.
+  std::optional<proxy::Reason> refusal(const std::optional<proxy::HopClass>& hop) const;
+  /// The server said of itself which start of it has the address. It knows better than the source,
+  /// whose entry of an earlier start may stand for seconds.
+  void learnInstance(const std::string& instance) { instance_ = instance; }
+  /// The start of the server that requests are for; `fallback` while none is known.
+  const std::string& instanceOr(const std::string& fallback) const {
+    return instance_.empty() ? fallback : instance_;
+  }
   const std::optional<model::ServerEntry>& server() const { return server_; }
   /// Where the server is, and the name its connections are kept under.
   model::Endpoint endpoint(const std::string& instance) const;
@@ -71,6 +79,11 @@
   proxy::DeadlineQueue& deadlines() { return deadlines_; }
   const Settings& settings() const { return settings_; }
   Statistics& statistics() { return statistics_; }
+  /// `log` may be null.
+  void setDecisionLog(proxy::DecisionLog* log) { log_ = log; }
+  void note(const proxy::Decision& decision) const {
+    if (log_ != nullptr) log_->onDecision(decision);
+  }
   std::size_t running() const { return running_; }
   std::size_t waiting() const { return queue_.size(); }
 
@@ -81,6 +94,7 @@
 
  private:
   std::uint32_t slots() const;
+  bool isServerLeaving() const;
   Duration expectedWait(std::size_t ahead) const;
   bool hasFreeSlot(TimePoint now) const;
   void dispatch(TimePoint now);
@@ -90,6 +104,7 @@
   Environment& environment_;
   Address address_;
   std::optional<model::ServerEntry> server_;
+  std::string instance_;  ///< May be a later start of the server than `server_` lists.
   std::uint32_t connection_limit_ = 100;
   WorkQueue queue_;
   std::uint32_t running_ = 0;
@@ -101,6 +116,7 @@
   bool is_stopped_ = false;
   proxy::DeadlineQueue deadlines_;
   Statistics statistics_;
+  proxy::DecisionLog* log_ = nullptr;
 };
 
 }  // namespace coursepond::ingress
--- a/src/ingress/settings.h
+++ b/src/ingress/settings.h
@@ -10,6 +10,7 @@
 namespace coursepond::ingress {
 
 struct Settings {
+  ServiceName own_service;  ///< Of the server on this machine.
   /// Whether a success without the server's signature is no answer.
   bool expects_signature = false;
   /// Kept back from the deadline that is sent on.
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -77,6 +77,7 @@
 
 ingress::Settings ingressSettings(const runtime::Settings& settings) {
   ingress::Settings ingress = settings.ingress;
+  ingress.own_service = settings.two_hop.service;
   ingress.expects_signature = !settings.headers.signature.empty();
   return ingress;
 }
@@ -85,9 +86,21 @@
   return set == source::WatchedSet::kConfiguration ? "configuration" : "servers";
 }
 
+std::string_view decisionWord(proxy::DecisionKind kind) {
+  switch (kind) {
+    case proxy::DecisionKind::kForwarded:
+      return "forwarded";
+    case proxy::DecisionKind::kAttemptEnded:
+      return "attempt_ended";
+    case proxy::DecisionKind::kAnsweredItself:
+      return "answered_itself";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
-class TwoHopNode::Implementation {
+class TwoHopNode::Implementation final : private proxy::DecisionLog {
  public:
   Implementation(boost::asio::io_context& context, runtime::Settings settings,
                  std::unique_ptr<source::WatchClient> client)
@@ -101,6 +114,8 @@
         configuration_loop_(makeLoop(source::WatchedSet::kConfiguration)),
         server_loop_(makeLoop(source::WatchedSet::kServers)) {
     ingress_.setAddress(settings_.two_hop.server);
+    egress_.setDecisionLog(this);
+    ingress_.setDecisionLog(this);
   }
 
   Result<void> open();
@@ -111,6 +126,8 @@
   }
 
  private:
+  void onDecision(const proxy::Decision& decision) override;
+
   std::unique_ptr<source::WatchLoop> makeLoop(source::WatchedSet set);
   Result<void> openEgress();
   Result<void> openIngress();
@@ -312,6 +329,22 @@
   log_.write(level, environment_.now(), event, fields);
 }
 
+void Implementation::onDecision(const proxy::Decision& decision) {
+  const runtime::DecisionLines lines = settings_.log.decisions;
+  if (lines == runtime::DecisionLines::kNone) return;
+  const bool is_failure = decision.kind != proxy::DecisionKind::kForwarded;
+  if (!is_failure && lines != runtime::DecisionLines::kAll) return;
+  writeLog(runtime::LogLevel::kInfo, decisionWord(decision.kind),
+           {{"side", std::string(decision.side)},
+            {"request", std::string(decision.request)},
+            {"attempt", std::to_string(decision.attempt)},
+            {"server", std::string(decision.server)},
+            {"reason", std::string(decision.reason)},
+            {"status", std::to_string(decision.status)},
+            {"elapsed_ms", std::to_string(toMilliseconds(decision.elapsed))},
+            {"version", std::to_string(decision.version.value())}});
+}
+
 // ---- Stop
 
 void Implementation::stop(std::function<void(StopOutcome)> stopped) {
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -26,6 +26,8 @@
       return "deadline";
     case Reason::kServerDraining:
       return "server_draining";
+    case Reason::kWrongService:
+      return "wrong_service";
     case Reason::kServerRefused:
       return "server_refused";
     case Reason::kConnectFailed:
@@ -38,4 +40,22 @@
   return "unknown";
 }
 
+std::string_view failureWord(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kConnectFailed:
+      return "connect_failed";
+    case AttemptFailure::kNoConnectionFree:
+      return "no_connection_free";
+    case AttemptFailure::kClosedUnsent:
+      return "closed_unsent";
+    case AttemptFailure::kCannotReplay:
+      return "cannot_replay";
+    case AttemptFailure::kLostAfterSend:
+      return "lost_after_send";
+    case AttemptFailure::kMalformedAnswer:
+      return "malformed_answer";
+  }
+  return "unknown";
+}
+
 }  // namespace coursepond::proxy
--- a/src/proxy/reason.h
+++ b/src/proxy/reason.h
@@ -2,6 +2,8 @@
 
 #include <string_view>
 
+#include "proxy/request_flow.h"
+
 namespace coursepond::proxy {
 
 /// Why the node itself answered. docs/operators/ROUTING.md says what to do about each.
@@ -17,6 +19,7 @@
   kQueueTimeout,      ///< Waited for a slot as long as the settings allow.
   kDeadline,          ///< The deadline passed.
   kServerDraining,    ///< The server or its ingress is leaving.
+  kWrongService,      ///< This machine's server is of another service.
   kServerRefused,     ///< Servers refused, and no further attempt is allowed.
   kConnectFailed,     ///< No connection could be made.
   kConnectionLost,    ///< The connection was lost after the request was sent.
@@ -26,4 +29,7 @@
 /// The stable word for X-Reason: "queue_full".
 std::string_view reasonWord(Reason reason);
 
+/// The stable word for an attempt that ended without an answer: "connect_failed".
+std::string_view failureWord(AttemptFailure failure);
+
 }  // namespace coursepond::proxy
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -423,6 +423,7 @@
       ++statistics.refused_deadline;
       return;
     case Reason::kServerDraining:
+    case Reason::kWrongService:
     case Reason::kServerRefused:
     case Reason::kConnectFailed:
     case Reason::kConnectionLost:
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -30,6 +30,7 @@
 
 /// What an egress tells an ingress of a request, so that the ingress can order its queue.
 struct HopClass {
+  std::string service;        ///< That is to run it.
   std::uint32_t rank = 0;     ///< The lowest goes first.
   Duration target_latency{};  ///< Zero: not known.
   bool is_repeatable = false;
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -128,7 +128,7 @@
 }
 
 void appendHopClass(std::string& out, const proxy::HopClass& hop) {
-  out.append(http_headers::kHopClass).append(": ");
+  out.append(http_headers::kHopClass).append(": ").append(hop.service).append(",");
   appendNumber(out, hop.rank);
   out.append(",");
   appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(hop.target_latency)));
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -97,10 +97,14 @@
 
 enum class LogLevel { kInfo, kWarning, kError };
 
+/// Which decisions on requests get a line.
+enum class DecisionLines { kNone, kFailures, kAll };
+
 /// [log]: lines on standard error.
 struct LogSettings {
   LogLevel level = LogLevel::kInfo;
   std::uint32_t lines_per_second = 20;
+  DecisionLines decisions = DecisionLines::kFailures;
 };
 
 /// What is in force. Parts that bring their own settings are held as they define them, so that
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -389,6 +389,12 @@
       section, "level", "The least severe lines that are written.",
       {{"info", LogLevel::kInfo}, {"warning", LogLevel::kWarning}, {"error", LogLevel::kError}},
       FIELD(log.level)));
+  keys.push_back(choiceKey<DecisionLines>(
+      section, "decisions", "Which decisions on requests get a line (two-hop nodes).",
+      {{"none", DecisionLines::kNone},
+       {"failures", DecisionLines::kFailures},
+       {"all", DecisionLines::kAll}},
+      FIELD(log.decisions)));
   keys.push_back(numberKey(section, "lines_per_second", {1, 100'000}, "",
                            "Lines beyond it are counted and left out.",
                            FIELD(log.lines_per_second)));
--- /dev/null
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -0,0 +1,230 @@
+#include "ingress/ingress_flow.h"
+
+#include <doctest/doctest.h>
+
+#include "support/exchange_io.h"
+#include "support/virtual_environment.h"
+
+namespace coursepond::ingress {
+namespace {
+
+using proxy::AnswerHead;
+using proxy::AttemptFailure;
+using proxy::TestExchange;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// An ingress whose server "i-1" of service "stock" has two slots.
+class IngressFixture {
+ public:
+  IngressFixture() : state(makeSettings(), environment) {
+    state.setAddress({"127.0.0.1", 9000});
+    listServer("i-1");
+  }
+
+  void listServer(const std::string& id,
+                  model::MachineState machine_state = model::MachineState::kLive) {
+    model::ServerEntry entry;
+    entry.id = EndpointId(id);
+    entry.service = ServiceName("stock");
+    entry.address = {"127.0.0.1", 9000};
+    entry.slots = 2;
+    entry.state = machine_state;
+    state.setServer(entry);
+  }
+
+  std::unique_ptr<TestExchange> send(const std::string& id, std::uint32_t rank = 1,
+                                     milliseconds target = milliseconds(1000)) {
+    proxy::RequestHead head;
+    head.request_id = id;
+    head.method = "GET";
+    head.path = "/stock";
+    head.deadline = seconds(4);
+    head.target_instance = "i-1";
+    head.hop_class = proxy::HopClass{"stock", rank, target, true};
+    auto exchange = std::make_unique<TestExchange>();
+    exchange->id = id;
+    exchange->flow = makeIngressFlow(std::move(head), state, environment, exchange->io);
+    exchange->flow->start();
+    return exchange;
+  }
+
+  static Settings makeSettings() {
+    Settings settings;
+    settings.expects_signature = true;
+    settings.own_service = ServiceName("stock");
+    return settings;
+  }
+
+  proxy::VirtualEnvironment environment;
+  IngressState state;
+};
+
+/// The server's "421": another start of it has the address.
+AnswerHead otherInstance(const std::string& instance) {
+  AnswerHead head;
+  head.status = 421;
+  head.instance = instance;
+  return head;
+}
+
+void checkRefused(const TestExchange& exchange, const std::string& reason) {
+  REQUIRE(exchange.io.answers.size() == 1);
+  CHECK(exchange.io.answers[0].status == 503);
+  CHECK(exchange.io.answers[0].outcome == proxy::Outcome::kNotRun);
+  CHECK(exchange.io.answers[0].reason == reason);
+  CHECK(exchange.io.answers[0].retry_after.has_value());
+}
+
+}  // namespace
+
+TEST_CASE("the server never gets more requests than it has slots") {
+  IngressFixture ingress;
+  const auto first = ingress.send("r1");
+  const auto second = ingress.send("r2");
+  const auto third = ingress.send("r3");
+  CHECK(first->io.plans.size() == 1);
+  CHECK(second->io.plans.size() == 1);
+  CHECK(third->io.plans.empty());
+  CHECK(ingress.state.load().running == 2);
+  CHECK(ingress.state.load().waiting == 1);
+  first->answerWhole();
+  CHECK(third->io.plans.size() == 1);
+}
+
+TEST_CASE("of those that wait, the lowest rank goes first, then the earliest target") {
+  IngressFixture ingress;
+  const auto running = ingress.send("r1");
+  const auto other = ingress.send("r2");
+  const auto late = ingress.send("r3", 2, milliseconds(900));
+  const auto early = ingress.send("r4", 2, milliseconds(600));
+  const auto urgent = ingress.send("r5", 0, milliseconds(3000));
+  running->answerWhole();
+  CHECK(urgent->io.plans.size() == 1);
+  other->answerWhole();
+  CHECK(early->io.plans.size() == 1);
+  CHECK(late->io.plans.empty());
+}
+
+TEST_CASE("a full queue makes room for what is more urgent, and refuses the rest as not run") {
+  IngressFixture ingress;
+  std::vector<std::unique_ptr<TestExchange>> held;
+  for (int number = 0; number < 5; ++number) {
+    held.push_back(ingress.send("r" + std::to_string(number), 2));
+  }
+  const auto refused = ingress.send("x", 2);
+  checkRefused(*refused, "queue_full");
+  const auto urgent = ingress.send("u", 1);
+  CHECK(urgent->isOpen());
+  checkRefused(*held.back(), "queue_full");
+}
+
+TEST_CASE("a request that would wait beyond its target is refused at once") {
+  IngressFixture ingress;
+  const auto first = ingress.send("r1");
+  const auto second = ingress.send("r2");
+  checkRefused(*ingress.send("r3", 1, milliseconds(60)), "deadline_too_short");
+}
+
+TEST_CASE("a draining server takes no new request, a running one finishes") {
+  IngressFixture ingress;
+  const auto running = ingress.send("r1");
+  ingress.listServer("i-1", model::MachineState::kLeaving);
+  checkRefused(*ingress.send("r2"), "server_draining");
+  CHECK(ingress.state.load().draining);
+  running->answerWhole();
+  CHECK(running->io.forwarded.size() == 1);
+}
+
+TEST_CASE("a request for another service is refused: the address has a new owner") {
+  IngressFixture ingress;
+  proxy::RequestHead head;
+  head.request_id = "r1";
+  head.target_instance = "i-1";
+  head.hop_class = proxy::HopClass{"seats", 1, milliseconds(500), true};
+  TestExchange exchange;
+  exchange.flow = makeIngressFlow(std::move(head), ingress.state, ingress.environment, exchange.io);
+  exchange.flow->start();
+  CHECK(exchange.io.plans.empty());
+  checkRefused(exchange, "wrong_service");
+}
+
+TEST_CASE("a server that was started anew is found out by its own answer and used at once") {
+  IngressFixture ingress;
+  const auto first = ingress.send("r1");
+  first->answer(otherInstance("i-2"));
+  REQUIRE(first->io.plans.size() == 2);
+  CHECK(first->plan().target_instance == "i-2");
+  CHECK(first->isOpen());
+  // The next one goes to the new start without asking the old one, which is not listed yet.
+  const auto second = ingress.send("r2");
+  CHECK(second->plan().target_instance == "i-2");
+  first->answerWhole();
+  CHECK(first->io.forwarded.size() == 1);
+}
+
+TEST_CASE("the entry of an earlier start neither stops nor renames the one that answers") {
+  IngressFixture ingress;
+  ingress.send("r1")->answer(otherInstance("i-2"));
+  ingress.listServer("i-1", model::MachineState::kLeaving);
+  const auto second = ingress.send("r2");
+  REQUIRE(second->io.plans.size() == 1);
+  CHECK(second->plan().target_instance == "i-2");
+}
+
+TEST_CASE("a server that names no instance, or the same again, has refused") {
+  IngressFixture ingress;
+  const auto unnamed = ingress.send("r1");
+  unnamed->answer(otherInstance(""));
+  checkRefused(*unnamed, "server_refused");
+  const auto same = ingress.send("r2");
+  same->answer(otherInstance("i-1"));
+  checkRefused(*same, "server_refused");
+}
+
+TEST_CASE("an answer that is not the request's own is no answer") {
+  IngressFixture ingress;
+  for (const auto& [id, is_signed] : {std::pair{"other", true}, std::pair{"r", false}}) {
+    const auto exchange = ingress.send("r");
+    AnswerHead head = TestExchange::properHead(id);
+    head.is_signed = is_signed;
+    exchange->answer(head);
+    REQUIRE(exchange->io.answers.size() == 1);
+    CHECK(exchange->io.answers[0].status == 502);
+    CHECK(exchange->io.answers[0].outcome == proxy::Outcome::kUnknown);
+    CHECK(exchange->io.cancelled.size() == 1);
+  }
+}
+
+TEST_CASE("a lost connection is unknown, one that was never made is not run") {
+  IngressFixture ingress;
+  const auto lost = ingress.send("r1");
+  lost->fail(AttemptFailure::kLostAfterSend);
+  CHECK(lost->io.answers.at(0).status == 502);
+  const auto unreachable = ingress.send("r2");
+  unreachable->fail(AttemptFailure::kConnectFailed);
+  checkRefused(*unreachable, "connect_failed");
+}
+
+TEST_CASE("a caller that leaves frees its slot and cancels its attempt") {
+  IngressFixture ingress;
+  const auto first = ingress.send("r1");
+  const auto second = ingress.send("r2");
+  const auto third = ingress.send("r3");
+  first->flow->onCallerGone();
+  CHECK(first->io.cancelled.size() == 1);
+  CHECK(third->io.plans.size() == 1);
+}
+
+TEST_CASE("a request whose deadline passes while it waits has not run; at the server it may have") {
+  IngressFixture ingress;
+  const auto first = ingress.send("r1");
+  const auto second = ingress.send("r2");
+  const auto waiting = ingress.send("r3");
+  ingress.environment.advance(seconds(5));
+  checkRefused(*waiting, "deadline");
+  CHECK(first->io.answers.at(0).status == 504);
+  CHECK(first->io.answers.at(0).outcome == proxy::Outcome::kUnknown);
+}
+
+}  // namespace coursepond::ingress
--- a/tests/proxy/policies_test.cpp
+++ b/tests/proxy/policies_test.cpp
@@ -11,7 +11,7 @@
 #include "proxy/repeatability.h"
 #include "proxy/retry_budget.h"
 #include "proxy/server_set.h"
-#include "virtual_environment.h"
+#include "support/virtual_environment.h"
 
 namespace coursepond::proxy {
 namespace {
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -6,7 +6,7 @@
 
 #include "proxy/proxy_state.h"
 #include "proxy/request_flow.h"
-#include "virtual_environment.h"
+#include "support/virtual_environment.h"
 
 namespace coursepond::proxy {
 
--- /dev/null
+++ b/tests/support/exchange_io.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "proxy/request_flow.h"
+
+namespace coursepond::proxy {
+
+/// The I/O layer of one exchange in a test: records what the exchange asks for.
+class ExchangeIo final : public RequestIo {
+ public:
+  void startAttempt(const AttemptPlan& plan) override { plans.push_back(plan); }
+  void cancelAttempt(AttemptId attempt) override { cancelled.push_back(attempt); }
+  bool bytesSent(AttemptId) const override { return bytes_sent; }
+  void discardAnswer(AttemptId attempt) override { discarded.push_back(attempt); }
+  void forwardAnswer(AttemptId attempt) override { forwarded.push_back(attempt); }
+  void answerLocally(const LocalAnswer& answer) override { answers.push_back(answer); }
+
+  std::vector<AttemptPlan> plans;
+  std::vector<AttemptId> cancelled;
+  std::vector<AttemptId> discarded;
+  std::vector<AttemptId> forwarded;
+  std::vector<LocalAnswer> answers;
+  bool bytes_sent = true;
+};
+
+/// One exchange and the I/O layer around it.
+struct TestExchange {
+  ExchangeIo io;
+  std::unique_ptr<Exchange> flow;
+  std::string id;
+
+  const AttemptPlan& plan() const { return io.plans.back(); }
+  std::string server() const { return plan().endpoint.id.value(); }
+  bool isOpen() const { return io.answers.empty() && io.forwarded.empty(); }
+
+  void answer(AnswerHead head) { flow->onAnswerHead(plan().id, head); }
+  void fail(AttemptFailure failure) { flow->onAttemptFailed(plan().id, failure); }
+
+  /// A proper answer of a server.
+  static AnswerHead properHead(const std::string& id, int status = 200) {
+    AnswerHead head;
+    head.status = status;
+    head.request_id = id;
+    head.is_signed = true;
+    return head;
+  }
+  void answerWhole(int status = 200) {
+    answer(properHead(id, status));
+    if (!io.forwarded.empty()) flow->onAnswerComplete(plan().id);
+  }
+};
+
+}  // namespace coursepond::proxy
