--- a/src/model/snapshot.cpp
+++ b/src/model/snapshot.cpp
@@ -50,9 +50,15 @@
 
 Result<SnapshotPointer> buildSnapshot(const Configuration& configuration,
                                       const SecretValues& secret_values, const ZoneId& zone) {
+  return buildSnapshot(configuration, secret_values, zone, contentDigest(configuration));
+}
+
+Result<SnapshotPointer> buildSnapshot(const Configuration& configuration,
+                                      const SecretValues& secret_values, const ZoneId& zone,
+                                      const Digest& digest) {
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->version = configuration.version;
-  snapshot->digest = contentDigest(configuration);
+  snapshot->digest = digest;
   snapshot->services = configuration.services;
   snapshot->limits = configuration.limits;
   for (const auto& [name, route] : configuration.routes) {
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -32,4 +32,10 @@
 Result<SnapshotPointer> buildSnapshot(const Configuration& configuration,
                                       const SecretValues& secret_values, const ZoneId& zone);
 
+/// The same with a digest that is known already, or that nobody asks for: working it out costs more
+/// than the rest.
+Result<SnapshotPointer> buildSnapshot(const Configuration& configuration,
+                                      const SecretValues& secret_values, const ZoneId& zone,
+                                      const Digest& digest);
+
 }  // namespace coursepond::model
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -77,10 +77,10 @@
                  [&state] { return static_cast<double>(state.waiting()); });
 }
 
-void addWatch(MetricTable& table, const std::string& set, const source::WatchLoop& loop) {
+void addWatch(MetricTable& table, const source::WatchLoop& loop) {
   using S = source::WatchStatistics;
   const auto add = [&](const char* name, const char* meaning, std::uint64_t S::*field) {
-    table.addCounter("watch_" + set + "_" + name, meaning, [&loop, field] {
+    table.addCounter(std::string("watch_") + name, meaning, [&loop, field] {
       return static_cast<double>(loop.statistics().*field);
     });
   };
@@ -97,8 +97,7 @@
   MetricTable table;
   addEgress(table, sources.egress);
   addIngress(table, sources.ingress);
-  addWatch(table, "configuration", sources.configuration);
-  addWatch(table, "servers", sources.servers);
+  addWatch(table, sources.watch);
   return table;
 }
 
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -5,7 +5,6 @@
 #include "egress/egress_state.h"
 #include "ingress/ingress_state.h"
 #include "runtime/metrics.h"
-#include "runtime/proxy_server.h"
 #include "source/watch_loop.h"
 
 namespace coursepond::node {
@@ -14,10 +13,7 @@
 struct TwoHopSources {
   egress::EgressState& egress;
   ingress::IngressState& ingress;
-  const source::WatchLoop& configuration;
-  const source::WatchLoop& servers;
-  const runtime::ProxyServer& egress_server;
-  const runtime::ProxyServer& ingress_server;
+  const source::WatchLoop& watch;
 };
 
 runtime::MetricTable makeTwoHopMetrics(const TwoHopSources& sources);
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -82,10 +82,6 @@
   return ingress;
 }
 
-std::string_view setName(source::WatchedSet set) {
-  return set == source::WatchedSet::kConfiguration ? "configuration" : "servers";
-}
-
 std::string_view decisionWord(proxy::DecisionKind kind) {
   switch (kind) {
     case proxy::DecisionKind::kForwarded:
@@ -111,8 +107,12 @@
         egress_(egressSettings(settings_), environment_),
         ingress_(ingressSettings(settings_), environment_),
         client_(std::move(client)),
-        configuration_loop_(makeLoop(source::WatchedSet::kConfiguration)),
-        server_loop_(makeLoop(source::WatchedSet::kServers)) {
+        watch_(
+            settings_.watch, *client_, environment_,
+            [this](const source::WatchBatch& batch, bool is_complete) {
+              onBatch(batch, is_complete);
+            },
+            [this](const Error& error) { onWatchFailed(error); }) {
     ingress_.setAddress(settings_.two_hop.server);
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
@@ -128,16 +128,15 @@
  private:
   void onDecision(const proxy::Decision& decision) override;
 
-  std::unique_ptr<source::WatchLoop> makeLoop(source::WatchedSet set);
   Result<void> openEgress();
   Result<void> openIngress();
   Result<void> openAdmin();
 
-  void onBatch(source::WatchedSet set, const source::WatchBatch& batch, bool is_complete);
+  void onBatch(const source::WatchBatch& batch, bool is_complete);
   void onConfiguration(const model::Configuration& configuration);
   void onServers(const source::WatchBatch& batch, bool is_complete);
   void updateOwnServer();
-  void onWatchFailed(source::WatchedSet set, const Error& error);
+  void onWatchFailed(const Error& error);
 
   std::string unreadiness() const;
   std::string statusPage() const;
@@ -153,8 +152,7 @@
   egress::EgressState egress_;
   ingress::IngressState ingress_;
   std::unique_ptr<source::WatchClient> client_;
-  std::unique_ptr<source::WatchLoop> configuration_loop_;
-  std::unique_ptr<source::WatchLoop> server_loop_;
+  source::WatchLoop watch_;
   std::unique_ptr<runtime::ProxyServer> egress_server_;
   std::unique_ptr<runtime::ProxyServer> ingress_server_;
   runtime::MetricTable metrics_;
@@ -169,20 +167,10 @@
 
 // ---- Start
 
-std::unique_ptr<source::WatchLoop> Implementation::makeLoop(source::WatchedSet set) {
-  return std::make_unique<source::WatchLoop>(
-      set, settings_.watch, *client_, environment_,
-      [this, set](const source::WatchBatch& batch, bool is_complete) {
-        onBatch(set, batch, is_complete);
-      },
-      [this, set](const Error& error) { onWatchFailed(set, error); });
-}
-
 Result<void> Implementation::open() {
   if (Result<void> opened = openEgress(); !opened) return opened;
   if (Result<void> opened = openIngress(); !opened) return opened;
-  metrics_ = makeTwoHopMetrics(
-      {egress_, ingress_, *configuration_loop_, *server_loop_, *egress_server_, *ingress_server_});
+  metrics_ = makeTwoHopMetrics({egress_, ingress_, watch_});
   return openAdmin();
 }
 
@@ -230,28 +218,26 @@
            {{"callers", formatAddress(bound.caller)},
             {"ingress", formatAddress(bound.peer)},
             {"admin", formatAddress(bound.admin)}});
-  configuration_loop_->start();
-  server_loop_->start();
+  watch_.start();
 }
 
 // ---- What the source says
 
-void Implementation::onBatch(source::WatchedSet set, const source::WatchBatch& batch,
-                             bool is_complete) {
+void Implementation::onBatch(const source::WatchBatch& batch, bool is_complete) {
   for (const Error& error : batch.rejected) {
     writeLog(runtime::LogLevel::kWarning, "item_rejected",
-             {{"set", std::string(setName(set))}, {"error", describe(error)}});
+             {{"error", describe(error)}});
   }
-  if (set == source::WatchedSet::kServers) return onServers(batch, is_complete);
   for (const model::Configuration& configuration : batch.configurations) {
     onConfiguration(configuration);
   }
+  onServers(batch, is_complete);
 }
 
 void Implementation::onConfiguration(const model::Configuration& configuration) {
   if (configuration.version <= egress_.version()) return;
   Result<model::SnapshotPointer> snapshot =
-      model::buildSnapshot(configuration, {}, settings_.node.zone);
+      model::buildSnapshot(configuration, {}, settings_.node.zone, Digest());
   if (!snapshot) {
     writeLog(runtime::LogLevel::kWarning, "configuration_rejected",
              {{"version", std::to_string(configuration.version.value())},
@@ -299,9 +285,8 @@
   ingress_.setServer(own_server_);
 }
 
-void Implementation::onWatchFailed(source::WatchedSet set, const Error& error) {
-  writeLog(runtime::LogLevel::kWarning, "source_trouble",
-           {{"set", std::string(setName(set))}, {"error", describe(error)}});
+void Implementation::onWatchFailed(const Error& error) {
+  writeLog(runtime::LogLevel::kWarning, "source_trouble", {{"error", describe(error)}});
 }
 
 // ---- What others may ask
@@ -309,7 +294,7 @@
 std::string Implementation::unreadiness() const {
   if (stopping_) return "stopping";
   if (!egress_.routing()) return "no configuration is known yet";
-  if (!server_loop_->hasListed()) return "no servers are known yet";
+  if (!watch_.hasListed()) return "no servers are known yet";
   return "";
 }
 
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -288,6 +288,10 @@
   keys.push_back(millisecondsKey(section, "wait_ms", {50, 30'000},
                                  "How long one read of a watchable source waits for a change.",
                                  FIELD(watch.wait)));
+  keys.push_back(millisecondsKey(section, "gather_ms", {0, kMinuteMs},
+                                 "Pause after a read that brought changes, so that several come "
+                                 "in one read.",
+                                 FIELD(watch.gather)));
   keys.push_back(millisecondsKey(section, "answer_timeout_ms", {10, kMinuteMs},
                                  "How long beyond that a read may take.",
                                  FIELD(watch.answer_timeout)));
@@ -320,6 +324,12 @@
   keys.push_back(percentKey(section, "busy_from_percent", {0, 100},
                             "From this part of its slots on, a server becomes dearer.",
                             FIELD(egress.busy_from)));
+  keys.push_back(percentKey(section, "busy_cost_percent", {0, 10'000},
+                            "How much dearer a server is whose slots are all taken.",
+                            FIELD(egress.busy_cost)));
+  keys.push_back(percentKey(section, "waiting_cost_percent", {0, 10'000},
+                            "The same for each further full turn of waiting requests.",
+                            FIELD(egress.waiting_cost)));
   keys.push_back(percentKey(section, "patience_percent", {0, 100},
                             "How long a request waits for a server to appear, of its target "
                             "latency.",
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -17,9 +17,6 @@
 
 namespace coursepond::source {
 
-/// What is watched, each with a loop of its own.
-enum class WatchedSet { kConfiguration, kServers };
-
 /// What one read gave. A list holds everything; a watch what changed, in order.
 struct WatchBatch {
   Generation revision;  ///< Go on from here.
@@ -37,9 +34,9 @@
 class WatchClient {
  public:
   virtual ~WatchClient() = default;
-  virtual void list(WatchedSet set, Duration timeout, WatchCallback callback) = 0;
+  virtual void list(Duration timeout, WatchCallback callback) = 0;
   /// Answers at the first change after `after`, or without one after `wait`.
-  virtual void watch(WatchedSet set, Generation after, Duration wait, Duration timeout,
+  virtual void watch(Generation after, Duration wait, Duration timeout,
                      WatchCallback callback) = 0;
 };
 
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -10,10 +10,9 @@
 
 }  // namespace
 
-WatchLoop::WatchLoop(WatchedSet set, const WatchSettings& settings, WatchClient& client,
-                     Environment& environment, BatchHandler on_batch, FailureHandler on_failure)
-    : set_(set),
-      settings_(settings),
+WatchLoop::WatchLoop(const WatchSettings& settings, WatchClient& client, Environment& environment,
+                     BatchHandler on_batch, FailureHandler on_failure)
+    : settings_(settings),
       client_(client),
       environment_(environment),
       on_batch_(std::move(on_batch)),
@@ -48,12 +47,12 @@
 
 void WatchLoop::list() {
   ++statistics_.lists;
-  client_.list(set_, timeout(), guarded(&WatchLoop::onList));
+  client_.list(timeout(), guarded(&WatchLoop::onList));
 }
 
 void WatchLoop::watch() {
   ++statistics_.watches;
-  client_.watch(set_, revision_, settings_.wait, settings_.wait + timeout(),
+  client_.watch(revision_, settings_.wait, settings_.wait + timeout(),
                 guarded(&WatchLoop::onWatch));
 }
 
@@ -78,7 +77,10 @@
   on_batch_(*answer, false);
   const bool is_due = settings_.relist > Duration(0) &&
                       environment_.now() - last_list_ >= settings_.relist;
-  is_due ? list() : watch();
+  if (is_due) return list();
+  const bool has_changes = !answer->configurations.empty() || !answer->servers.empty() ||
+                           !answer->removed_servers.empty();
+  has_changes ? watchLater(settings_.gather) : watch();
 }
 
 void WatchLoop::noteAnswer(const WatchBatch& batch) {
@@ -102,6 +104,10 @@
   const Duration ceiling = std::min(settings_.backoff_base * (1U << shift), settings_.backoff_limit);
   const auto half = static_cast<std::uint64_t>(ceiling.count() / 2);
   const Duration pause(static_cast<Duration::rep>(half + environment_.random(half + 1)));
+  watchLater(pause);
+}
+
+void WatchLoop::watchLater(Duration pause) {
   timer_ = environment_.schedule(pause, [this] { must_list_ ? list() : watch(); });
 }
 
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Keeps one watched set current: lists once, then watches from the last revision; lists again when
+/// Keeps this node current with a watched source: lists once, then watches from the last revision; lists again when
 /// the source has lost its history; backs off with jitter while it fails.
 
 #include <cstdint>
@@ -15,7 +15,9 @@
 
 struct WatchSettings {
   /// The longest that a read waits for a change. Also how soon a silent connection is noticed.
-  Duration wait = std::chrono::milliseconds(1500);
+  Duration wait = std::chrono::milliseconds(2000);
+  /// Pause after a read that brought changes, so that those in quick succession come in one read.
+  Duration gather = std::chrono::milliseconds(300);
   /// A read without an answer for this long beyond its wait counts as failed.
   Duration answer_timeout = std::chrono::milliseconds(700);
   /// The same for a read that a slow source has failed before.
@@ -41,8 +43,8 @@
   using FailureHandler = std::function<void(const Error& error)>;
 
   /// `client` and `environment` must outlive the loop.
-  WatchLoop(WatchedSet set, const WatchSettings& settings, WatchClient& client,
-            Environment& environment, BatchHandler on_batch, FailureHandler on_failure);
+  WatchLoop(const WatchSettings& settings, WatchClient& client, Environment& environment,
+            BatchHandler on_batch, FailureHandler on_failure);
   ~WatchLoop();
   WatchLoop(const WatchLoop&) = delete;
   WatchLoop& operator=(const WatchLoop&) = delete;
@@ -59,6 +61,7 @@
  private:
   void list();
   void watch();
+  void watchLater(Duration pause);
   void onList(const Result<WatchBatch>& answer);
   void onWatch(const Result<WatchBatch>& answer);
   void onFailed(const Error& error);
@@ -66,7 +69,6 @@
   Duration timeout() const;
   WatchCallback guarded(void (WatchLoop::*handler)(const Result<WatchBatch>&));
 
-  WatchedSet set_;
   const WatchSettings& settings_;
   WatchClient& client_;
   Environment& environment_;
