Ingress: the expected answer by the request's own kind

Cause: one average over a server's kinds of request (88 to 550 ms on typeserve) refused short ones that had time and took long ones that had none. Change: the moving average of the service time is kept by target latency too.

--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -88,7 +88,7 @@
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline, now);
   deadline_ = now + allowed;
   const proxy::HopClass hop = head_.hop_class.value_or(proxy::HopClass{});
-  const Duration target =
+  target =
       hop.target_latency > Duration(0) ? hop.target_latency : settings.default_target;
   rank = hop.rank;
   due = now + target;
@@ -163,7 +163,7 @@
   }
   if (was_refused) return onServerRefused(answer, now);
   note(proxy::DecisionKind::kForwarded, "", answer.status);
-  state_.onAnswered(now - attempt_started_);
+  state_.onAnswered(target, now - attempt_started_);
   phase_ = Phase::kForwarding;
   state_.deadlines().disarm(*this);
   io_.forwardAnswer(attempt_);
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -6,6 +6,13 @@
 
 using proxy::Reason;
 
+namespace {
+
+/// Targets come from the configuration's routes; more are not told apart.
+constexpr std::size_t kMostTargets = 64;
+
+}  // namespace
+
 IngressState::IngressState(Settings settings, Environment& environment)
     : settings_(settings),
       environment_(environment),
@@ -53,7 +60,7 @@
     return std::nullopt;
   }
   const std::size_t ahead = queue_.ahead(waiter.rank, waiter.due);
-  const Duration service_time(static_cast<Duration::rep>(service_time_us_));
+  const Duration service_time = expectedService(waiter.target);
   const TimePoint expected = now + expectedWait(ahead + 1) + service_time;
   if (expected > latest) return Reason::kDeadlineTooShort;
   const auto room = static_cast<std::size_t>(settings_.queue_per_slot * slots());
@@ -98,9 +105,20 @@
   });
 }
 
-void IngressState::onAnswered(Duration service_time) {
-  service_time_us_ += settings_.sample_weight *
-                      (static_cast<double>(service_time.count()) - service_time_us_);
+void IngressState::onAnswered(Duration target, Duration service_time) {
+  const auto sample = static_cast<double>(service_time.count());
+  service_time_us_ += settings_.sample_weight * (sample - service_time_us_);
+  const bool is_new = !service_time_by_target_us_.contains(target);
+  if (is_new && service_time_by_target_us_.size() >= kMostTargets) return;
+  double& average = service_time_by_target_us_.try_emplace(target, sample).first->second;
+  average += settings_.sample_weight * (sample - average);
+}
+
+Duration IngressState::expectedService(Duration target) const {
+  const auto found = service_time_by_target_us_.find(target);
+  const double known =
+      found == service_time_by_target_us_.end() ? service_time_us_ : found->second;
+  return Duration(static_cast<Duration::rep>(known));
 }
 
 void IngressState::pause(Duration length, TimePoint now) {
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -6,6 +6,7 @@
 /// refuse or reset.
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "core/environment.h"
@@ -68,7 +69,8 @@
   void leave(Waiter& waiter) { queue_.remove(waiter); }
   /// Gives the slot back and serves who waits.
   void release(TimePoint now);
-  void onAnswered(Duration service_time);
+  /// A request of this target latency was at the server for so long.
+  void onAnswered(Duration target, Duration service_time);
   /// The server takes nothing for a while.
   void pause(Duration length, TimePoint now);
 
@@ -96,6 +98,7 @@
   std::uint32_t slots() const;
   bool isServerLeaving() const;
   Duration expectedWait(std::size_t ahead) const;
+  Duration expectedService(Duration target) const;
   bool hasFreeSlot(TimePoint now) const;
   void dispatch(TimePoint now);
   void wakeAfterPause(TimePoint now);
@@ -108,7 +111,9 @@
   std::uint32_t connection_limit_ = 100;
   WorkQueue queue_;
   std::uint32_t running_ = 0;
-  double service_time_us_;
+  double service_time_us_;  ///< Moving average over all requests,
+  /// and by target latency: requests of one target are mostly of one kind.
+  std::map<Duration, double> service_time_by_target_us_;
   TimePoint paused_until_;
   TimerId wake_timer_ = 0;
   bool is_dispatching_ = false;
--- a/src/ingress/work_queue.h
+++ b/src/ingress/work_queue.h
@@ -21,7 +21,8 @@
   virtual void onDisplaced(proxy::Reason reason, TimePoint now) = 0;
 
   std::uint32_t rank = 0;
-  TimePoint due;  ///< When its answer should be there.
+  Duration target{};  ///< Its target latency.
+  TimePoint due;      ///< When its answer should be there.
 
  private:
   friend class WorkQueue;
