--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -51,6 +51,8 @@
 
   void onDeadline(TimePoint now) override;
 
+  void route(TimePoint now);
+  void waitForConfiguration(TimePoint now);
   void sendOrWait(TimePoint now);
   void send(ServerPointer server, TimePoint now);
   proxy::AttemptPlan makePlan(TimePoint now) const;
@@ -109,8 +111,19 @@
   ++state_.inFlight();
   started_ = now;
   phase_ = Phase::kWaiting;
+  route(now);
+}
+
+/// A node that has just started has its first configuration within moments: wait so long.
+void EgressFlow::waitForConfiguration(TimePoint now) {
+  const TimePoint until = started_ + state_.settings().configuration_patience;
+  if (now >= until) return conclude(Reason::kNoConfiguration);
+  state_.deadlines().arm(*this, std::min(until, now + state_.settings().look_again));
+}
+
+void EgressFlow::route(TimePoint now) {
   routing_ = state_.routing();
-  if (!routing_) return conclude(Reason::kNoConfiguration);
+  if (!routing_) return waitForConfiguration(now);
   const std::optional<std::size_t> index = routing_->table.find(head_);
   if (!index) return conclude(Reason::kNoRoute);
 
@@ -122,7 +135,7 @@
                               state_.settings().longest_deadline);
   if (is_held) allowed = std::min(allowed, route_->longest_hold);
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
-  deadline_ = now + allowed;
+  deadline_ = started_ + allowed;
   const auto patience = static_cast<Duration::rep>(
       state_.settings().patience * static_cast<double>(target().count()));
   patient_until_ = std::min(deadline_, now + Duration(patience));
@@ -318,6 +331,7 @@
     is_late_ = true;
     return conclude(Reason::kDeadline);
   }
+  if (!routing_) return route(now);
   if (now >= deadline_) return conclude(Reason::kDeadline);
   sendOrWait(now);
 }
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -45,6 +45,8 @@
   /// Pause after an ingress said that it takes no new work.
   Duration avoid_draining = std::chrono::milliseconds(500);
 
+  /// How long a request waits for the first configuration of a node that has just started.
+  Duration configuration_patience = std::chrono::milliseconds(150);
   /// How often a request without a server looks for one again,
   Duration look_again = std::chrono::milliseconds(30);
   /// and for which part of its target latency at most.
--- /dev/null
+++ b/tests/egress/egress_flow_test.cpp
@@ -0,0 +1,320 @@
+#include "egress/egress_flow.h"
+
+#include <doctest/doctest.h>
+
+#include "support/exchange_io.h"
+#include "support/virtual_environment.h"
+
+namespace coursepond::egress {
+namespace {
+
+using proxy::AnswerHead;
+using proxy::AttemptFailure;
+using proxy::TestExchange;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint16_t kIngressPort = 8300;
+
+/// An egress of zone "a" with service "stock" behind a repeatable route "/stock" and one that is
+/// not, "/seat"; both name two servers at most.
+class EgressFixture {
+ public:
+  explicit EgressFixture(double retry_burst = 100) : state(makeSettings(retry_burst), environment) {}
+
+  static Settings makeSettings(double retry_burst) {
+    Settings settings;
+    settings.own_zone = ZoneId("a");
+    settings.own_service = ServiceName("shop");
+    settings.ingress_port = kIngressPort;
+    settings.expects_signature = true;
+    settings.retry_burst = retry_burst;
+    return settings;
+  }
+
+  static model::Route makeRoute(const std::string& prefix, model::Repeatability repeatability) {
+    model::Route route;
+    route.name = RouteName(prefix);
+    route.match.path_prefix = prefix;
+    route.service = ServiceName("stock");
+    route.repeatability = repeatability;
+    route.longest_hold = seconds(2);
+    route.target_latency = milliseconds(500);
+    route.rank = 1;
+    route.max_attempts = 2;
+    return route;
+  }
+
+  bool apply(std::uint64_t version) {
+    auto snapshot = std::make_shared<model::Snapshot>();
+    snapshot->version = Version(version);
+    snapshot->routes = {makeRoute("/stock", model::Repeatability::kAlways),
+                        makeRoute("/seat", model::Repeatability::kNever)};
+    return state.apply(snapshot);
+  }
+
+  static model::ServerEntry entry(const std::string& id, const std::string& zone) {
+    model::ServerEntry entry;
+    entry.id = EndpointId(id);
+    entry.service = ServiceName("stock");
+    entry.address = {"10.0.0." + id.substr(1), 9000};
+    entry.zone = ZoneId(zone);
+    entry.slots = 4;
+    return entry;
+  }
+
+  /// Version 1 and servers s1 to s`count` of the own zone.
+  void begin(int count) {
+    apply(1);
+    std::vector<model::ServerEntry> entries;
+    for (int number = 1; number <= count; ++number) {
+      entries.push_back(entry("s" + std::to_string(number), "a"));
+    }
+    list(entries);
+  }
+
+  void list(const std::vector<model::ServerEntry>& entries) {
+    state.directory().replaceAll(entries, environment.now());
+    state.onDirectoryChanged();
+  }
+
+  std::unique_ptr<TestExchange> send(const std::string& path) {
+    proxy::RequestHead head;
+    head.request_id = "r" + std::to_string(++last_request_);
+    head.method = "POST";
+    head.path = path;
+    head.host = "shop";
+    head.deadline = seconds(5);
+    auto exchange = std::make_unique<TestExchange>();
+    exchange->id = head.request_id;
+    exchange->flow = makeEgressFlow(std::move(head), state, environment, exchange->io);
+    exchange->flow->start();
+    return exchange;
+  }
+
+  proxy::VirtualEnvironment environment;
+  EgressState state;
+
+ private:
+  int last_request_ = 0;
+};
+
+/// The ingress's own refusal: no server saw the request.
+AnswerHead refusal(const std::string& id, std::string_view reason, Duration retry_after) {
+  AnswerHead head;
+  head.status = 503;
+  head.request_id = id;
+  head.not_run = true;
+  head.node_outcome = "not-run";
+  head.node_reason = reason;
+  head.retry_after = retry_after;
+  return head;
+}
+
+void checkAnswered(const TestExchange& exchange, int status, proxy::Outcome outcome) {
+  REQUIRE(exchange.io.answers.size() == 1);
+  CHECK(exchange.io.answers[0].status == status);
+  CHECK(exchange.io.answers[0].outcome == outcome);
+}
+
+}  // namespace
+
+TEST_CASE("a request goes to the ingress beside a server, with what the next hop needs") {
+  EgressFixture egress;
+  egress.begin(1);
+  const auto exchange = egress.send("/stock/1");
+  REQUIRE(exchange->io.plans.size() == 1);
+  const proxy::AttemptPlan& plan = exchange->plan();
+  CHECK(plan.endpoint.address == Address{"10.0.0.1", kIngressPort});
+  CHECK(plan.target_instance == "s1");
+  CHECK(plan.caller_service == ServiceName("shop"));
+  REQUIRE(plan.hop_class.has_value());
+  CHECK(plan.hop_class->service == "stock");
+  CHECK(plan.hop_class->target_latency == milliseconds(500));
+  // The operator's bound is shorter than the caller's deadline.
+  CHECK(plan.remaining <= seconds(2));
+  exchange->answerWhole();
+  CHECK(exchange->io.forwarded.size() == 1);
+  CHECK(egress.state.inFlight() == 0);
+}
+
+TEST_CASE("without a configuration a request is refused as not run, without a route it is 404") {
+  EgressFixture egress;
+  const auto early = egress.send("/stock");
+  egress.environment.advance(seconds(1));
+  checkAnswered(*early, 503, proxy::Outcome::kNotRun);
+  CHECK(early->io.answers[0].retry_after.has_value());
+  egress.begin(1);
+  checkAnswered(*egress.send("/nowhere"), 404, proxy::Outcome::kNotRun);
+}
+
+TEST_CASE("a request that comes before the configuration is served when that comes soon") {
+  EgressFixture egress;
+  const auto early = egress.send("/stock");
+  CHECK(early->isOpen());
+  egress.environment.advance(milliseconds(60));
+  egress.begin(1);
+  egress.environment.advance(milliseconds(60));
+  CHECK(early->io.plans.size() == 1);
+}
+
+TEST_CASE("a lower version is never put in force") {
+  EgressFixture egress;
+  CHECK(egress.apply(5));
+  CHECK_FALSE(egress.apply(4));
+  CHECK(egress.state.version() == Version(5));
+}
+
+TEST_CASE("what an ingress refused goes elsewhere at once, whether repeatable or not") {
+  EgressFixture egress(0);
+  egress.begin(3);
+  for (const char* path : {"/stock", "/seat"}) {
+    const auto exchange = egress.send(path);
+    exchange->answer(refusal(exchange->id, "queue_full", milliseconds(300)));
+    exchange->answer(refusal(exchange->id, "queue_full", milliseconds(200)));
+    REQUIRE(exchange->io.plans.size() == 3);
+    CHECK(exchange->isOpen());
+    exchange->answer(refusal(exchange->id, "queue_full", milliseconds(400)));
+    checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
+    CHECK(exchange->io.answers[0].retry_after == milliseconds(200));
+  }
+}
+
+TEST_CASE("an answer that was lost is tried elsewhere only where that is allowed") {
+  EgressFixture egress;
+  egress.begin(3);
+  const auto seat = egress.send("/seat");
+  seat->fail(AttemptFailure::kLostAfterSend);
+  CHECK(seat->io.plans.size() == 1);
+  checkAnswered(*seat, 502, proxy::Outcome::kUnknown);
+
+  const auto stock = egress.send("/stock");
+  const std::string first = stock->server();
+  stock->fail(AttemptFailure::kLostAfterSend);
+  REQUIRE(stock->io.plans.size() == 2);
+  CHECK(stock->server() != first);
+  // The route allows two servers.
+  stock->fail(AttemptFailure::kLostAfterSend);
+  checkAnswered(*stock, 502, proxy::Outcome::kUnknown);
+}
+
+TEST_CASE("an ingress that cannot be reached costs nothing and is avoided for a while") {
+  EgressFixture egress(0);
+  egress.begin(2);
+  const auto seat = egress.send("/seat");
+  const std::string dead = seat->server();
+  seat->fail(AttemptFailure::kConnectFailed);
+  REQUIRE(seat->io.plans.size() == 2);
+  CHECK(seat->server() != dead);
+  for (int number = 0; number < 4; ++number) CHECK(egress.send("/seat")->server() != dead);
+}
+
+TEST_CASE("with no server at hand a request waits a part of its target, then is refused") {
+  EgressFixture egress;
+  egress.apply(1);
+  const auto exchange = egress.send("/stock");
+  CHECK(exchange->isOpen());
+  egress.environment.advance(milliseconds(90));
+  CHECK(exchange->isOpen());
+  egress.environment.advance(milliseconds(60));
+  checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
+
+  const auto lucky = egress.send("/stock");
+  egress.list({EgressFixture::entry("s1", "a")});
+  egress.environment.advance(milliseconds(60));
+  CHECK(lucky->io.plans.size() == 1);
+}
+
+TEST_CASE("another request's answer, an unsigned success and an encoded one are none") {
+  EgressFixture egress(0);
+  egress.begin(1);
+  std::vector<AnswerHead> heads(3, TestExchange::properHead("r"));
+  heads[1].is_signed = false;
+  heads[2].is_encoded = true;
+  for (AnswerHead& head : heads) {
+    const auto exchange = egress.send("/seat");
+    if (&head != &heads[0]) head.request_id = exchange->id;
+    exchange->answer(head);
+    CHECK(exchange->io.forwarded.empty());
+    CHECK(exchange->io.cancelled.size() == 1);
+    checkAnswered(*exchange, 502, proxy::Outcome::kUnknown);
+  }
+}
+
+TEST_CASE("a server's own failure is repeated where that is allowed, else passed on unchanged") {
+  EgressFixture egress;
+  egress.begin(2);
+  const auto stock = egress.send("/stock");
+  stock->answer(TestExchange::properHead(stock->id, 500));
+  REQUIRE(stock->io.plans.size() == 2);
+  stock->answerWhole(500);
+  CHECK(stock->io.forwarded.size() == 1);
+  const auto seat = egress.send("/seat");
+  seat->answerWhole(500);
+  CHECK(seat->io.plans.size() == 1);
+  CHECK(seat->io.forwarded.size() == 1);
+}
+
+TEST_CASE("repeats are bounded by the allowance") {
+  EgressFixture egress(4);
+  egress.begin(2);  // Two nodes: this one may add two at once.
+  int repeated = 0;
+  for (int number = 0; number < 10; ++number) {
+    const auto exchange = egress.send("/stock");
+    exchange->fail(AttemptFailure::kLostAfterSend);
+    if (exchange->io.plans.size() == 2) ++repeated;
+    egress.environment.advance(seconds(2));
+  }
+  CHECK(repeated == 3);  // Two, and one from ten requests at 15 in a hundred.
+  CHECK(egress.state.statistics().repeats_denied == 7);
+}
+
+TEST_CASE("at the operator's bound a request is answered: unknown when it was sent") {
+  EgressFixture egress;
+  egress.begin(1);
+  const auto exchange = egress.send("/stock");
+  egress.environment.advance(milliseconds(1999));
+  CHECK(exchange->isOpen());
+  egress.environment.advance(milliseconds(2));
+  checkAnswered(*exchange, 504, proxy::Outcome::kUnknown);
+  CHECK(exchange->io.cancelled.size() == 1);
+}
+
+TEST_CASE("a caller that leaves cancels the attempt and gives the server back") {
+  EgressFixture egress;
+  egress.begin(1);
+  const auto exchange = egress.send("/seat");
+  exchange->flow->onCallerGone();
+  CHECK(exchange->io.cancelled.size() == 1);
+  CHECK(egress.state.inFlight() == 0);
+  CHECK(egress.state.directory().usable(ServiceName("stock"))[0]->in_flight == 0);
+}
+
+TEST_CASE("the own zone is preferred until its server is busy") {
+  EgressFixture egress;
+  egress.apply(1);
+  egress.list({EgressFixture::entry("s1", "a"), EgressFixture::entry("s2", "b")});
+  std::vector<std::unique_ptr<TestExchange>> held;
+  while (held.size() < 8) held.push_back(egress.send("/stock"));
+  CHECK(held[0]->server() == "s1");
+  CHECK(held[1]->server() == "s1");
+  int remote = 0;
+  for (const auto& exchange : held) remote += exchange->server() == "s2" ? 1 : 0;
+  CHECK(remote >= 2);
+  CHECK(remote <= 4);
+}
+
+TEST_CASE("a draining server gets no new request") {
+  EgressFixture egress;
+  egress.begin(2);
+  model::ServerEntry draining = EgressFixture::entry("s1", "a");
+  draining.revision = Generation(7);
+  draining.state = model::MachineState::kLeaving;
+  egress.state.directory().upsert(draining, egress.environment.now());
+  for (int number = 0; number < 6; ++number) CHECK(egress.send("/stock")->server() == "s2");
+  // An older entry that comes late changes nothing.
+  egress.state.directory().upsert(EgressFixture::entry("s1", "a"), egress.environment.now());
+  for (int number = 0; number < 6; ++number) CHECK(egress.send("/stock")->server() == "s2");
+}
+
+}  // namespace coursepond::egress
--- /dev/null
+++ b/tests/platform/store_answers_test.cpp
@@ -0,0 +1,113 @@
+#include "store_answers.h"
+
+#include <doctest/doctest.h>
+
+namespace coursepond::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kConfiguration[] = R"({"version":"r7","resources":[
+ {"entry_type":"routes","metadata":{"name":"seat"},"spec":{"host":"a.example","path_prefix":"/x/",
+  "type":"unsafe","timeout":"2.5s","target_latency":"800ms","priority":1,"service":"s1",
+  "max_attempts":2}},
+ {"entry_type":"routes","metadata":{"name":"read"},"spec":{"host":"a.example","path_prefix":"/y/",
+  "type":"safe","target_latency":"600ms","priority":2,"max_attempts":3,
+  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}},
+ {"entry_type":"services","metadata":{"name":"s1"},"spec":{"max_connections":130}},
+ {"entry_type":"services","metadata":{"name":"s2"},"spec":{}},
+ {"entry_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1048576,
+  "header_timeout":"3000ms","idle_timeout":"15s"}},
+ {"entry_type":"something_new","metadata":{"name":"n"},"spec":{}}]})";
+
+constexpr char kServer[] =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":18,
+        "state":"draining","cold_remaining":"1500ms","sequence":4})";
+
+}  // namespace
+
+TEST_CASE("times are a number and a unit") {
+  CHECK(decodeDuration("1500ms") == milliseconds(1500));
+  CHECK(decodeDuration("2.5s") == milliseconds(2500));
+  for (const char* text : {"", "5", "ms", "-1s", "1m", "1 s", "nan s", "1e300s"}) {
+    CHECK_FALSE(decodeDuration(text).has_value());
+  }
+}
+
+TEST_CASE("a configuration becomes the product's model, unknown kinds are left out") {
+  const auto configuration = decodeConfiguration(kConfiguration);
+  REQUIRE(configuration.has_value());
+  CHECK(configuration->version == Version(7));
+  CHECK(configuration->services.size() == 2);
+  CHECK(configuration->services.at(ServiceName("s1")).connections_per_server == 130);
+  const model::Route& seat = configuration->routes.at(RouteName("seat"));
+  CHECK(seat.repeatability == model::Repeatability::kNever);
+  CHECK(seat.longest_hold == milliseconds(2500));
+  CHECK(seat.target_latency == milliseconds(800));
+  CHECK(seat.rank == 1);
+  CHECK(seat.max_attempts == 2);
+  const model::Route& read = configuration->routes.at(RouteName("read"));
+  CHECK(read.repeatability == model::Repeatability::kAlways);
+  CHECK(read.longest_hold == Duration(0));
+  REQUIRE(read.split.size() == 2);
+  CHECK(read.split[1].weight == 10);
+  CHECK(configuration->limits.idle_timeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("a configuration that is cut, odd or names an unknown service is refused whole") {
+  const std::string whole = kConfiguration;
+  for (std::size_t size = 0; size < whole.size(); size += 7) {
+    CHECK_FALSE(decodeConfiguration(whole.substr(0, size)).has_value());
+  }
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = whole;
+    text.replace(text.find(from), from.size(), to);
+    return decodeConfiguration(text);
+  };
+  CHECK_FALSE(with("\"r7\"", "\"7\"").has_value());
+  CHECK_FALSE(with("\"r7\"", "\"r7x\"").has_value());
+  CHECK_FALSE(with("unsafe", "odd").has_value());
+  CHECK_FALSE(with("2.5s", "2.5").has_value());
+  CHECK(with("\"service\":\"s1\"", "\"service\":\"s9\"").error().kind ==
+        ErrorKind::kMissingDependency);
+}
+
+TEST_CASE("a server's entry becomes the product's") {
+  const auto server = decodeServer("i-1", kServer);
+  REQUIRE(server.has_value());
+  CHECK(server->id == EndpointId("i-1"));
+  CHECK(server->address == Address{"10.0.0.9", 8080});
+  CHECK(server->slots == 18);
+  CHECK(server->state == model::MachineState::kLeaving);
+  CHECK(server->cold_remaining == milliseconds(1500));
+  CHECK_FALSE(decodeServer("i-1", R"({"service":"s1"})").has_value());
+}
+
+TEST_CASE("a watch's answer: changes, removals, other keys, and what cannot be read") {
+  const auto batch = decodeEvents(R"({"events":[
+    {"private_key":"servers/i-1","revision":5,"gone":true},
+    {"private_key":"servers/i-2","revision":6,"value":"bm9kZS0x"},
+    {"private_key":"servers/i-3","revision":7,"value":
+     "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxLjIuMy40OjUiLCJ6b25lIjoiYSIsInN0YXRlIjoicmVhZHkifQ=="},
+    {"private_key":"other","revision":8,"value":"bm9kZS0x"}],"timestamp":9})");
+  REQUIRE(batch.has_value());
+  CHECK(batch->revision == Generation(9));
+  REQUIRE(batch->removed_servers.size() == 1);
+  CHECK(batch->removed_servers[0] == EndpointId("i-1"));
+  CHECK(batch->rejected.size() == 1);
+  REQUIRE(batch->servers.size() == 1);
+  CHECK(batch->servers[0].id == EndpointId("i-3"));
+  CHECK(batch->servers[0].revision == Generation(7));
+}
+
+TEST_CASE("pages tell where the next one begins") {
+  const auto page = decodePage(
+      R"({"items":[{"private_key":"x","revision":1,"value":""}],"has_more":true,"timestamp":3})");
+  REQUIRE(page.has_value());
+  CHECK(page->last_key == "x");
+  CHECK(page->has_more);
+  CHECK_FALSE(decodePage("{}").has_value());
+  CHECK_FALSE(decodePage("[1]").has_value());
+}
+
+}  // namespace coursepond::platform
--- /dev/null
+++ b/tests/source/watch_loop_test.cpp
@@ -0,0 +1,149 @@
+#include "source/watch_loop.h"
+
+#include <doctest/doctest.h>
+
+#include "support/virtual_environment.h"
+
+namespace coursepond::source {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A source that answers when the test says so.
+class HeldClient final : public WatchClient {
+ public:
+  struct Read {
+    bool is_list = false;
+    Generation after;
+    WatchCallback callback;
+  };
+
+  void list(Duration, WatchCallback callback) override {
+    reads.push_back({true, Generation(), std::move(callback)});
+  }
+  void watch(Generation after, Duration, Duration, WatchCallback callback) override {
+    reads.push_back({false, after, std::move(callback)});
+  }
+
+  std::vector<Read> reads;
+};
+
+class LoopFixture {
+ public:
+  LoopFixture()
+      : loop(settings, client, environment,
+             [this](const WatchBatch& batch, bool is_complete) {
+               revisions.push_back(batch.revision.value());
+               complete.push_back(is_complete);
+             },
+             [this](const Error& error) { failures.push_back(error.kind); }) {
+    loop.start();
+  }
+
+  static WatchBatch batch(std::uint64_t revision, bool has_change = false) {
+    WatchBatch batch;
+    batch.revision = Generation(revision);
+    if (has_change) batch.servers.emplace_back();
+    return batch;
+  }
+  void answer(const Result<WatchBatch>& answer) {
+    // A copy: the call may add reads.
+    const WatchCallback callback = client.reads.back().callback;
+    callback(answer);
+  }
+  void fail(ErrorKind kind) { answer(Error{kind, "", ""}); }
+
+  proxy::VirtualEnvironment environment;
+  HeldClient client;
+  WatchSettings settings;
+  std::vector<std::uint64_t> revisions;
+  std::vector<bool> complete;
+  std::vector<ErrorKind> failures;
+  WatchLoop loop;
+};
+
+}  // namespace
+
+TEST_CASE("lists once, then goes on from the last revision") {
+  LoopFixture fixture;
+  REQUIRE(fixture.client.reads.size() == 1);
+  CHECK(fixture.client.reads[0].is_list);
+  fixture.answer(LoopFixture::batch(10));
+  REQUIRE(fixture.client.reads.size() == 2);
+  CHECK_FALSE(fixture.client.reads[1].is_list);
+  CHECK(fixture.client.reads[1].after == Generation(10));
+  fixture.answer(LoopFixture::batch(12));
+  CHECK(fixture.client.reads[2].after == Generation(12));
+  CHECK(fixture.revisions == std::vector<std::uint64_t>{10, 12});
+  CHECK(fixture.complete == std::vector<bool>{true, false});
+}
+
+TEST_CASE("after a change it waits, so that several come in one read") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  fixture.answer(LoopFixture::batch(11, true));
+  CHECK(fixture.client.reads.size() == 2);
+  fixture.environment.advance(fixture.settings.gather);
+  REQUIRE(fixture.client.reads.size() == 3);
+  CHECK(fixture.client.reads[2].after == Generation(11));
+}
+
+TEST_CASE("a failed read is repeated from where it was, after a growing pause") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  for (int failure = 0; failure < 6; ++failure) {
+    const std::size_t reads = fixture.client.reads.size();
+    fixture.fail(ErrorKind::kTimeout);
+    CHECK(fixture.client.reads.size() == reads);
+    fixture.environment.advance(fixture.settings.backoff_limit);
+    REQUIRE(fixture.client.reads.size() == reads + 1);
+    CHECK(fixture.client.reads.back().after == Generation(10));
+  }
+  CHECK(fixture.failures.size() == 6);
+}
+
+TEST_CASE("lost history is listed anew at once, and with pauses when that fails too") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  fixture.fail(ErrorKind::kBaseMismatch);
+  REQUIRE(fixture.client.reads.size() == 3);
+  CHECK(fixture.client.reads[2].is_list);
+  fixture.fail(ErrorKind::kUnavailable);
+  CHECK(fixture.client.reads.size() == 3);
+  fixture.environment.advance(seconds(1));
+  REQUIRE(fixture.client.reads.size() == 4);
+  CHECK(fixture.client.reads[3].is_list);
+  fixture.answer(LoopFixture::batch(30));
+  CHECK(fixture.client.reads.back().after == Generation(30));
+}
+
+TEST_CASE("a list from a replica that is behind changes nothing") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  fixture.fail(ErrorKind::kBaseMismatch);
+  fixture.answer(LoopFixture::batch(8));
+  CHECK(fixture.revisions == std::vector<std::uint64_t>{10});
+  CHECK(fixture.client.reads.back().after == Generation(10));
+}
+
+TEST_CASE("an answer that comes after a stop, or twice, is ignored") {
+  LoopFixture fixture;
+  const WatchCallback first = fixture.client.reads[0].callback;
+  first(LoopFixture::batch(10));
+  first(LoopFixture::batch(11));
+  CHECK(fixture.revisions.size() == 1);
+  fixture.loop.stop();
+  fixture.answer(LoopFixture::batch(12));
+  CHECK(fixture.revisions.size() == 1);
+}
+
+TEST_CASE("everything is listed anew now and then") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  fixture.environment.advance(fixture.settings.relist);
+  fixture.answer(LoopFixture::batch(11));
+  CHECK(fixture.client.reads.back().is_list);
+}
+
+}  // namespace coursepond::source
