--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -26,24 +26,24 @@
 void addEgress(MetricTable& table, egress::EgressState& state) {
   using S = egress::Statistics;
   addCounters<S>(table,
-                 {{"egress_requests", "Requests taken from callers.", &S::requests},
-                  {"egress_answers", "Server answers passed on whole.", &S::answers_forwarded},
-                  {"egress_attempts", "Requests sent to an ingress.", &S::attempts},
-                  {"egress_repeats", "Requests sent to a further server.", &S::repeats},
-                  {"egress_repeats_denied", "Repeats left out for want of allowance.",
+                 {{"egress_requests_total", "Requests taken from callers.", &S::requests},
+                  {"egress_answers_total", "Server answers passed on whole.", &S::answers_forwarded},
+                  {"egress_attempts_total", "Requests sent to an ingress.", &S::attempts},
+                  {"egress_repeats_total", "Requests sent to a further server.", &S::repeats},
+                  {"egress_repeats_denied_total", "Repeats left out for want of allowance.",
                    &S::repeats_denied},
-                  {"egress_hop_refusals", "Refusals by ingresses; no server saw the request.",
+                  {"egress_hop_refusals_total", "Refusals by ingresses; no server saw the request.",
                    &S::hop_refusals},
-                  {"egress_server_refusals", "Refusals by servers.", &S::server_refusals},
-                  {"egress_hop_failures", "Ingresses that could not be reached or were lost.",
+                  {"egress_server_refusals_total", "Refusals by servers.", &S::server_refusals},
+                  {"egress_hop_failures_total", "Ingresses that could not be reached or were lost.",
                    &S::hop_failures},
-                  {"egress_bad_answers", "Answers that were not the request's own, or unsigned.",
+                  {"egress_bad_answers_total", "Answers that were not the request's own, or unsigned.",
                    &S::bad_answers},
-                  {"egress_refused", "Requests answered as not run.", &S::refused},
-                  {"egress_unknown", "Requests that may have run and have no answer.",
+                  {"egress_refused_total", "Requests answered as not run.", &S::refused},
+                  {"egress_unknown_total", "Requests that may have run and have no answer.",
                    &S::unknown},
-                  {"egress_no_route", "Requests without a route.", &S::no_route},
-                  {"egress_callers_gone", "Callers that left before their answer.",
+                  {"egress_no_route_total", "Requests without a route.", &S::no_route},
+                  {"egress_callers_gone_total", "Callers that left before their answer.",
                    &S::caller_gone}},
                  [&state] { return state.statistics(); });
   table.addGauge("configuration_version_in_force",
@@ -54,21 +54,21 @@
 void addIngress(MetricTable& table, ingress::IngressState& state) {
   using S = ingress::Statistics;
   addCounters<S>(table,
-                 {{"ingress_requests", "Requests that egresses sent.", &S::requests},
-                  {"ingress_answers", "Answers of the server passed on.", &S::answers_forwarded},
-                  {"ingress_queued", "Requests that waited for a slot.", &S::queued},
-                  {"ingress_refused_full", "Refused: the expected wait is too long.",
+                 {{"ingress_requests_total", "Requests that egresses sent.", &S::requests},
+                  {"ingress_answers_total", "Answers of the server passed on.", &S::answers_forwarded},
+                  {"ingress_queued_total", "Requests that waited for a slot.", &S::queued},
+                  {"ingress_refused_full_total", "Refused: the expected wait is too long.",
                    &S::refused_full},
-                  {"ingress_refused_draining", "Refused: the server or this node is leaving.",
+                  {"ingress_refused_draining_total", "Refused: the server or this node is leaving.",
                    &S::refused_draining},
-                  {"ingress_displaced", "Waiting requests that made room.", &S::displaced},
-                  {"ingress_expired", "Requests whose deadline passed.", &S::expired},
-                  {"ingress_server_refusals", "Refusals by the server.", &S::server_refusals},
-                  {"ingress_server_unreachable", "Connections the server did not take.",
+                  {"ingress_displaced_total", "Waiting requests that made room.", &S::displaced},
+                  {"ingress_expired_total", "Requests whose deadline passed.", &S::expired},
+                  {"ingress_server_refusals_total", "Refusals by the server.", &S::server_refusals},
+                  {"ingress_server_unreachable_total", "Connections the server did not take.",
                    &S::server_unreachable},
-                  {"ingress_server_lost", "Connections lost with a request on them.",
+                  {"ingress_server_lost_total", "Connections lost with a request on them.",
                    &S::server_lost},
-                  {"ingress_bad_answers", "Answers of the server that were not the request's own.",
+                  {"ingress_bad_answers_total", "Answers of the server that were not the request's own.",
                    &S::bad_answers}},
                  [&state] { return state.statistics(); });
   table.addGauge("ingress_running", "Requests at the server.",
@@ -80,7 +80,7 @@
 void addWatch(MetricTable& table, const source::WatchLoop& loop) {
   using S = source::WatchStatistics;
   const auto add = [&](const char* name, const char* meaning, std::uint64_t S::*field) {
-    table.addCounter(std::string("watch_") + name, meaning, [&loop, field] {
+    table.addCounter(std::string("watch_") + name + "_total", meaning, [&loop, field] {
       return static_cast<double>(loop.statistics().*field);
     });
   };
--- a/src/runtime/setting_types.h
+++ b/src/runtime/setting_types.h
@@ -75,16 +75,20 @@
   }
 }
 
+/// Whether a name may be left empty, and whether its key may be left out.
+enum class NameUse { kRequired, kDefaulted, kMayBeEmpty };
+
 /// A name; `NameType` is a core Name or std::string.
 template <typename NameType, typename Field>
-SettingKey nameKey(std::string section, std::string key, bool required, std::string meaning,
+SettingKey nameKey(std::string section, std::string key, NameUse use, std::string meaning,
                    Field field) {
   SettingKey entry = makeKey(std::move(section), std::move(key), std::move(meaning), kNameExpected,
                              SettingType::kText);
-  entry.required = required;
-  entry.assign = [field](Settings& settings, const SettingValue& value) -> std::optional<Error> {
+  entry.required = use == NameUse::kRequired;
+  entry.assign = [field, use](Settings& settings, const SettingValue& value) -> std::optional<Error> {
     const std::string& text = std::get<std::string>(value);
-    if (std::optional<Error> error = checkName(text)) return error;
+    const bool is_left_out = text.empty() && use == NameUse::kMayBeEmpty;
+    if (std::optional<Error> error = checkName(text); error && !is_left_out) return error;
     field(settings) = NameType(text);
     return std::nullopt;
   };
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -219,6 +219,7 @@
                "confirm.lease_ms", settings.control.acceptance.lease);
     checkOwnZone();
     checkQueueHoldsFrame();
+    checkTwoHop();
   }
 
   void checkDistinct(const std::string& first_key, const Address& first,
@@ -249,6 +250,22 @@
                     "raise " + higher_key + " or lower " + lower_key));
   }
 
+  void checkTwoHop() {
+    const TwoHopSettings& two_hop = outcome_.settings.two_hop;
+    if (!two_hop.enabled()) return;
+    const auto require = [this](const char* key, bool is_set, const char* expected) {
+      if (is_set) return;
+      outcome_.mistakes.push_back(
+          makeMistake(lines_["two_hop.ingress_listen"], std::string("two_hop.") + key, expected,
+                      "two_hop.ingress_listen is set and this is not",
+                      std::string("add ") + key + " to section [two_hop], or leave both out"));
+    };
+    require("server", !two_hop.server.host.empty(), "IP:port of this machine's server");
+    require("service", !two_hop.service.empty(), "the name of that server's service");
+    checkDistinct("node.caller_listen", outcome_.settings.node.caller_listen,
+                  "two_hop.ingress_listen", two_hop.ingress_listen);
+  }
+
   void checkOwnZone() {
     const std::vector<ZoneId>& zones = outcome_.settings.control.zones;
     const ZoneId& own = outcome_.settings.node.zone;
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -22,10 +22,10 @@
 
 void addNodeKeys(Keys& keys) {
   const std::string section = "node";
-  keys.push_back(nameKey<NodeId>(section, "id", true, "This machine's name, unique in the mesh.",
+  keys.push_back(nameKey<NodeId>(section, "id", NameUse::kRequired, "This machine's name, unique in the mesh.",
                                  FIELD(node.id)));
   keys.push_back(
-      nameKey<ZoneId>(section, "zone", true, "The zone this machine stands in.", FIELD(node.zone)));
+      nameKey<ZoneId>(section, "zone", NameUse::kRequired, "The zone this machine stands in.", FIELD(node.zone)));
   keys.push_back(addressKey(section, "caller_listen", AddressUse::kListen,
                             "Where callers send their requests.", FIELD(node.caller_listen)));
   keys.push_back(addressKey(section, "peer_listen", AddressUse::kListen,
@@ -90,7 +90,7 @@
 
 void addMeshKeys(Keys& keys) {
   const std::string section = "mesh";
-  keys.push_back(nameKey<std::string>(section, "name", false,
+  keys.push_back(nameKey<std::string>(section, "name", NameUse::kDefaulted,
                                       "Nodes of another mesh name are refused as peers.",
                                       FIELD(mesh_name)));
   keys.push_back(listKey(section, "zones", "a list of zone names",
@@ -279,7 +279,7 @@
                             FIELD(two_hop.ingress_listen)));
   keys.push_back(addressKey(section, "server", AddressUse::kOptionalConnect,
                             "This machine's server.", FIELD(two_hop.server)));
-  keys.push_back(nameKey<ServiceName>(section, "service", false, "That server's service.",
+  keys.push_back(nameKey<ServiceName>(section, "service", NameUse::kMayBeEmpty, "That server's service.",
                                       FIELD(two_hop.service)));
 }
 
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -55,6 +55,16 @@
         {0, "node.admin_listen", "[node]"},
         {0, "platform.address", "[platform]"},
         {0, "admin.token", "[admin]"}}},
+      {"two hops without a server",
+       good + "[two_hop]\ningress_listen = \"127.0.0.1:8081\"\n",
+       {{14, "two_hop.server", "add server"}, {14, "two_hop.service", "add service"}}},
+      {"two hops on one address",
+       good + "[two_hop]\ningress_listen = \"127.0.0.1:8080\"\nserver = \"127.0.0.1:9000\"\n"
+              "service = \"stock\"\n",
+       {{14, "two_hop.ingress_listen", "its own port"}}},
+      {"a header's name with a blank",
+       good + "[headers]\nrequest_id = \"X Id\"\n",
+       {{14, "headers.request_id", "letters, digits"}}},
       {"misspelt keys",
        replaced(replaced(good, "zone", "zoen"), "token", "tokn"),
        {{3, "node.zoen", "node.zone"}, {12, "admin.tokn", "admin.token"}}},
@@ -112,9 +122,9 @@
   CHECK(outcome.settings.admin.token.reveal() == "correct-horse");
 }
 
-TEST_CASE("ten broken settings files: every mistake of each is named") {
+TEST_CASE("thirteen broken settings files: every mistake of each is named") {
   const std::vector<BrokenFile> files = brokenFiles();
-  CHECK(files.size() == 10);
+  CHECK(files.size() == 13);
   for (const BrokenFile& file : files) {
     CAPTURE(file.name);
     const SettingsOutcome outcome = loadSettings(file.text, {});
