Hops acknowledge requests; what may not be repeated is confirmed before its body is sent

Ruled out: the servers (they ran all they got). Change: an ingress answers 102 as soon as it has a request; without it for 250 ms the egress avoids that ingress and goes elsewhere. Requests that may not be repeated carry Expect: 100-continue on the hop: the ingress says 100 when it is about to run them, and until the body is sent they surely have not run. An ingress drops a request whose sender has already closed. Connect limit 150 ms.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -1,6 +1,7 @@
 #include "egress/egress_flow.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/http_headers.h"
 #include "proxy/deadline_queue.h"
@@ -38,6 +39,7 @@
 
   void start() override;
   void onAttemptFailed(AttemptId attempt, AttemptFailure failure) override;
+  void onAttemptReceived(AttemptId attempt) override;
   void onAnswerHead(AttemptId attempt, const AnswerHead& answer) override;
   void onAnswerComplete(AttemptId attempt) override;
   void onAnswerCut(AttemptId attempt) override;
@@ -65,6 +67,7 @@
   bool shouldRepeat(const AnswerHead& answer, TimePoint now);
   void onNotRun(const AnswerHead& answer, TimePoint now);
   void onUnknown(Reason reason, TimePoint now);
+  void onSilent(TimePoint now);
   void noteArrival();
   bool mayRepeat(TimePoint now);
   void releaseServer();
@@ -94,6 +97,8 @@
   std::uint32_t max_attempts_ = 1;
   bool is_repeatable_ = false;
   bool may_have_run_ = false;
+  bool was_received_ = false;   ///< The current attempt, by its ingress.
+  bool arrival_noted_ = false;  ///< Of the current attempt.
   bool was_refused_ = false;
   bool is_late_ = false;  ///< The deadline ended it.
   std::optional<Duration> retry_after_;
@@ -165,7 +170,9 @@
   ++attempt_;
   attempt_started_ = now;
   ++state_.statistics().attempts;
-  state_.deadlines().arm(*this, deadline_);
+  was_received_ = false;
+  arrival_noted_ = false;
+  state_.deadlines().arm(*this, std::min(deadline_, now + state_.settings().receipt_timeout));
   if (arrivals_ == 0 && attempt_ == 1) state_.use(service_).allowance.onFirstAttempt();
   io_.startAttempt(makePlan(now));
 }
@@ -178,6 +185,7 @@
   plan.remaining = std::max(deadline_ - now - state_.settings().deadline_reserve, kLeastRemaining);
   plan.replayable = true;
   plan.target_instance = server_->entry.id.value();
+  plan.confirm = !is_repeatable_;
   plan.caller_service = state_.settings().own_service;
   plan.hop_class = proxy::HopClass{service_.value(), route_->rank, target(), is_repeatable_};
   return plan;
@@ -190,6 +198,7 @@
 }
 
 void EgressFlow::noteArrival() {
+  if (std::exchange(arrival_noted_, true)) return;
   ++arrivals_;
   tried_.push_back(server_->entry.id);
 }
@@ -226,6 +235,33 @@
   }
 }
 
+void EgressFlow::onAttemptReceived(AttemptId attempt) {
+  if (!isCurrent(attempt, Phase::kAttempting)) return;
+  was_received_ = true;
+  state_.deadlines().arm(*this, deadline_);
+}
+
+/// The ingress did not say that it has the request: it is frozen, cut off or far too slow. What was
+/// not confirmed has surely not run; the rest may be tried once more where that is allowed, or
+/// goes on waiting.
+void EgressFlow::onSilent(TimePoint now) {
+  note(proxy::DecisionKind::kAttemptEnded, "silent", 0);
+  ++state_.statistics().hop_silences;
+  state_.onUnreachable(*server_, now);
+  was_received_ = true;
+  const bool surely_not_run = !io_.bytesSent(attempt_);
+  if (!surely_not_run) noteArrival();
+  const bool may_go_on = surely_not_run || (is_repeatable_ && arrivals_ < max_attempts_);
+  if (!may_go_on || !state_.pick(service_, tried_, now)) {
+    state_.deadlines().arm(*this, deadline_);
+    return;
+  }
+  if (!surely_not_run) may_have_run_ = true;
+  io_.cancelAttempt(attempt_);
+  releaseServer();
+  sendOrWait(now);
+}
+
 void EgressFlow::onAnswerHead(AttemptId attempt, const AnswerHead& answer) {
   if (!isCurrent(attempt, Phase::kAttempting)) return;
   const TimePoint now = environment_.now();
@@ -325,6 +361,7 @@
 // ---- Ends
 
 void EgressFlow::onDeadline(TimePoint now) {
+  if (phase_ == Phase::kAttempting && now < deadline_ && !was_received_) return onSilent(now);
   if (phase_ == Phase::kAttempting) {
     if (io_.bytesSent(attempt_)) may_have_run_ = true;
     io_.cancelAttempt(attempt_);
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -32,6 +32,7 @@
   std::uint64_t hop_refusals = 0;     ///< By ingresses: no server saw the request.
   std::uint64_t server_refusals = 0;  ///< By servers, which did not run it.
   std::uint64_t hop_failures = 0;     ///< Ingresses that could not be reached, or were lost.
+  std::uint64_t hop_silences = 0;     ///< Ingresses that did not say that they have a request.
   std::uint64_t bad_answers = 0;      ///< Not this request's, unsigned, or not whole.
   std::uint64_t refused = 0;          ///< 503: not run.
   std::uint64_t unknown = 0;          ///< 502 and 504.
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -39,6 +39,8 @@
   /// and in a burst: this many divided by the number of nodes.
   double retry_burst = 45;
 
+  /// An ingress that has not said within this that it has a request counts as silent.
+  Duration receipt_timeout = std::chrono::milliseconds(250);
   /// Pause after a server's ingress could not be reached; doubles up to the longest.
   Duration avoid = std::chrono::milliseconds(150);
   Duration longest_avoid = std::chrono::seconds(1);
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -37,6 +37,8 @@
                   {"egress_server_refusals_total", "Refusals by servers.", &S::server_refusals},
                   {"egress_hop_failures_total", "Ingresses that could not be reached or were lost.",
                    &S::hop_failures},
+                  {"egress_hop_silences_total", "Ingresses that did not acknowledge a request.",
+                   &S::hop_silences},
                   {"egress_bad_answers_total", "Answers that were not the request's own, or unsigned.",
                    &S::bad_answers},
                   {"egress_refused_total", "Requests answered as not run.", &S::refused},
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -23,7 +23,7 @@
 constexpr Duration kHopIdleTimeout = std::chrono::seconds(30);
 /// An ingress keeps an egress's connection longer than the egress does.
 constexpr Duration kIngressIdleTimeout = std::chrono::seconds(60);
-constexpr Duration kHopConnectTimeout = std::chrono::milliseconds(400);
+constexpr Duration kHopConnectTimeout = std::chrono::milliseconds(150);
 constexpr Duration kServerConnectTimeout = std::chrono::milliseconds(200);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -74,6 +74,9 @@
   std::string target_instance;
   ServiceName caller_service;
   std::optional<HopClass> hop_class;
+  /// The body is held back until the next hop says that it is about to run the request. Until
+  /// then the request surely has not run.
+  bool confirm = false;
 };
 
 /// How an attempt ended without an answer's head.
@@ -140,6 +143,8 @@
   virtual ~Exchange() = default;
   virtual void start() = 0;
   virtual void onAttemptFailed(AttemptId attempt, AttemptFailure failure) = 0;
+  /// The next hop said that it has the request.
+  virtual void onAttemptReceived(AttemptId) {}
   virtual void onAnswerHead(AttemptId attempt, const AnswerHead& head) = 0;
   /// The whole answer was passed on.
   virtual void onAnswerComplete(AttemptId attempt) = 0;
--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// How long a hop that was told to go on may take to send its body.
+constexpr Duration kGoTimeout = std::chrono::seconds(1);
+constexpr unsigned kContinueStatus = 100;
 /// How long a connection that was ended here may still send.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
 
@@ -81,7 +84,13 @@
     case State::kHead:
       return parseHead();
     case State::kExchange:
-      if (awaiting_body_) pumpBody();
+      if (awaiting_go_) {
+        awaiting_go_ = false;
+        expireNever();
+        openUpstream();
+      } else if (awaiting_body_) {
+        pumpBody();
+      }
       return read();  // Also notices the caller leaving.
     case State::kLingering:
       received_.consume(received_.data().size());
@@ -128,15 +137,36 @@
   const auto refusal = checkRequest(parser_.head(), shared_->request_ids, request_, head);
   if (refusal) return refuse(*refusal);
   ++shared_->statistics.requests;
+  if (shared_->settings.answer_style == AnswerStyle::kIngress && hasCallerLeft()) return close();
   state_ = State::kExchange;
   exchange_owner_ = shared_from_this();
   expireNever();
   close_after_ = !parser_.head().keep_alive;
   flow_ = shared_->source.make(std::move(head), static_cast<proxy::RequestIo&>(*this));
   flow_->start();
+  if (shared_->settings.answer_style == AnswerStyle::kIngress) sendReceipt();
   read();
 }
 
+/// Tells the hop before that its request is here: silence then means that this node is gone.
+void CallerConnection::sendReceipt() {
+  if (state_ != State::kExchange || !output_.empty() || writing_ || continue_sent_) return;
+  if (answer_complete_ || forwarding_) return;
+  output_.append(kReceiptAnswer);
+  if (!writeNow()) flush();
+}
+
+/// After a pause of this process the hop before may have given the request up long ago: its
+/// end is then right behind it.
+bool CallerConnection::hasCallerLeft() {
+  if (!received_.empty()) return false;
+  char byte = 0;
+  error_code error;
+  const std::size_t size =
+      socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  return error != asio::error::would_block && size == 0;
+}
+
 // ---- The request towards the server
 
 void CallerConnection::startAttempt(const proxy::AttemptPlan& plan) {
@@ -144,7 +174,26 @@
   request_sent_ = false;
   // Without its first bytes the body cannot be sent again: as good as having no connection.
   if (replay_lost_) return failAttemptLater(proxy::AttemptFailure::kCannotReplay);
-  upstream_ = shared_->pool.acquire(plan.service, plan.endpoint, *this);
+  if (mustConfirm()) return confirmThenSend();
+  openUpstream();
+}
+
+/// An ingress asks the hop before for the body only when the request is about to run.
+bool CallerConnection::mustConfirm() const {
+  return shared_->settings.answer_style == AnswerStyle::kIngress && request_.expects_continue &&
+         !continue_sent_ && !requestComplete() && received_.empty();
+}
+
+void CallerConnection::confirmThenSend() {
+  continue_sent_ = true;
+  awaiting_go_ = true;
+  output_.append(kContinueAnswer);
+  if (!writing_ && !writeNow()) flush();
+  expireAfter(kGoTimeout);
+}
+
+void CallerConnection::openUpstream() {
+  upstream_ = shared_->pool.acquire(plan_.service, plan_.endpoint, *this);
   if (!upstream_) return failAttemptLater(proxy::AttemptFailure::kNoConnectionFree);
   if (upstream_->isReady()) sendRequest();
 }
@@ -163,6 +212,13 @@
   upstream_->expectAnswerTo(parser_.head().method == "HEAD");
   appendRequestHead(upstream_->output(), request_, parser_.head(), plan_,
                     shared_->settings.names);
+  const bool has_body = parser_.head().framing != BodyFraming::kNone;
+  awaiting_confirmation_ = plan_.confirm && has_body;
+  if (awaiting_confirmation_) return upstream_->write();
+  sendBody();
+}
+
+void CallerConnection::sendBody() {
   if (!replay_.empty()) appendBody(replay_);
   // A broken body is refused from a later event; until then, the head alone goes out.
   if (!takeBody()) {
@@ -215,6 +271,7 @@
 /// Sends on what was received of the body, or waits for more.
 void CallerConnection::pumpBody() {
   awaiting_body_ = false;
+  if (awaiting_confirmation_) return;
   if (!upstream_ || !upstream_->isReady() || upstream_->isWriting()) return;
   if (!takeBody()) return refuseBody(refusalOf(parser_.failure()));
   if (!upstream_->output().empty()) {
@@ -234,6 +291,7 @@
 
 void CallerConnection::cancelAttempt(proxy::AttemptId) {
   distrusted_ = true;
+  awaiting_go_ = false;
   if (!upstream_) return;
   upstream_->abandon();
   upstream_.reset();
@@ -246,11 +304,18 @@
 }
 
 bool CallerConnection::bytesSent(proxy::AttemptId) const {
-  return upstream_ && upstream_->sentBytes();
+  return upstream_ && upstream_->sentBytes() && !awaiting_confirmation_;
 }
 
 // ---- The answer
 
+void CallerConnection::onUpstreamInterim(unsigned status) {
+  flow_->onAttemptReceived(plan_.id);
+  if (status != kContinueStatus || !awaiting_confirmation_ || !upstream_) return;
+  awaiting_confirmation_ = false;
+  sendBody();
+}
+
 void CallerConnection::onUpstreamHead(const MessageHead& head) {
   answer_head_ = &head;
   collected_.clear();
@@ -348,6 +413,10 @@
 void CallerConnection::onUpstreamFailed(UpstreamFailure failure) {
   upstream_.reset();
   collecting_ = false;
+  if (awaiting_confirmation_) {
+    awaiting_confirmation_ = false;
+    return flow_->onAttemptFailed(plan_.id, proxy::AttemptFailure::kConnectFailed);
+  }
   if (!forwarding_) return flow_->onAttemptFailed(plan_.id, attemptFailureOf(failure));
   ++shared_->statistics.answers_cut;
   flow_->onAnswerCut(plan_.id);
@@ -379,7 +448,7 @@
 /// Refuses a request whose body turned out wrong or slow while it was being sent on.
 void CallerConnection::refuseBody(RefusalReason reason) {
   ++shared_->statistics.refusals[static_cast<std::size_t>(reason)];
-  const bool may_have_run = plan_.id > 1 || bytesSent(plan_.id);
+  const bool may_have_run = !awaiting_go_ && (plan_.id > 1 || bytesSent(plan_.id));
   giveUpFlow();
   close_after_ = true;
   if (forwarding_) return cut();
@@ -436,6 +505,7 @@
   answer_head_ = nullptr;
   collecting_ = false;
   replay_lost_ = request_sent_ = awaiting_body_ = continue_sent_ = false;
+  awaiting_confirmation_ = awaiting_go_ = false;
   forwarding_ = answer_complete_ = false;
   if (close_after_) return closeGracefully();
   awaitRequest();
@@ -451,7 +521,7 @@
     case State::kHead:
       return refuse(RefusalReason::kSlowHead);
     case State::kExchange:
-      if (awaiting_body_ && !writing_) return refuseBody(RefusalReason::kSlowBody);
+      if ((awaiting_body_ || awaiting_go_) && !writing_) return refuseBody(RefusalReason::kSlowBody);
       ++shared_->statistics.callers_gone;
       return cut();
     case State::kLingering:
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -67,6 +67,7 @@
   // UpstreamUser
   void onUpstreamReady() override;
   void onUpstreamWritten() override;
+  void onUpstreamInterim(unsigned status) override;
   void onUpstreamHead(const MessageHead& head) override;
   void onUpstreamBody(std::string_view piece) override;
   void onUpstreamPause() override;
@@ -83,9 +84,15 @@
   void awaitRequest();
   void parseHead();
   void beginExchange();
+  bool hasCallerLeft();
 
   // The request towards the server
+  void openUpstream();
   void sendRequest();
+  void sendBody();
+  bool mustConfirm() const;
+  void confirmThenSend();
+  void sendReceipt();
   void pumpBody();
   bool takeBody();
   void appendBody(std::string_view piece);
@@ -137,6 +144,8 @@
   bool replay_lost_ = false;   ///< The body outgrew what is kept: no further attempt.
   bool request_sent_ = false;  ///< All of the request went to the current attempt.
   bool awaiting_body_ = false;
+  bool awaiting_confirmation_ = false;  ///< The next hop has the head; the body is held back.
+  bool awaiting_go_ = false;  ///< Confirmed to the hop before; its body is the word to go.
   bool continue_sent_ = false;
   bool collecting_ = false;  ///< The answer's head has come; the flow is told when it is whole.
   bool distrusted_ = false;  ///< The flow gave up the connection that its answer came on.
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -199,6 +199,7 @@
     appendField(out, names.caller_service, plan.caller_service.value());
   }
   if (plan.hop_class) appendHopClass(out, *plan.hop_class);
+  if (plan.confirm && head.framing != BodyFraming::kNone) appendField(out, "Expect", "100-continue");
   appendRequestFraming(out, head);
   out.append(kLineEnd);
 }
--- a/src/runtime/http_head_writer.h
+++ b/src/runtime/http_head_writer.h
@@ -55,6 +55,7 @@
 void appendChunk(std::string& out, std::string_view piece);
 
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+inline constexpr std::string_view kReceiptAnswer = "HTTP/1.1 102 Processing\r\n\r\n";
 inline constexpr std::string_view kContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace coursepond::runtime
--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -189,6 +189,8 @@
   }
   if (status / 100 == 1) {
     parser_.reset(head_request_);
+    if (user_ != nullptr) user_->onUpstreamInterim(status);
+    if (!hasRequest()) return false;
     if (!buffer_.empty()) return true;
     read();
     return false;
--- a/src/runtime/upstream_connection.h
+++ b/src/runtime/upstream_connection.h
@@ -44,6 +44,8 @@
   virtual ~UpstreamUser() = default;
   virtual void onUpstreamReady() = 0;
   virtual void onUpstreamWritten() = 0;
+  /// An interim answer (100 to 199) came; the answer itself is still to come.
+  virtual void onUpstreamInterim(unsigned) {}
   /// The user may close or discard the connection from inside this call.
   virtual void onUpstreamHead(const MessageHead& head) = 0;
   virtual void onUpstreamBody(std::string_view piece) = 0;
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -280,6 +280,50 @@
   CHECK(exchange->io.cancelled.size() == 1);
 }
 
+TEST_CASE("an ingress that stays silent is left: what was not confirmed has not run") {
+  EgressFixture egress(0);
+  egress.begin(3);
+  const auto seat = egress.send("/seat");
+  CHECK(seat->plan().confirm);
+  seat->io.bytes_sent = false;
+  const std::string silent = seat->server();
+  egress.environment.advance(milliseconds(260));
+  REQUIRE(seat->io.plans.size() == 2);
+  CHECK(seat->server() != silent);
+  CHECK(seat->io.cancelled.size() == 1);
+
+  // A confirmed one may have run: it is never sent again, but its answer may still come.
+  const auto confirmed = egress.send("/seat");
+  egress.environment.advance(milliseconds(260));
+  CHECK(confirmed->io.plans.size() == 1);
+  CHECK(confirmed->isOpen());
+  confirmed->answerWhole();
+  CHECK(confirmed->io.forwarded.size() == 1);
+}
+
+TEST_CASE("a repeatable request leaves a silent ingress within its route's attempts") {
+  EgressFixture egress(0);
+  egress.begin(3);
+  const auto stock = egress.send("/stock");
+  CHECK_FALSE(stock->plan().confirm);
+  egress.environment.advance(milliseconds(260));
+  CHECK(stock->io.plans.size() == 2);
+  egress.environment.advance(milliseconds(260));
+  CHECK(stock->io.plans.size() == 2);
+  egress.environment.advance(seconds(2));
+  checkAnswered(*stock, 504, proxy::Outcome::kUnknown);
+}
+
+TEST_CASE("an ingress that has the request is waited for") {
+  EgressFixture egress;
+  egress.begin(2);
+  const auto stock = egress.send("/stock");
+  stock->flow->onAttemptReceived(stock->plan().id);
+  egress.environment.advance(milliseconds(1000));
+  CHECK(stock->io.plans.size() == 1);
+  CHECK(stock->isOpen());
+}
+
 TEST_CASE("a caller that leaves cancels the attempt and gives the server back") {
   EgressFixture egress;
   egress.begin(1);
