--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -67,6 +67,7 @@
   bool shouldRepeat(const AnswerHead& answer, TimePoint now);
   void onNotRun(const AnswerHead& answer, TimePoint now);
   void onUnknown(Reason reason, TimePoint now);
+  void onLostUnread(TimePoint now);
   void onSilent(TimePoint now);
   void noteArrival();
   bool mayRepeat(TimePoint now);
@@ -228,6 +229,7 @@
     case AttemptFailure::kLostAfterSend:
       ++state_.statistics().hop_failures;
       state_.onUnreachable(*server_, now);
+      if (!was_received_ && is_repeatable_) return onLostUnread(now);
       return onUnknown(Reason::kConnectionLost, now);
     case AttemptFailure::kMalformedAnswer:
       ++state_.statistics().bad_answers;
@@ -235,6 +237,16 @@
   }
 }
 
+/// The ingress ended before it said that it has the request, most likely without having read it.
+/// No server can be told to have seen it, so that neither allowance nor attempts are charged.
+void EgressFlow::onLostUnread(TimePoint now) {
+  may_have_run_ = true;
+  tried_.push_back(server_->entry.id);
+  releaseServer();
+  if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
+  conclude(Reason::kConnectionLost);
+}
+
 void EgressFlow::onAttemptReceived(AttemptId attempt) {
   if (!isCurrent(attempt, Phase::kAttempting)) return;
   was_received_ = true;
@@ -285,7 +297,7 @@
     const bool was_late = answer.status == kGatewayTimeout;
     return onUnknown(was_late ? Reason::kDeadline : Reason::kConnectionLost, now);
   }
-  state_.onLatency(*server_, state_.use(service_), now - attempt_started_);
+  state_.onLatency(*server_, state_.use(service_), now - attempt_started_, now);
   if (shouldRepeat(answer, now)) {
     note(proxy::DecisionKind::kAttemptEnded, "server_failed", 0);
     io_.discardAnswer(attempt_);
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -1,6 +1,7 @@
 #include "egress/egress_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace coursepond::egress {
@@ -9,6 +10,8 @@
 constexpr std::uint32_t kConnectionsPerIngress = 256;
 constexpr std::uint32_t kLargestAvoidShift = 4;
 constexpr std::uint32_t kUnknownSlots = 8;
+/// An ingress that is leaving still serves for a moment: dearer than any other.
+constexpr double kLeavingCost = 1000;
 /// Cost factor of a server that is still cold.
 constexpr double kColdFactor = 1.6;
 /// Two costs that differ by less are equal: the choice is then random.
@@ -83,7 +86,8 @@
     cost += settings_.busy_cost * part;
   }
   if (used > 1) cost += settings_.waiting_cost * (used - 1);
-  cost *= server.slowness;
+  cost *= slowness(server, now);
+  if (server.leaving(now)) cost += kLeavingCost;
   if (now < server.cold_until) cost *= kColdFactor;
   if (server.entry.zone != settings_.own_zone) cost += settings_.remote_zone_cost;
   return cost;
@@ -100,17 +104,24 @@
 void EgressState::onLoad(Server& server, const proxy::HopLoad& load, TimePoint now) {
   server.load = load;
   server.in_flight_at_report = server.in_flight;
-  if (load.draining) server.avoid_until = now + settings_.avoid_draining;
+  if (load.draining) server.leaving_until = now + settings_.avoid_draining;
 }
 
-void EgressState::onLatency(Server& server, ServiceUse& use, Duration latency) {
+double EgressState::slowness(const Server& server, TimePoint now) const {
+  const double half_lives = static_cast<double>((now - server.slowness_at).count()) /
+                            static_cast<double>(settings_.slowness_half_life.count());
+  return 1.0 + (server.slowness - 1.0) * std::exp2(-half_lives);
+}
+
+void EgressState::onLatency(Server& server, ServiceUse& use, Duration latency, TimePoint now) {
   const double latency_ms = toMillisecondsExact(latency);
   const double weight = settings_.slowness_weight;
   if (use.average_latency_ms <= 0) use.average_latency_ms = latency_ms;
   use.average_latency_ms += weight * (latency_ms - use.average_latency_ms);
   const double sample = latency_ms / std::max(use.average_latency_ms, 1.0);
-  server.slowness += weight * (std::clamp(sample, kLowestSlowness, kHighestSlowness) -
-                               server.slowness);
+  const double before = slowness(server, now);
+  server.slowness = before + weight * (std::clamp(sample, kLowestSlowness, kHighestSlowness) - before);
+  server.slowness_at = now;
 }
 
 std::uint32_t EgressState::connectionBudget(const ServiceName&, const EndpointId&) const {
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -75,11 +75,13 @@
                      TimePoint now) const;
   /// How dear it is to send the next request there; 1 is an idle server of this zone.
   double cost(const Server& server, TimePoint now) const;
+  /// The server's slowness now: one that was slow once is tried again.
+  double slowness(const Server& server, TimePoint now) const;
 
   void onReached(Server& server);
   void onUnreachable(Server& server, TimePoint now);
   void onLoad(Server& server, const proxy::HopLoad& load, TimePoint now);
-  void onLatency(Server& server, ServiceUse& use, Duration latency);
+  void onLatency(Server& server, ServiceUse& use, Duration latency, TimePoint now);
 
   ServiceUse& use(const ServiceName& service);
   TrafficSplit& split() { return split_; }
@@ -92,6 +94,7 @@
     if (log_ != nullptr) log_->onDecision(decision);
   }
   std::size_t& inFlight() { return in_flight_; }
+  std::size_t inFlight() const { return in_flight_; }
 
   std::uint32_t connectionBudget(const ServiceName& service,
                                  const EndpointId& endpoint) const override;
--- a/src/egress/server_directory.h
+++ b/src/egress/server_directory.h
@@ -23,12 +23,15 @@
   std::uint32_t in_flight = 0;
   std::uint32_t in_flight_at_report = 0;
   proxy::HopLoad load;  ///< As last reported; slots zero: never.
-  double slowness = 1.0;  ///< Its latency as a part of its service's average.
+  double slowness = 1.0;  ///< Its latency as a part of its service's average, as of
+  TimePoint slowness_at;  ///< this time; from then on it drifts back to 1.
   std::uint32_t failures = 0;  ///< To reach it, in a row.
   TimePoint avoid_until;
+  TimePoint leaving_until;  ///< Its ingress said so: used only when nothing else is left.
   TimePoint cold_until;
 
   bool avoided(TimePoint now) const { return now < avoid_until; }
+  bool leaving(TimePoint now) const { return now < leaving_until; }
   bool draining() const { return entry.state == model::MachineState::kLeaving; }
 };
 
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -33,6 +33,8 @@
   double waiting_cost = 2.5;
   /// Weight of one sample in a server's slowness.
   double slowness_weight = 0.1;
+  /// Without samples, a server's slowness halves its distance to the average in this time.
+  Duration slowness_half_life = std::chrono::seconds(2);
 
   /// Repeats allowed to one node, of its first attempts at a service,
   double retry_ratio = 0.15;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kIngressIdleTimeout = std::chrono::seconds(60);
 constexpr Duration kHopConnectTimeout = std::chrono::milliseconds(150);
 constexpr Duration kServerConnectTimeout = std::chrono::milliseconds(200);
+/// How often a stopping node looks whether it has nothing left to do.
+constexpr Duration kQuietPoll = std::chrono::milliseconds(10);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
 
 runtime::ProxyServerSettings commonServerSettings(const runtime::Settings& settings) {
@@ -142,6 +144,8 @@
   std::string statusPage() const;
   void writeLog(runtime::LogLevel level, std::string_view event,
                 std::vector<runtime::LogField> fields);
+  void endWhenQuiet(TimePoint latest);
+  bool isQuiet() const;
   void beginDrain();
   void onDrained();
 
@@ -339,7 +343,20 @@
   writeLog(runtime::LogLevel::kInfo, "stopping", {});
   ingress_.announceStop();
   egress_server_->announceClose();
-  environment_.schedule(settings_.node.stop_delay, [this] { beginDrain(); });
+  environment_.schedule(settings_.node.stop_delay, [this] {
+    endWhenQuiet(environment_.now() + settings_.node.stop_linger);
+  });
+}
+
+/// The listeners stay open to the last: a machine is away only from its end to its next start. When
+/// requests keep coming, for the callers have nowhere else to go, the end comes at `latest`.
+void Implementation::endWhenQuiet(TimePoint latest) {
+  if (isQuiet() || environment_.now() >= latest) return beginDrain();
+  environment_.schedule(kQuietPoll, [this, latest] { endWhenQuiet(latest); });
+}
+
+bool Implementation::isQuiet() const {
+  return egress_.inFlight() == 0 && ingress_.running() == 0 && ingress_.waiting() == 0;
 }
 
 void Implementation::beginDrain() {
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -42,6 +42,7 @@
   Address peer_advertise;  ///< Port 0: the address that peer_listen got.
   Address admin_listen;
   Duration stop_delay = std::chrono::milliseconds(500);
+  Duration stop_linger = std::chrono::seconds(1);
   Duration stop_grace = std::chrono::seconds(1);
   Duration stop_timeout = std::chrono::seconds(30);
 };
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -41,6 +41,10 @@
                                  "How long a planned stop goes on accepting after readiness "
                                  "fails, so that load balancers notice first.",
                                  FIELD(node.stop_delay)));
+  keys.push_back(millisecondsKey(section, "stop_linger_ms", {0, kHourMs},
+                                 "How long after that delay a two-hop node waits for a moment "
+                                 "without requests before it stops accepting all the same.",
+                                 FIELD(node.stop_linger)));
   keys.push_back(millisecondsKey(section, "stop_grace_ms", {0, kHourMs},
                                  "How long a planned stop still takes requests on connections "
                                  "that are open; each answer asks the caller to close.",
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -190,14 +190,44 @@
 
   const auto stock = egress.send("/stock");
   const std::string first = stock->server();
+  stock->flow->onAttemptReceived(stock->plan().id);
   stock->fail(AttemptFailure::kLostAfterSend);
   REQUIRE(stock->io.plans.size() == 2);
   CHECK(stock->server() != first);
   // The route allows two servers.
+  stock->flow->onAttemptReceived(stock->plan().id);
   stock->fail(AttemptFailure::kLostAfterSend);
   checkAnswered(*stock, 502, proxy::Outcome::kUnknown);
 }
 
+TEST_CASE("a repeatable request whose ingress ended before it had it costs no allowance") {
+  EgressFixture egress(0);
+  egress.begin(3);
+  const auto stock = egress.send("/stock");
+  stock->fail(AttemptFailure::kLostAfterSend);
+  CHECK(stock->io.plans.size() == 2);
+  const auto seat = egress.send("/seat");
+  seat->fail(AttemptFailure::kLostAfterSend);
+  checkAnswered(*seat, 502, proxy::Outcome::kUnknown);
+}
+
+TEST_CASE("an ingress that is leaving is used only when nothing else is left") {
+  EgressFixture egress;
+  egress.begin(2);
+  const auto told = egress.send("/stock");
+  const std::string leaving = told->server();
+  AnswerHead head = TestExchange::properHead(told->id);
+  head.hop_load = proxy::HopLoad{0, 0, 4, milliseconds(10), true};
+  told->answer(head);
+  std::vector<std::unique_ptr<TestExchange>> held;
+  for (int number = 0; number < 6; ++number) {
+    held.push_back(egress.send("/stock"));
+    CHECK(held.back()->server() != leaving);
+  }
+  held.back()->fail(AttemptFailure::kConnectFailed);
+  CHECK(held.back()->server() == leaving);
+}
+
 TEST_CASE("an ingress that cannot be reached costs nothing and is avoided for a while") {
   EgressFixture egress(0);
   egress.begin(2);
@@ -261,6 +291,7 @@
   int repeated = 0;
   for (int number = 0; number < 10; ++number) {
     const auto exchange = egress.send("/stock");
+    exchange->flow->onAttemptReceived(exchange->plan().id);
     exchange->fail(AttemptFailure::kLostAfterSend);
     if (exchange->io.plans.size() == 2) ++repeated;
     egress.environment.advance(seconds(2));
@@ -348,6 +379,22 @@
   CHECK(remote <= 4);
 }
 
+TEST_CASE("a server that was slow once is tried again after a while") {
+  EgressFixture egress;
+  egress.begin(2);
+  Server& slow = *egress.state.directory().usable(ServiceName("stock"))[0];
+  ServiceUse& use = egress.state.use(ServiceName("stock"));
+  use.average_latency_ms = 100;
+  for (int sample = 0; sample < 30; ++sample) {
+    egress.state.onLatency(slow, use, milliseconds(1000), egress.environment.now());
+    use.average_latency_ms = 100;
+  }
+  CHECK(egress.state.slowness(slow, egress.environment.now()) > 3);
+  for (int number = 0; number < 6; ++number) CHECK(egress.send("/stock")->server() == "s2");
+  egress.environment.advance(seconds(20));
+  CHECK(egress.state.slowness(slow, egress.environment.now()) < 1.01);
+}
+
 TEST_CASE("a draining server gets no new request") {
   EgressFixture egress;
   egress.begin(2);
--- /dev/null
+++ b/tests/node/two_hop_node_test.cpp
@@ -0,0 +1,398 @@
+#include "node/two_hop_node.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+
+using namespace coursepond;
+using namespace coursepond::node;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// A test waits at most so long for something that has to happen.
+constexpr auto kPatience = 20s;
+constexpr char kSignature[] = "X-Signature";
+
+/// A source that holds one list; a change of it is seen by the next read.
+class FakeSource {
+ public:
+  model::Configuration configuration;
+  std::vector<model::ServerEntry> servers;
+  std::uint64_t revision = 1;
+
+  source::WatchBatch whole() const {
+    source::WatchBatch batch;
+    batch.revision = Generation(revision);
+    batch.configurations = {configuration};
+    batch.servers = servers;
+    return batch;
+  }
+};
+
+/// Reads a FakeSource; a watch is answered after a short time.
+class FakeClient final : public source::WatchClient {
+ public:
+  FakeClient(asio::io_context& context, const FakeSource& source)
+      : context_(context), source_(source) {}
+
+  void list(Duration, source::WatchCallback callback) override { answerIn(1ms, callback); }
+  void watch(Generation, Duration, Duration, source::WatchCallback callback) override {
+    answerIn(10ms, callback);
+  }
+
+ private:
+  void answerIn(Duration delay, source::WatchCallback callback) {
+    auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+    timer->async_wait([this, timer, callback](const boost::system::error_code& error) {
+      if (!error) callback(source_.whole());
+    });
+  }
+
+  asio::io_context& context_;
+  const FakeSource& source_;
+};
+
+/// What a server of the test does with a request.
+using Behaviour = std::function<void(runtime::HttpRequest, runtime::HttpResponder)>;
+
+std::string headerOf(const runtime::HttpRequest& request, std::string_view name) {
+  return std::string(runtime::findHeader(request.headers, name).value_or(""));
+}
+
+/// A proper answer: signed, with the request's id.
+runtime::HttpResponse properAnswer(const runtime::HttpRequest& request, std::string body) {
+  runtime::HttpResponse response;
+  response.headers.push_back({"X-Request-Id", headerOf(request, "X-Request-Id")});
+  response.headers.push_back({kSignature, "signed"});
+  response.body = std::move(body);
+  return response;
+}
+
+/// One machine: a server and the node that owns it.
+struct Machine {
+  std::unique_ptr<runtime::HttpServer> server;
+  std::vector<runtime::HttpRequest> received;
+  Behaviour behaviour;
+  std::unique_ptr<TwoHopNode> node;
+};
+
+/// Two machines of two zones: "shop" on the first, "stock" on the second and the third.
+class Fixture {
+ public:
+  Fixture() : ingress_port_(freePort()), client_(context_) {
+    addRoute("read", "/read", model::Repeatability::kAlways);
+    addRoute("book", "/book", model::Repeatability::kNever);
+    for (const char* service : {"shop", "stock"}) {
+      source_.configuration.services[ServiceName(service)].name = ServiceName(service);
+    }
+    source_.configuration.version = Version(1);
+    addMachine("127.0.0.2", "shop");
+    addMachine("127.0.0.3", "stock");
+    addMachine("127.0.0.4", "stock");
+    for (auto& machine : machines_) machine->node->start();
+    REQUIRE(runUntil([this] { return readiness(0) == 200 && readiness(1) == 200; }));
+  }
+
+  bool runUntil(const std::function<bool()>& reached) {
+    const auto deadline = std::chrono::steady_clock::now() + kPatience;
+    while (!reached() && std::chrono::steady_clock::now() < deadline) context_.run_for(2ms);
+    return reached();
+  }
+
+  runtime::HttpClientResponse call(const Address& address, runtime::HttpClientRequest request) {
+    std::optional<Result<runtime::HttpClientResponse>> response;
+    client_.request(address, std::move(request), 10s,
+                    [&response](auto received) { response = std::move(received); });
+    REQUIRE(runUntil([&response] { return response.has_value(); }));
+    REQUIRE(response->has_value());
+    return **response;
+  }
+
+  /// A request that begins on the first machine.
+  runtime::HttpClientResponse send(const std::string& method, const std::string& target,
+                                   const std::string& body = "") {
+    return call(machines_[0]->node->addresses().caller, makeRequest(method, target, body));
+  }
+
+  static runtime::HttpClientRequest makeRequest(const std::string& method,
+                                                const std::string& target,
+                                                const std::string& body) {
+    runtime::HttpClientRequest request;
+    request.method = method;
+    request.target = target;
+    request.headers = {{"X-Request-Id", "id-1"}, {"X-Caller-Service", "forged"}};
+    request.body = body;
+    return request;
+  }
+
+  int readiness(std::size_t machine) {
+    runtime::HttpClientRequest request;
+    request.target = "/ready";
+    return call(machines_[machine]->node->addresses().admin, std::move(request)).status;
+  }
+
+  std::size_t arrivals() const {
+    std::size_t count = 0;
+    for (const auto& machine : machines_) count += machine->received.size();
+    return count;
+  }
+
+  Machine& machine(std::size_t index) { return *machines_[index]; }
+  FakeSource& source() { return source_; }
+  asio::io_context& context() { return context_; }
+  std::uint16_t ingressPort() const { return ingress_port_; }
+
+  void setBehaviour(const Behaviour& behaviour) {
+    for (auto& machine : machines_) machine->behaviour = behaviour;
+  }
+
+ private:
+  static std::uint16_t freePort() {
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(
+        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.2"), 0));
+    return acceptor.local_endpoint().port();
+  }
+
+  void addRoute(const std::string& name, const std::string& prefix,
+                model::Repeatability repeatability) {
+    model::Route& route = source_.configuration.routes[RouteName(name)];
+    route.name = RouteName(name);
+    route.match.path_prefix = prefix;
+    route.service = ServiceName("stock");
+    route.repeatability = repeatability;
+    route.longest_hold = 5s;
+    route.target_latency = 2s;
+    route.max_attempts = 2;
+  }
+
+  void addMachine(const std::string& ip, const std::string& service) {
+    auto machine = std::make_unique<Machine>();
+    Machine* const raw = machine.get();
+    raw->behaviour = [](const runtime::HttpRequest& request,
+                        const runtime::HttpResponder& responder) {
+      responder.respond(properAnswer(request, request.body + "|" + request.target));
+    };
+    auto server = runtime::HttpServer::create(
+        context_, Address{ip, 0}, {},
+        [raw](runtime::HttpRequest request, const runtime::HttpResponder& responder) {
+          raw->received.push_back(request);
+          raw->behaviour(std::move(request), responder);
+        });
+    REQUIRE(server.has_value());
+    raw->server = std::move(*server);
+    listServer(ip, service, raw->server->address());
+
+    Extensions extensions;
+    extensions.watch_client = [this](asio::io_context& context, const Address&) {
+      return std::make_unique<FakeClient>(context, source_);
+    };
+    auto node = TwoHopNode::create(context_, makeSettings(ip, service, *raw), extensions);
+    REQUIRE(node.has_value());
+    raw->node = std::move(*node);
+    machines_.push_back(std::move(machine));
+  }
+
+  void listServer(const std::string& ip, const std::string& service, const Address& address) {
+    model::ServerEntry entry;
+    entry.id = EndpointId("i-" + ip);
+    entry.service = ServiceName(service);
+    entry.address = address;
+    entry.zone = ZoneId("a");
+    entry.slots = 4;
+    entry.revision = Generation(1);
+    source_.servers.push_back(entry);
+  }
+
+  runtime::Settings makeSettings(const std::string& ip, const std::string& service,
+                                 const Machine& machine) const {
+    runtime::Settings settings;
+    settings.node.id = NodeId(ip);
+    settings.node.zone = ZoneId("a");
+    settings.node.caller_listen = Address{ip, 0};
+    settings.node.admin_listen = Address{ip, 0};
+    settings.node.stop_delay = 20ms;
+    settings.node.stop_linger = 100ms;
+    settings.node.stop_grace = 20ms;
+    settings.two_hop.ingress_listen = Address{ip, ingress_port_};
+    settings.two_hop.server = machine.server->address();
+    settings.two_hop.service = ServiceName(service);
+    settings.headers.signature = kSignature;
+    settings.admin.readiness_path = "/ready";
+    settings.egress.retry_burst = 100;
+    return settings;
+  }
+
+  asio::io_context context_{1};
+  std::uint16_t ingress_port_;
+  FakeSource source_;
+  std::vector<std::unique_ptr<Machine>> machines_;
+  runtime::HttpClient client_;
+};
+
+}  // namespace
+
+TEST_CASE("a request crosses both hops and its answer comes back unchanged") {
+  Fixture mesh;
+  const auto answer = mesh.send("GET", "/read/1?x=2");
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "|/read/1?x=2");
+  CHECK(runtime::findHeader(answer.headers, kSignature) == "signed");
+  CHECK(runtime::findHeader(answer.headers, "X-Request-Id") == "id-1");
+  CHECK_FALSE(runtime::findHeader(answer.headers, "X-Hop-Load").has_value());
+  REQUIRE(mesh.arrivals() == 1);
+  Machine& server = mesh.machine(mesh.machine(1).received.empty() ? 2 : 1);
+  const runtime::HttpRequest& request = server.received.at(0);
+  CHECK(headerOf(request, "X-Caller-Service") == "shop");
+  CHECK(headerOf(request, "X-Target-Instance").starts_with("i-127.0.0."));
+  CHECK(headerOf(request, "X-Hop-Class").empty());
+}
+
+TEST_CASE("what may not be repeated arrives whole, also when it is long") {
+  Fixture mesh;
+  for (const std::size_t size : {1, 5000, 60'000}) {
+    const std::string body(size, 'b');
+    const auto answer = mesh.send("POST", "/book", body);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == body + "|/book");
+  }
+  CHECK(mesh.arrivals() == 3);
+}
+
+TEST_CASE("a cut answer is tried elsewhere only where that is allowed, and never passed on short") {
+  Fixture mesh;
+  mesh.setBehaviour([](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
+    responder.begin(properAnswer(request, ""));
+    responder.sendChunk("half");
+    responder.cut();
+  });
+  const auto read = mesh.send("GET", "/read");
+  CHECK(read.status == 502);
+  CHECK(mesh.arrivals() == 2);
+  const auto book = mesh.send("POST", "/book", "b");
+  CHECK(book.status == 502);
+  CHECK(mesh.arrivals() == 3);
+}
+
+TEST_CASE("a server that was started anew is served under its new name") {
+  Fixture mesh;
+  mesh.setBehaviour([](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
+    if (headerOf(request, "X-Target-Instance") == "i-new") {
+      return responder.respond(properAnswer(request, "new"));
+    }
+    runtime::HttpResponse refusal;
+    refusal.status = 421;
+    refusal.headers.push_back({"X-Instance-Id", "i-new"});
+    responder.respond(refusal);
+  });
+  CHECK(mesh.send("POST", "/book", "b").body == "new");
+}
+
+TEST_CASE("a server's refusal of what it did not run is told as not run, with when to come back") {
+  Fixture mesh;
+  mesh.setBehaviour([](const runtime::HttpRequest&, const runtime::HttpResponder& responder) {
+    runtime::HttpResponse refusal;
+    refusal.status = 503;
+    refusal.headers.push_back({"X-Not-Run", "1"});
+    responder.respond(refusal);
+  });
+  const auto answer = mesh.send("POST", "/book", "b");
+  CHECK(answer.status == 503);
+  CHECK(runtime::findHeader(answer.headers, "Retry-After").has_value());
+  CHECK(runtime::findHeader(answer.headers, "X-Outcome") == "not-run");
+}
+
+TEST_CASE("a draining server gets no new request") {
+  Fixture mesh;
+  mesh.source().servers[1].state = model::MachineState::kLeaving;
+  mesh.source().servers[1].revision = Generation(2);
+  mesh.source().revision = 2;
+  mesh.runUntil([&] {
+    mesh.machine(1).received.clear();
+    mesh.send("GET", "/read");
+    return mesh.machine(1).received.empty();
+  });
+  for (int number = 0; number < 8; ++number) CHECK(mesh.send("GET", "/read").status == 200);
+  CHECK(mesh.machine(1).received.empty());
+}
+
+TEST_CASE("a caller that leaves cancels the work at the server") {
+  Fixture mesh;
+  bool cancelled = false;
+  std::vector<runtime::HttpResponder> held;
+  mesh.setBehaviour([&](const runtime::HttpRequest&, const runtime::HttpResponder& responder) {
+    responder.onCallerGone([&cancelled] { cancelled = true; });
+    held.push_back(responder);
+  });
+  {
+    asio::ip::tcp::socket caller(mesh.context());
+    const Address address = mesh.machine(0).node->addresses().caller;
+    caller.connect({asio::ip::make_address(address.host), address.port});
+    const std::string request = "GET /read HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n\r\n";
+    asio::write(caller, asio::buffer(request));
+    REQUIRE(mesh.runUntil([&held] { return !held.empty(); }));
+  }
+  CHECK(mesh.runUntil([&cancelled] { return cancelled; }));
+}
+
+TEST_CASE("an ingress that stands still is left, also by what may not be repeated") {
+  Fixture mesh;
+  // A third server of the service, whose machine accepts connections and does nothing.
+  const Address frozen{"127.0.0.5", mesh.ingressPort()};
+  asio::ip::tcp::acceptor acceptor(
+      mesh.context(), asio::ip::tcp::endpoint(asio::ip::make_address(frozen.host), frozen.port));
+  model::ServerEntry entry = mesh.source().servers[1];
+  entry.id = EndpointId("i-frozen");
+  entry.address = {frozen.host, 1};
+  entry.revision = Generation(3);
+  for (model::ServerEntry& other : mesh.source().servers) {
+    other.zone = ZoneId("b");  // Dearer than the frozen one, which is therefore tried first.
+    other.revision = Generation(3);
+  }
+  mesh.source().servers.push_back(entry);
+  mesh.source().revision = 3;
+  // Until the entry is known, requests don't touch the frozen machine.
+  const std::size_t before = mesh.arrivals();
+  bool was_tried = false;
+  acceptor.async_accept([&](const boost::system::error_code& error, asio::ip::tcp::socket socket) {
+    was_tried = !error;
+    static_cast<void>(socket.release());
+  });
+  std::size_t sent = 0;
+  mesh.runUntil([&] {
+    CHECK(mesh.send("POST", "/book", "b").status == 200);
+    ++sent;
+    return was_tried;
+  });
+  CHECK(was_tried);
+  CHECK(mesh.arrivals() == before + sent);
+}
+
+TEST_CASE("a planned stop fails readiness, asks callers to close and ends clean") {
+  Fixture mesh;
+  std::optional<StopOutcome> outcome;
+  mesh.machine(0).node->stop([&outcome](StopOutcome stopped) { outcome = stopped; });
+  CHECK(mesh.readiness(0) == 503);
+  REQUIRE(mesh.runUntil([&outcome] { return outcome.has_value(); }));
+  CHECK(*outcome == StopOutcome::kClean);
+}
+
+TEST_CASE("a node without a client of a watchable source is refused with the remedy") {
+  asio::io_context context;
+  runtime::Settings settings;
+  settings.two_hop.ingress_listen = {"127.0.0.2", 0};
+  const auto node = TwoHopNode::create(context, settings, {});
+  REQUIRE_FALSE(node.has_value());
+  CHECK(node.error().kind == ErrorKind::kInvalidArgument);
+  CHECK_FALSE(node.error().remedy.empty());
+}
