--- a/src/ingress/settings.h
+++ b/src/ingress/settings.h
@@ -22,7 +22,7 @@
   /// Requests that may wait, as a multiple of the server's slots.
   double queue_per_slot = 1.5;
   /// A request may wait while its expected answer comes within this multiple of its target latency.
-  double target_stretch = 1.0;
+  double target_stretch = 0.7;
   /// Weight of one sample in the moving average of the service time.
   double sample_weight = 0.05;
   Duration first_service_time = std::chrono::milliseconds(100);
