A node that starts while the source is away asks the peers that reach it

Change: whoever connects to a node's ingress is a node; while its own reads fail, a node asks one of those, or of the machines it knows, every 0.3 s for what is known beyond its revision, adopts only what is newer, and goes on watching from there. Asked of nobody while the source answers. Formatter over all sources.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -137,13 +137,13 @@
   is_repeatable_ = proxy::mayRunTwice(route_->repeatability, head_.method);
   max_attempts_ = route_->max_attempts > 0 ? route_->max_attempts : 1;
   const bool is_held = route_->longest_hold > Duration(0);
-  Duration allowed = std::min(head_.deadline.value_or(route_->timeout),
-                              state_.settings().longest_deadline);
+  Duration allowed =
+      std::min(head_.deadline.value_or(route_->timeout), state_.settings().longest_deadline);
   if (is_held) allowed = std::min(allowed, route_->longest_hold);
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
   deadline_ = started_ + allowed;
-  const auto patience = static_cast<Duration::rep>(
-      state_.settings().patience * static_cast<double>(target().count()));
+  const auto patience = static_cast<Duration::rep>(state_.settings().patience *
+                                                   static_cast<double>(target().count()));
   patient_until_ = std::min(deadline_, now + Duration(patience));
   service_ = state_.split().next(*route_);
   sendOrWait(now);
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -120,7 +120,8 @@
   use.average_latency_ms += weight * (latency_ms - use.average_latency_ms);
   const double sample = latency_ms / std::max(use.average_latency_ms, 1.0);
   const double before = slowness(server, now);
-  server.slowness = before + weight * (std::clamp(sample, kLowestSlowness, kHighestSlowness) - before);
+  server.slowness =
+      before + weight * (std::clamp(sample, kLowestSlowness, kHighestSlowness) - before);
   server.slowness_at = now;
 }
 
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -15,8 +15,8 @@
 #include "egress/traffic_split.h"
 #include "model/snapshot.h"
 #include "proxy/connection_policy.h"
-#include "proxy/decision_log.h"
 #include "proxy/deadline_queue.h"
+#include "proxy/decision_log.h"
 #include "proxy/route_table.h"
 
 namespace coursepond::egress {
--- a/src/egress/server_directory.cpp
+++ b/src/egress/server_directory.cpp
@@ -13,8 +13,8 @@
     server->cold_until = now + entry.cold_remaining;
   }
   server->entry = entry;
-  server->ingress = {entry.id, {entry.address.host, settings_.ingress_port}, entry.zone,
-                     entry.state};
+  server->ingress = {
+      entry.id, {entry.address.host, settings_.ingress_port}, entry.zone, entry.state};
   rebuild();
 }
 
--- a/src/egress/server_directory.h
+++ b/src/egress/server_directory.h
@@ -22,9 +22,9 @@
   model::Endpoint ingress;  ///< Named by the server's id; the address is the ingress's.
   std::uint32_t in_flight = 0;
   std::uint32_t in_flight_at_report = 0;
-  proxy::HopLoad load;  ///< As last reported; slots zero: never.
-  double slowness = 1.0;  ///< Its latency as a part of its service's average, as of
-  TimePoint slowness_at;  ///< this time; from then on it drifts back to 1.
+  proxy::HopLoad load;         ///< As last reported; slots zero: never.
+  double slowness = 1.0;       ///< Its latency as a part of its service's average, as of
+  TimePoint slowness_at;       ///< this time; from then on it drifts back to 1.
   std::uint32_t failures = 0;  ///< To reach it, in a row.
   TimePoint avoid_until;
   TimePoint leaving_until;  ///< Its ingress said so: used only when nothing else is left.
--- a/src/egress/traffic_split.cpp
+++ b/src/egress/traffic_split.cpp
@@ -7,10 +7,9 @@
 namespace {
 
 std::int64_t weightSum(const std::vector<model::WeightedService>& split) {
-  return std::accumulate(split.begin(), split.end(), std::int64_t{0},
-                         [](std::int64_t sum, const model::WeightedService& part) {
-                           return sum + part.weight;
-                         });
+  return std::accumulate(
+      split.begin(), split.end(), std::int64_t{0},
+      [](std::int64_t sum, const model::WeightedService& part) { return sum + part.weight; });
 }
 
 }  // namespace
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -83,17 +83,16 @@
   phase_ = Phase::kWaiting;
   if (const auto refusal = state_.refusal(head_.hop_class)) return conclude(*refusal, now);
   const Settings& settings = state_.settings();
-  const Duration allowed = std::min(head_.deadline.value_or(settings.longest_deadline),
-                                    settings.longest_deadline);
+  const Duration allowed =
+      std::min(head_.deadline.value_or(settings.longest_deadline), settings.longest_deadline);
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline, now);
   deadline_ = now + allowed;
   const proxy::HopClass hop = head_.hop_class.value_or(proxy::HopClass{});
-  target =
-      hop.target_latency > Duration(0) ? hop.target_latency : settings.default_target;
+  target = hop.target_latency > Duration(0) ? hop.target_latency : settings.default_target;
   rank = hop.rank;
   due = now + target;
-  const auto stretched = static_cast<Duration::rep>(settings.target_stretch *
-                                                    static_cast<double>(target.count()));
+  const auto stretched =
+      static_cast<Duration::rep>(settings.target_stretch * static_cast<double>(target.count()));
   const TimePoint latest = std::min(deadline_, now + Duration(stretched));
   if (const auto refusal = state_.admit(*this, latest, now)) return conclude(*refusal, now);
   if (phase_ == Phase::kWaiting) state_.deadlines().arm(*this, deadline_);
@@ -116,8 +115,7 @@
   plan.target_instance = state_.instanceOr(head_.target_instance);
   plan.endpoint = state_.endpoint(plan.target_instance);
   instance_ = plan.target_instance;
-  plan.remaining =
-      std::max(deadline_ - now - state_.settings().deadline_reserve, kLeastRemaining);
+  plan.remaining = std::max(deadline_ - now - state_.settings().deadline_reserve, kLeastRemaining);
   plan.replayable = true;
   io_.startAttempt(plan);
 }
@@ -178,8 +176,8 @@
 void IngressFlow::onServerRefused(const AnswerHead& answer, TimePoint now) {
   ++state_.statistics().server_refusals;
   io_.discardAnswer(attempt_);
-  const bool was_started_anew = answer.status == kMisdirected && !answer.instance.empty() &&
-                                answer.instance != instance_;
+  const bool was_started_anew =
+      answer.status == kMisdirected && !answer.instance.empty() && answer.instance != instance_;
   if (was_started_anew && attempt_ < state_.settings().local_tries && now < deadline_) {
     state_.learnInstance(answer.instance);
     return attempt(now);
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -116,8 +116,7 @@
 
 Duration IngressState::expectedService(Duration target) const {
   const auto found = service_time_by_target_us_.find(target);
-  const double known =
-      found == service_time_by_target_us_.end() ? service_time_us_ : found->second;
+  const double known = found == service_time_by_target_us_.end() ? service_time_us_ : found->second;
   return Duration(static_cast<Duration::rep>(known));
 }
 
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -14,8 +14,8 @@
 #include "ingress/work_queue.h"
 #include "model/server_entry.h"
 #include "proxy/connection_policy.h"
-#include "proxy/decision_log.h"
 #include "proxy/deadline_queue.h"
+#include "proxy/decision_log.h"
 #include "proxy/request_flow.h"
 
 namespace coursepond::ingress {
--- a/src/model/codec.cpp
+++ b/src/model/codec.cpp
@@ -132,7 +132,8 @@
     }
     json["split"] = std::move(split);
   }
-  if (route.longest_hold > Duration(0)) json["longest_hold_ms"] = toMilliseconds(route.longest_hold);
+  if (route.longest_hold > Duration(0))
+    json["longest_hold_ms"] = toMilliseconds(route.longest_hold);
   if (route.target_latency > Duration(0)) {
     json["target_latency_ms"] = toMilliseconds(route.target_latency);
   }
@@ -163,16 +164,16 @@
   for (const ZoneId& zone : route.zones) zones.push_back(zone.value());
 
   Json json = {{"name", route.name.value()},
-          {"host", route.match.host},
-          {"path_prefix", route.match.path_prefix},
-          {"methods", route.match.methods},
-          {"headers", std::move(headers)},
-          {"service", route.service.value()},
-          {"secrets", std::move(secrets)},
-          {"zones", std::move(zones)},
-          {"priority", kPriorityWords[static_cast<std::size_t>(route.priority)]},
-          {"repeatable", kRepeatabilityWords[static_cast<std::size_t>(route.repeatability)]},
-          {"timeout_ms", toMilliseconds(route.timeout)}};
+               {"host", route.match.host},
+               {"path_prefix", route.match.path_prefix},
+               {"methods", route.match.methods},
+               {"headers", std::move(headers)},
+               {"service", route.service.value()},
+               {"secrets", std::move(secrets)},
+               {"zones", std::move(zones)},
+               {"priority", kPriorityWords[static_cast<std::size_t>(route.priority)]},
+               {"repeatable", kRepeatabilityWords[static_cast<std::size_t>(route.repeatability)]},
+               {"timeout_ms", toMilliseconds(route.timeout)}};
   addRouteBounds(json, route);
   return json;
 }
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -63,9 +63,9 @@
   Priority priority = Priority::kInteractive;
   Repeatability repeatability = Repeatability::kByMethod;
   Duration timeout = std::chrono::seconds(5);  ///< When the caller names no deadline.
-  Duration longest_hold{};      ///< Answered by then whatever the caller's deadline; zero: no bound.
-  Duration target_latency{};    ///< Within which an answer has its full worth; zero: not known.
-  std::uint32_t rank = 0;       ///< Among waiting requests, the lowest rank goes first.
+  Duration longest_hold{};    ///< Answered by then whatever the caller's deadline; zero: no bound.
+  Duration target_latency{};  ///< Within which an answer has its full worth; zero: not known.
+  std::uint32_t rank = 0;     ///< Among waiting requests, the lowest rank goes first.
   std::uint32_t max_attempts = 0;  ///< Servers one request may be sent to; zero: the service's.
   friend bool operator==(const Route&, const Route&) = default;
 };
--- a/src/model/delta.cpp
+++ b/src/model/delta.cpp
@@ -162,8 +162,8 @@
   delta.removed_services = readNames<ServiceName>(reader, "removed_services");
   delta.upserted_secrets = readItems(reader, "upserted_secrets", readDescriptor);
   delta.removed_secrets = readNames<SecretName>(reader, "removed_secrets");
-  reader.optionalObject(
-      "limits", [&delta](ObjectReader& element) { delta.limits = readLimits(element); });
+  reader.optionalObject("limits",
+                        [&delta](ObjectReader& element) { delta.limits = readLimits(element); });
   reader.refuseUnknownKeys();
   if (mistakes.empty()) return delta;
   Error error = mistakes.front().error;
--- a/src/model/document.cpp
+++ b/src/model/document.cpp
@@ -130,8 +130,8 @@
   return document;
 }
 
-void requireService(const Configuration& configuration, const Route& route,
-                    const ServiceName& name, Mistakes& mistakes) {
+void requireService(const Configuration& configuration, const Route& route, const ServiceName& name,
+                    Mistakes& mistakes) {
   if (configuration.services.contains(name)) return;
   const std::string& service = name.value();
   mistakes.push_back({"routes['" + route.name.value() + "'].service",
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -25,7 +25,10 @@
 class StopSignals {
  public:
   StopSignals(boost::asio::io_context& context, AnyNode& node)
-      : context_(context), node_(node), signals_(context, SIGTERM, SIGINT), hangup_(context, SIGHUP) {
+      : context_(context),
+        node_(node),
+        signals_(context, SIGTERM, SIGINT),
+        hangup_(context, SIGHUP) {
     wait();
     ignoreHangup();
   }
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -25,29 +25,28 @@
 
 void addEgress(MetricTable& table, egress::EgressState& state) {
   using S = egress::Statistics;
-  addCounters<S>(table,
-                 {{"egress_requests_total", "Requests taken from callers.", &S::requests},
-                  {"egress_answers_total", "Server answers passed on whole.", &S::answers_forwarded},
-                  {"egress_attempts_total", "Requests sent to an ingress.", &S::attempts},
-                  {"egress_repeats_total", "Requests sent to a further server.", &S::repeats},
-                  {"egress_repeats_denied_total", "Repeats left out for want of allowance.",
-                   &S::repeats_denied},
-                  {"egress_hop_refusals_total", "Refusals by ingresses; no server saw the request.",
-                   &S::hop_refusals},
-                  {"egress_server_refusals_total", "Refusals by servers.", &S::server_refusals},
-                  {"egress_hop_failures_total", "Ingresses that could not be reached or were lost.",
-                   &S::hop_failures},
-                  {"egress_hop_silences_total", "Ingresses that did not acknowledge a request.",
-                   &S::hop_silences},
-                  {"egress_bad_answers_total", "Answers that were not the request's own, or unsigned.",
-                   &S::bad_answers},
-                  {"egress_refused_total", "Requests answered as not run.", &S::refused},
-                  {"egress_unknown_total", "Requests that may have run and have no answer.",
-                   &S::unknown},
-                  {"egress_no_route_total", "Requests without a route.", &S::no_route},
-                  {"egress_callers_gone_total", "Callers that left before their answer.",
-                   &S::caller_gone}},
-                 [&state] { return state.statistics(); });
+  addCounters<S>(
+      table,
+      {{"egress_requests_total", "Requests taken from callers.", &S::requests},
+       {"egress_answers_total", "Server answers passed on whole.", &S::answers_forwarded},
+       {"egress_attempts_total", "Requests sent to an ingress.", &S::attempts},
+       {"egress_repeats_total", "Requests sent to a further server.", &S::repeats},
+       {"egress_repeats_denied_total", "Repeats left out for want of allowance.",
+        &S::repeats_denied},
+       {"egress_hop_refusals_total", "Refusals by ingresses; no server saw the request.",
+        &S::hop_refusals},
+       {"egress_server_refusals_total", "Refusals by servers.", &S::server_refusals},
+       {"egress_hop_failures_total", "Ingresses that could not be reached or were lost.",
+        &S::hop_failures},
+       {"egress_hop_silences_total", "Ingresses that did not acknowledge a request.",
+        &S::hop_silences},
+       {"egress_bad_answers_total", "Answers that were not the request's own, or unsigned.",
+        &S::bad_answers},
+       {"egress_refused_total", "Requests answered as not run.", &S::refused},
+       {"egress_unknown_total", "Requests that may have run and have no answer.", &S::unknown},
+       {"egress_no_route_total", "Requests without a route.", &S::no_route},
+       {"egress_callers_gone_total", "Callers that left before their answer.", &S::caller_gone}},
+      [&state] { return state.statistics(); });
   table.addGauge("configuration_version_in_force",
                  "The configuration version that requests are served under.",
                  [&state] { return static_cast<double>(state.version().value()); });
@@ -55,24 +54,23 @@
 
 void addIngress(MetricTable& table, ingress::IngressState& state) {
   using S = ingress::Statistics;
-  addCounters<S>(table,
-                 {{"ingress_requests_total", "Requests that egresses sent.", &S::requests},
-                  {"ingress_answers_total", "Answers of the server passed on.", &S::answers_forwarded},
-                  {"ingress_queued_total", "Requests that waited for a slot.", &S::queued},
-                  {"ingress_refused_full_total", "Refused: the expected wait is too long.",
-                   &S::refused_full},
-                  {"ingress_refused_draining_total", "Refused: the server or this node is leaving.",
-                   &S::refused_draining},
-                  {"ingress_displaced_total", "Waiting requests that made room.", &S::displaced},
-                  {"ingress_expired_total", "Requests whose deadline passed.", &S::expired},
-                  {"ingress_server_refusals_total", "Refusals by the server.", &S::server_refusals},
-                  {"ingress_server_unreachable_total", "Connections the server did not take.",
-                   &S::server_unreachable},
-                  {"ingress_server_lost_total", "Connections lost with a request on them.",
-                   &S::server_lost},
-                  {"ingress_bad_answers_total", "Answers of the server that were not the request's own.",
-                   &S::bad_answers}},
-                 [&state] { return state.statistics(); });
+  addCounters<S>(
+      table,
+      {{"ingress_requests_total", "Requests that egresses sent.", &S::requests},
+       {"ingress_answers_total", "Answers of the server passed on.", &S::answers_forwarded},
+       {"ingress_queued_total", "Requests that waited for a slot.", &S::queued},
+       {"ingress_refused_full_total", "Refused: the expected wait is too long.", &S::refused_full},
+       {"ingress_refused_draining_total", "Refused: the server or this node is leaving.",
+        &S::refused_draining},
+       {"ingress_displaced_total", "Waiting requests that made room.", &S::displaced},
+       {"ingress_expired_total", "Requests whose deadline passed.", &S::expired},
+       {"ingress_server_refusals_total", "Refusals by the server.", &S::server_refusals},
+       {"ingress_server_unreachable_total", "Connections the server did not take.",
+        &S::server_unreachable},
+       {"ingress_server_lost_total", "Connections lost with a request on them.", &S::server_lost},
+       {"ingress_bad_answers_total", "Answers of the server that were not the request's own.",
+        &S::bad_answers}},
+      [&state] { return state.statistics(); });
   table.addGauge("ingress_running", "Requests at the server.",
                  [&state] { return static_cast<double>(state.running()); });
   table.addGauge("ingress_waiting", "Requests that wait for a slot.",
@@ -82,9 +80,8 @@
 void addWatch(MetricTable& table, const source::WatchLoop& loop) {
   using S = source::WatchStatistics;
   const auto add = [&](const char* name, const char* meaning, std::uint64_t S::*field) {
-    table.addCounter(std::string("watch_") + name + "_total", meaning, [&loop, field] {
-      return static_cast<double>(loop.statistics().*field);
-    });
+    table.addCounter(std::string("watch_") + name + "_total", meaning,
+                     [&loop, field] { return static_cast<double>(loop.statistics().*field); });
   };
   add("lists", "Whole reads of the source.", &S::lists);
   add("reads", "Reads that wait for a change.", &S::watches);
@@ -100,6 +97,11 @@
   addEgress(table, sources.egress);
   addIngress(table, sources.ingress);
   addWatch(table, sources.watch);
+  const source::PeerReader& peers = sources.peers;
+  table.addCounter("peer_state_asked_total", "Questions to peers while the source failed.",
+                   [&peers] { return static_cast<double>(peers.asked()); });
+  table.addCounter("peer_state_learned_total", "Answers of peers that told something newer.",
+                   [&peers] { return static_cast<double>(peers.learned()); });
   return table;
 }
 
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -5,6 +5,7 @@
 #include "egress/egress_state.h"
 #include "ingress/ingress_state.h"
 #include "runtime/metrics.h"
+#include "source/peer_reader.h"
 #include "source/watch_loop.h"
 
 namespace coursepond::node {
@@ -14,6 +15,7 @@
   egress::EgressState& egress;
   ingress::IngressState& ingress;
   const source::WatchLoop& watch;
+  const source::PeerReader& peers;
 };
 
 runtime::MetricTable makeTwoHopMetrics(const TwoHopSources& sources);
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -7,6 +7,7 @@
 #include "ingress/ingress_flow.h"
 #include "model/snapshot.h"
 #include "node/admin_server.h"
+#include "node/peer_state_exchange.h"
 #include "node/two_hop_metrics.h"
 #include "runtime/asio_environment.h"
 #include "runtime/logging.h"
@@ -114,7 +115,10 @@
             [this](const source::WatchBatch& batch, bool is_complete) {
               onBatch(batch, is_complete);
             },
-            [this](const Error& error) { onWatchFailed(error); }) {
+            [this](const Error& error) { onWatchFailed(error); }),
+        peer_client_(context, settings_.node.peer_listen.port),
+        peers_({}, peer_client_, environment_,
+               [this](const source::SharedState& state) { onPeerState(state); }) {
     ingress_.setAddress(settings_.two_hop.server);
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
@@ -132,13 +136,17 @@
 
   Result<void> openEgress();
   Result<void> openIngress();
+  Result<void> openPeers();
   Result<void> openAdmin();
 
   void onBatch(const source::WatchBatch& batch, bool is_complete);
+  void takeIn(const source::WatchBatch& batch, bool is_complete);
   void onConfiguration(const model::Configuration& configuration);
   void onServers(const source::WatchBatch& batch, bool is_complete);
   void updateOwnServer();
   void onWatchFailed(const Error& error);
+  void onPeerState(const source::SharedState& state);
+  std::optional<source::SharedState> sharedState() const;
 
   std::string unreadiness() const;
   std::string statusPage() const;
@@ -157,6 +165,10 @@
   ingress::IngressState ingress_;
   std::unique_ptr<source::WatchClient> client_;
   source::WatchLoop watch_;
+  HttpPeerStateClient peer_client_;
+  source::PeerReader peers_;
+  std::unique_ptr<PeerStateServer> peer_server_;
+  std::optional<model::Configuration> configuration_;  ///< In force; for peers.
   std::unique_ptr<runtime::ProxyServer> egress_server_;
   std::unique_ptr<runtime::ProxyServer> ingress_server_;
   runtime::MetricTable metrics_;
@@ -174,7 +186,8 @@
 Result<void> Implementation::open() {
   if (Result<void> opened = openEgress(); !opened) return opened;
   if (Result<void> opened = openIngress(); !opened) return opened;
-  metrics_ = makeTwoHopMetrics({egress_, ingress_, watch_});
+  if (Result<void> opened = openPeers(); !opened) return opened;
+  metrics_ = makeTwoHopMetrics({egress_, ingress_, watch_, peers_});
   return openAdmin();
 }
 
@@ -199,13 +212,23 @@
   };
   source.policy = &ingress_;
   source.begin_stop = [this] { ingress_.beginStop(); };
-  auto server = runtime::ProxyServer::create(context_, ingressServerSettings(settings_),
+  runtime::ProxyServerSettings server_settings = ingressServerSettings(settings_);
+  server_settings.on_caller = [this](const std::string& host) { peers_.notePeer(host); };
+  auto server = runtime::ProxyServer::create(context_, server_settings,
                                              std::move(source), environment_);
   if (!server) return server.error();
   ingress_server_ = std::move(*server);
   return {};
 }
 
+Result<void> Implementation::openPeers() {
+  auto server = PeerStateServer::create(context_, settings_.node.peer_listen,
+                                        [this] { return sharedState(); });
+  if (!server) return server.error();
+  peer_server_ = std::move(*server);
+  return {};
+}
+
 Result<void> Implementation::openAdmin() {
   AdminSources sources{nullptr, [this] { return metrics_.exposition(); },
                        [this] { return statusPage(); }, [this] { return unreadiness(); }};
@@ -228,9 +251,13 @@
 // ---- What the source says
 
 void Implementation::onBatch(const source::WatchBatch& batch, bool is_complete) {
+  peers_.onSourceAnswered(batch.revision);
+  takeIn(batch, is_complete);
+}
+
+void Implementation::takeIn(const source::WatchBatch& batch, bool is_complete) {
   for (const Error& error : batch.rejected) {
-    writeLog(runtime::LogLevel::kWarning, "item_rejected",
-             {{"error", describe(error)}});
+    writeLog(runtime::LogLevel::kWarning, "item_rejected", {{"error", describe(error)}});
   }
   for (const model::Configuration& configuration : batch.configurations) {
     onConfiguration(configuration);
@@ -250,6 +277,7 @@
   }
   const model::CallerLimits limits = (*snapshot)->limits;
   if (!egress_.apply(std::move(*snapshot))) return;
+  configuration_ = configuration;
   egress_server_->setCallerLimits(limits);
   const auto service = configuration.services.find(settings_.two_hop.service);
   if (service != configuration.services.end()) {
@@ -270,6 +298,9 @@
     for (const EndpointId& id : batch.removed_servers) egress_.directory().remove(id);
   }
   egress_.onDirectoryChanged();
+  for (const auto& [id, server] : egress_.directory().all()) {
+    if (server->entry.address != settings_.two_hop.server) peers_.notePeer(server->entry.address.host);
+  }
   updateOwnServer();
 }
 
@@ -291,6 +322,28 @@
 
 void Implementation::onWatchFailed(const Error& error) {
   writeLog(runtime::LogLevel::kWarning, "source_trouble", {{"error", describe(error)}});
+  peers_.onSourceFailed();
+}
+
+void Implementation::onPeerState(const source::SharedState& state) {
+  writeLog(runtime::LogLevel::kInfo, "peer_state",
+           {{"revision", std::to_string(state.revision.value())},
+            {"version", std::to_string(state.configuration.version.value())}});
+  watch_.resumeFrom(state.revision);
+  source::WatchBatch batch;
+  batch.revision = state.revision;
+  batch.configurations = {state.configuration};
+  batch.servers = state.servers;
+  takeIn(batch, true);
+}
+
+std::optional<source::SharedState> Implementation::sharedState() const {
+  if (!configuration_) return std::nullopt;
+  source::SharedState state;
+  state.revision = watch_.revision();
+  state.configuration = *configuration_;
+  for (const auto& [id, server] : egress_.directory().all()) state.servers.push_back(server->entry);
+  return state;
 }
 
 // ---- What others may ask
@@ -343,9 +396,8 @@
   writeLog(runtime::LogLevel::kInfo, "stopping", {});
   ingress_.announceStop();
   egress_server_->announceClose();
-  environment_.schedule(settings_.node.stop_delay, [this] {
-    endWhenQuiet(environment_.now() + settings_.node.stop_linger);
-  });
+  environment_.schedule(settings_.node.stop_delay,
+                        [this] { endWhenQuiet(environment_.now() + settings_.node.stop_linger); });
 }
 
 /// The listeners stay open to the last: a machine is away only from its end to its next start. When
--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -210,8 +210,7 @@
 
 void CallerConnection::sendRequest() {
   upstream_->expectAnswerTo(parser_.head().method == "HEAD");
-  appendRequestHead(upstream_->output(), request_, parser_.head(), plan_,
-                    shared_->settings.names);
+  appendRequestHead(upstream_->output(), request_, parser_.head(), plan_, shared_->settings.names);
   const bool has_body = parser_.head().framing != BodyFraming::kNone;
   awaiting_confirmation_ = plan_.confirm && has_body;
   if (awaiting_confirmation_) return upstream_->write();
@@ -521,7 +520,8 @@
     case State::kHead:
       return refuse(RefusalReason::kSlowHead);
     case State::kExchange:
-      if ((awaiting_body_ || awaiting_go_) && !writing_) return refuseBody(RefusalReason::kSlowBody);
+      if ((awaiting_body_ || awaiting_go_) && !writing_)
+        return refuseBody(RefusalReason::kSlowBody);
       ++shared_->statistics.callers_gone;
       return cut();
     case State::kLingering:
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -128,7 +128,8 @@
   const auto target_ms = parseNumber<std::uint32_t>(takeItem(text));
   const std::string_view repeatable = takeItem(text);
   if (!rank || !target_ms) return std::nullopt;
-  return proxy::HopClass{std::string(service), *rank, std::chrono::milliseconds(*target_ms), repeatable == "1"};
+  return proxy::HopClass{std::string(service), *rank, std::chrono::milliseconds(*target_ms),
+                         repeatable == "1"};
 }
 
 std::optional<proxy::HopLoad> parseHopLoad(std::string_view text) {
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -158,8 +158,8 @@
 
 void appendRetryAfter(std::string& out, Duration delay, bool exact) {
   if (!exact) return appendField(out, "Retry-After", wholeSeconds(delay));
-  const auto milliseconds = static_cast<std::uint64_t>(std::max<std::int64_t>(
-      1, std::chrono::ceil<std::chrono::milliseconds>(delay).count()));
+  const auto milliseconds = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(delay).count()));
   const std::string thousandths = std::to_string(1000 + milliseconds % 1000);
   out.append("Retry-After: ");
   appendNumber(out, milliseconds / 1000);
@@ -199,7 +199,8 @@
     appendField(out, names.caller_service, plan.caller_service.value());
   }
   if (plan.hop_class) appendHopClass(out, *plan.hop_class);
-  if (plan.confirm && head.framing != BodyFraming::kNone) appendField(out, "Expect", "100-continue");
+  if (plan.confirm && head.framing != BodyFraming::kNone)
+    appendField(out, "Expect", "100-continue");
   appendRequestFraming(out, head);
   out.append(kLineEnd);
 }
--- a/src/runtime/http_parser.h
+++ b/src/runtime/http_parser.h
@@ -16,7 +16,7 @@
 
 struct ParserLimits {
   std::uint32_t head_bytes = 16 * 1024;
-  std::optional<std::uint64_t> body_bytes;  ///< None: any length.
+  std::optional<std::uint64_t> body_bytes;            ///< None: any length.
   const FieldTable* table = &FieldTable::standard();  ///< Must outlive the parser.
 };
 
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -158,6 +158,8 @@
     }
     ++shared_->statistics.connections_accepted;
     error_code ignored;
+    const auto& on_caller = shared_->settings.on_caller;
+    if (on_caller) on_caller(socket.remote_endpoint(ignored).address().to_string());
     socket.set_option(Tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
     std::make_shared<CallerConnection>(shared_, std::move(socket))->start();
--- a/src/runtime/proxy_server.h
+++ b/src/runtime/proxy_server.h
@@ -46,6 +46,8 @@
   /// An answer up to this long is held until it is whole: one that breaks off is then no answer,
   /// and the request may still be tried elsewhere. Zero: every answer is streamed.
   std::size_t whole_answer_bytes = 0;
+  /// Told the IP number of each caller that connects. May be empty.
+  std::function<void(const std::string& host)> on_caller;
 };
 
 /// Makes the state machine of one request.
--- a/src/runtime/setting_types.cpp
+++ b/src/runtime/setting_types.cpp
@@ -41,8 +41,9 @@
 
 std::optional<Error> checkHeaderName(const std::string& text) {
   const bool valid = text.size() <= 64 && std::all_of(text.begin(), text.end(), [](char letter) {
-    return std::isalnum(static_cast<unsigned char>(letter)) != 0 || letter == '-' || letter == '_';
-  });
+                       return std::isalnum(static_cast<unsigned char>(letter)) != 0 ||
+                              letter == '-' || letter == '_';
+                     });
   if (valid) return std::nullopt;
   return Error{ErrorKind::kInvalidArgument, "'" + text + "' is not a header's name",
                "write up to 64 letters, digits, '-' and '_'"};
--- a/src/runtime/setting_types.h
+++ b/src/runtime/setting_types.h
@@ -85,7 +85,8 @@
   SettingKey entry = makeKey(std::move(section), std::move(key), std::move(meaning), kNameExpected,
                              SettingType::kText);
   entry.required = use == NameUse::kRequired;
-  entry.assign = [field, use](Settings& settings, const SettingValue& value) -> std::optional<Error> {
+  entry.assign = [field, use](Settings& settings,
+                              const SettingValue& value) -> std::optional<Error> {
     const std::string& text = std::get<std::string>(value);
     const bool is_left_out = text.empty() && use == NameUse::kMayBeEmpty;
     if (std::optional<Error> error = checkName(text); error && !is_left_out) return error;
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -81,7 +81,8 @@
 /// [two_hop]: this machine has one server of its own, reached only through this node. Requests go
 /// from the egress of the machine they begin on to the ingress beside the server that runs them.
 struct TwoHopSettings {
-  Address ingress_listen;  ///< Where other nodes' egresses connect. Empty: servers are reached directly.
+  Address ingress_listen;  ///< Where other nodes' egresses connect. Empty: servers are reached
+                           ///< directly.
   Address server;          ///< This machine's server.
   ServiceName service;     ///< That server's service.
 
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -22,10 +22,10 @@
 
 void addNodeKeys(Keys& keys) {
   const std::string section = "node";
-  keys.push_back(nameKey<NodeId>(section, "id", NameUse::kRequired, "This machine's name, unique in the mesh.",
-                                 FIELD(node.id)));
-  keys.push_back(
-      nameKey<ZoneId>(section, "zone", NameUse::kRequired, "The zone this machine stands in.", FIELD(node.zone)));
+  keys.push_back(nameKey<NodeId>(section, "id", NameUse::kRequired,
+                                 "This machine's name, unique in the mesh.", FIELD(node.id)));
+  keys.push_back(nameKey<ZoneId>(section, "zone", NameUse::kRequired,
+                                 "The zone this machine stands in.", FIELD(node.zone)));
   keys.push_back(addressKey(section, "caller_listen", AddressUse::kListen,
                             "Where callers send their requests.", FIELD(node.caller_listen)));
   keys.push_back(addressKey(section, "peer_listen", AddressUse::kListen,
@@ -283,8 +283,8 @@
                             FIELD(two_hop.ingress_listen)));
   keys.push_back(addressKey(section, "server", AddressUse::kOptionalConnect,
                             "This machine's server.", FIELD(two_hop.server)));
-  keys.push_back(nameKey<ServiceName>(section, "service", NameUse::kMayBeEmpty, "That server's service.",
-                                      FIELD(two_hop.service)));
+  keys.push_back(nameKey<ServiceName>(section, "service", NameUse::kMayBeEmpty,
+                                      "That server's service.", FIELD(two_hop.service)));
 }
 
 void addWatchKeys(Keys& keys) {
@@ -306,8 +306,8 @@
                                  "The first pause after a failed read; it doubles with each "
                                  "further one.",
                                  FIELD(watch.backoff_base)));
-  keys.push_back(millisecondsKey(section, "backoff_limit_ms", {1, kMinuteMs},
-                                 "Its longest.", FIELD(watch.backoff_limit)));
+  keys.push_back(millisecondsKey(section, "backoff_limit_ms", {1, kMinuteMs}, "Its longest.",
+                                 FIELD(watch.backoff_limit)));
   keys.push_back(millisecondsKey(section, "relist_ms", {0, kHourMs},
                                  "How often everything is read anew; 0: never.",
                                  FIELD(watch.relist)));
@@ -403,12 +403,12 @@
       section, "level", "The least severe lines that are written.",
       {{"info", LogLevel::kInfo}, {"warning", LogLevel::kWarning}, {"error", LogLevel::kError}},
       FIELD(log.level)));
-  keys.push_back(choiceKey<DecisionLines>(
-      section, "decisions", "Which decisions on requests get a line (two-hop nodes).",
-      {{"none", DecisionLines::kNone},
-       {"failures", DecisionLines::kFailures},
-       {"all", DecisionLines::kAll}},
-      FIELD(log.decisions)));
+  keys.push_back(choiceKey<DecisionLines>(section, "decisions",
+                                          "Which decisions on requests get a line (two-hop nodes).",
+                                          {{"none", DecisionLines::kNone},
+                                           {"failures", DecisionLines::kFailures},
+                                           {"all", DecisionLines::kAll}},
+                                          FIELD(log.decisions)));
   keys.push_back(numberKey(section, "lines_per_second", {1, 100'000}, "",
                            "Lines beyond it are counted and left out.",
                            FIELD(log.lines_per_second)));
--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -22,7 +22,8 @@
       service_(std::move(service)),
       endpoint_(std::move(endpoint)),
       buffer_(settings.buffer_bytes),
-      parser_(MessageParser::Kind::kAnswer, ParserLimits{settings.answer_head_bytes, {}, settings.table}) {}
+      parser_(MessageParser::Kind::kAnswer,
+              ParserLimits{settings.answer_head_bytes, {}, settings.table}) {}
 
 // ---- Connecting
 
--- a/src/runtime/upstream_connection.h
+++ b/src/runtime/upstream_connection.h
@@ -23,7 +23,7 @@
   Duration discard_timeout =
       std::chrono::milliseconds(500);  ///< To read an unwanted answer's rest.
   std::uint32_t answer_head_bytes = 32 * 1024;
-  std::uint32_t buffer_bytes = 32 * 1024;   ///< Read at a time.
+  std::uint32_t buffer_bytes = 32 * 1024;             ///< Read at a time.
   const FieldTable* table = &FieldTable::standard();  ///< Must outlive the connections.
   std::uint32_t discard_bytes = 16 * 1024;  ///< An unwanted answer with a longer rest is closed.
 };
--- a/src/runtime/upstream_pool.cpp
+++ b/src/runtime/upstream_pool.cpp
@@ -5,7 +5,8 @@
 namespace coursepond::runtime {
 
 UpstreamPool::UpstreamPool(boost::asio::io_context& context, std::shared_ptr<DeadlineWatch> watch,
-                           const UpstreamPoolSettings& settings, const proxy::ConnectionPolicy& policy)
+                           const UpstreamPoolSettings& settings,
+                           const proxy::ConnectionPolicy& policy)
     : context_(context), watch_(std::move(watch)), settings_(settings), policy_(policy) {}
 
 UpstreamPool::~UpstreamPool() { shutDown(); }
--- /dev/null
+++ b/src/source/peer_reader.cpp
@@ -0,0 +1,68 @@
+#include "source/peer_reader.h"
+
+#include <iterator>
+
+namespace coursepond::source {
+namespace {
+
+/// More peers than that tell nothing new.
+constexpr std::size_t kMostPeers = 256;
+
+}  // namespace
+
+PeerReader::PeerReader(const PeerReaderSettings& settings, PeerStateClient& client,
+                       Environment& environment, StateHandler on_state)
+    : settings_(settings),
+      client_(client),
+      environment_(environment),
+      on_state_(std::move(on_state)) {}
+
+PeerReader::~PeerReader() { environment_.cancel(timer_); }
+
+void PeerReader::notePeer(const std::string& host) {
+  if (peers_.size() < kMostPeers) peers_.insert(host);
+}
+
+void PeerReader::onSourceFailed() {
+  if (is_asking_) return;
+  is_asking_ = true;
+  schedule(settings_.patience);
+}
+
+void PeerReader::onSourceAnswered(Generation revision) {
+  revision_ = std::max(revision_, revision);
+  is_asking_ = false;
+  environment_.cancel(timer_);
+}
+
+void PeerReader::schedule(Duration delay) {
+  environment_.cancel(timer_);
+  timer_ = environment_.schedule(delay, [this] { ask(); });
+}
+
+void PeerReader::ask() {
+  if (!is_asking_) return;
+  const auto half = static_cast<std::uint64_t>(settings_.interval.count() / 2);
+  schedule(Duration(static_cast<Duration::rep>(half + environment_.random(half + 1))));
+  if (peers_.empty()) return;
+  ++asked_;
+  client_.read(anyPeer(), revision_, settings_.timeout,
+               [this, alive = std::weak_ptr<int>(alive_)](
+                   const Result<std::optional<SharedState>>& answer) {
+                 if (!alive.expired()) onAnswer(answer);
+               });
+}
+
+void PeerReader::onAnswer(const Result<std::optional<SharedState>>& answer) {
+  if (!answer || !answer->has_value() || (*answer)->revision <= revision_) return;
+  ++learned_;
+  revision_ = (*answer)->revision;
+  on_state_(**answer);
+}
+
+const std::string& PeerReader::anyPeer() {
+  return *std::next(peers_.begin(),
+                    static_cast<std::ptrdiff_t>(environment_.random(peers_.size())));
+}
+
+}  // namespace coursepond::source
--- /dev/null
+++ b/src/source/peer_reader.h
@@ -0,0 +1,79 @@
+#pragma once
+
+/// Asks other nodes for what they know while this node's own reads of the source fail: after a start
+/// the source may be away, and then only a peer can tell what is in force.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/environment.h"
+#include "core/error.h"
+#include "source/shared_state.h"
+
+namespace coursepond::source {
+
+/// Nothing when the peer knows nothing newer.
+using PeerStateCallback = std::function<void(Result<std::optional<SharedState>>)>;
+
+/// Calls back exactly once, never from inside the call.
+class PeerStateClient {
+ public:
+  virtual ~PeerStateClient() = default;
+  /// Asks the node on `host` for what it knows beyond `after`.
+  virtual void read(const std::string& host, Generation after, Duration timeout,
+                    PeerStateCallback callback) = 0;
+};
+
+struct PeerReaderSettings {
+  /// How long the source may fail before a peer is asked.
+  Duration patience = std::chrono::milliseconds(300);
+  /// Between two questions; half of it is jitter.
+  Duration interval = std::chrono::milliseconds(300);
+  Duration timeout = std::chrono::milliseconds(500);
+};
+
+class PeerReader {
+ public:
+  using StateHandler = std::function<void(const SharedState& state)>;
+
+  /// `client` and `environment` must outlive the reader.
+  PeerReader(const PeerReaderSettings& settings, PeerStateClient& client, Environment& environment,
+             StateHandler on_state);
+  ~PeerReader();
+  PeerReader(const PeerReader&) = delete;
+  PeerReader& operator=(const PeerReader&) = delete;
+
+  /// A machine that runs a node. Nodes that connect to this one are found so, even by a node that
+  /// knows of no machine yet.
+  void notePeer(const std::string& host);
+  /// The source failed a read, or answered one (`revision` is what is known from it).
+  void onSourceFailed();
+  void onSourceAnswered(Generation revision);
+
+  std::uint64_t asked() const { return asked_; }
+  std::uint64_t learned() const { return learned_; }
+
+ private:
+  void schedule(Duration delay);
+  void ask();
+  void onAnswer(const Result<std::optional<SharedState>>& answer);
+  const std::string& anyPeer();
+
+  PeerReaderSettings settings_;
+  PeerStateClient& client_;
+  Environment& environment_;
+  StateHandler on_state_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  std::set<std::string> peers_;
+  Generation revision_;
+  TimerId timer_ = 0;
+  bool is_asking_ = false;  ///< The source fails: a question is scheduled or on its way.
+  std::uint64_t asked_ = 0;
+  std::uint64_t learned_ = 0;
+};
+
+}  // namespace coursepond::source
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -36,8 +36,7 @@
   virtual ~WatchClient() = default;
   virtual void list(Duration timeout, WatchCallback callback) = 0;
   /// Answers at the first change after `after`, or without one after `wait`.
-  virtual void watch(Generation after, Duration wait, Duration timeout,
-                     WatchCallback callback) = 0;
+  virtual void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) = 0;
 };
 
 }  // namespace coursepond::source
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -32,13 +32,21 @@
   environment_.cancel(timer_);
 }
 
+void WatchLoop::resumeFrom(Generation revision) {
+  if (revision <= revision_) return;
+  revision_ = revision;
+  has_listed_ = true;
+  must_list_ = false;
+  last_list_ = environment_.now();
+}
+
 WatchCallback WatchLoop::guarded(void (WatchLoop::*handler)(const Result<WatchBatch>&)) {
   const std::uint64_t read = ++read_;
-  return [this, read, handler, alive = std::weak_ptr<int>(alive_)](
-             const Result<WatchBatch>& answer) {
-    if (alive.expired() || read != read_ || !running_) return;
-    (this->*handler)(answer);
-  };
+  return
+      [this, read, handler, alive = std::weak_ptr<int>(alive_)](const Result<WatchBatch>& answer) {
+        if (alive.expired() || read != read_ || !running_) return;
+        (this->*handler)(answer);
+      };
 }
 
 Duration WatchLoop::timeout() const {
@@ -54,8 +62,7 @@
   ++statistics_.watches;
   // After a failure it must show soon whether the source answers again: don't wait for a change.
   const Duration wait = failures_in_a_row_ == 0 ? settings_.wait : Duration(0);
-  client_.watch(revision_, wait, wait + timeout(),
-                guarded(&WatchLoop::onWatch));
+  client_.watch(revision_, wait, wait + timeout(), guarded(&WatchLoop::onWatch));
 }
 
 void WatchLoop::onList(const Result<WatchBatch>& answer) {
@@ -77,8 +84,8 @@
   noteAnswer(*answer);
   revision_ = std::max(revision_, answer->revision);
   on_batch_(*answer, false);
-  const bool is_due = settings_.relist > Duration(0) &&
-                      environment_.now() - last_list_ >= settings_.relist;
+  const bool is_due =
+      settings_.relist > Duration(0) && environment_.now() - last_list_ >= settings_.relist;
   if (is_due) return list();
   const bool has_changes = !answer->configurations.empty() || !answer->servers.empty() ||
                            !answer->removed_servers.empty();
@@ -103,7 +110,8 @@
     on_failure_(error);
   }
   const std::uint32_t shift = std::min(failures_in_a_row_++, kLargestBackoffShift);
-  const Duration ceiling = std::min(settings_.backoff_base * (1U << shift), settings_.backoff_limit);
+  const Duration ceiling =
+      std::min(settings_.backoff_base * (1U << shift), settings_.backoff_limit);
   const auto half = static_cast<std::uint64_t>(ceiling.count() / 2);
   const Duration pause(static_cast<Duration::rep>(half + environment_.random(half + 1)));
   watchLater(pause);
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Keeps this node current with a watched source: lists once, then watches from the last revision; lists again when
-/// the source has lost its history; backs off with jitter while it fails.
+/// Keeps this node current with a watched source: lists once, then watches from the last revision;
+/// lists again when the source has lost its history; backs off with jitter while it fails.
 
 #include <cstdint>
 #include <functional>
@@ -52,6 +52,9 @@
   void start();
   void stop();
 
+  /// Everything up to `revision` is known from elsewhere: go on from there.
+  void resumeFrom(Generation revision);
+
   /// When the source last answered; the epoch when it never did.
   TimePoint lastAnswer() const { return last_answer_; }
   bool hasListed() const { return has_listed_; }
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -20,7 +20,8 @@
 /// not, "/seat"; both name two servers at most.
 class EgressFixture {
  public:
-  explicit EgressFixture(double retry_burst = 100) : state(makeSettings(retry_burst), environment) {}
+  explicit EgressFixture(double retry_burst = 100)
+      : state(makeSettings(retry_burst), environment) {}
 
   static Settings makeSettings(double retry_burst) {
     Settings settings;
--- a/tests/egress/traffic_split_test.cpp
+++ b/tests/egress/traffic_split_test.cpp
@@ -45,7 +45,8 @@
 TEST_CASE("new weights count from the next request") {
   TrafficSplit split(7);
   count(split, makeRoute({{ServiceName("new"), 1}, {ServiceName("old"), 99}}), 50);
-  const auto counts = count(split, makeRoute({{ServiceName("new"), 50}, {ServiceName("old"), 50}}), 100);
+  const auto counts =
+      count(split, makeRoute({{ServiceName("new"), 50}, {ServiceName("old"), 50}}), 100);
   CHECK(counts.at(ServiceName("new")) == 50);
 }
 
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -21,12 +21,14 @@
   source::WatchSettings settings;
   egress::EgressState egress{egress::Settings(), environment};
   ingress::IngressState ingress{ingress::Settings(), environment};
-  source::WatchLoop watch{settings,
-                          client,
-                          environment,
-                          [](const source::WatchBatch&, bool) {},
+  source::WatchLoop watch{settings, client, environment, [](const source::WatchBatch&, bool) {},
                           [](const Error&) {}};
-  runtime::MetricTable table() { return makeTwoHopMetrics({egress, ingress, watch}); }
+  class NoPeers final : public source::PeerStateClient {
+    void read(const std::string&, Generation, Duration, source::PeerStateCallback) override {}
+  };
+  NoPeers no_peers;
+  source::PeerReader peers{{}, no_peers, environment, [](const source::SharedState&) {}};
+  runtime::MetricTable table() { return makeTwoHopMetrics({egress, ingress, watch, peers}); }
 };
 
 }  // namespace
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -29,6 +29,7 @@
   model::Configuration configuration;
   std::vector<model::ServerEntry> servers;
   std::uint64_t revision = 1;
+  bool is_away = false;
 
   source::WatchBatch whole() const {
     source::WatchBatch batch;
@@ -54,7 +55,9 @@
   void answerIn(Duration delay, source::WatchCallback callback) {
     auto timer = std::make_shared<asio::steady_timer>(context_, delay);
     timer->async_wait([this, timer, callback](const boost::system::error_code& error) {
-      if (!error) callback(source_.whole());
+      if (error) return;
+      if (source_.is_away) return callback(Error{ErrorKind::kUnavailable, "away", ""});
+      callback(source_.whole());
     });
   }
 
@@ -152,16 +155,26 @@
   asio::io_context& context() { return context_; }
   std::uint16_t ingressPort() const { return ingress_port_; }
 
+  /// Puts all servers into another zone than the nodes'.
+  void moveServersAway() {
+    for (model::ServerEntry& server : source_.servers) {
+      server.zone = ZoneId("b");
+      server.revision = Generation(3);
+    }
+  }
+
   void setBehaviour(const Behaviour& behaviour) {
     for (auto& machine : machines_) machine->behaviour = behaviour;
   }
 
  private:
-  static std::uint16_t freePort() {
+  /// A port that is free on the first machine, other than `taken`.
+  static std::uint16_t freePort(std::uint16_t taken = 0) {
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor(
         context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.2"), 0));
-    return acceptor.local_endpoint().port();
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    return port == taken ? freePort(taken) : port;
   }
 
   void addRoute(const std::string& name, const std::string& prefix,
@@ -176,6 +189,7 @@
     route.max_attempts = 2;
   }
 
+ public:
   void addMachine(const std::string& ip, const std::string& service) {
     auto machine = std::make_unique<Machine>();
     Machine* const raw = machine.get();
@@ -203,6 +217,7 @@
     machines_.push_back(std::move(machine));
   }
 
+ private:
   void listServer(const std::string& ip, const std::string& service, const Address& address) {
     model::ServerEntry entry;
     entry.id = EndpointId("i-" + ip);
@@ -221,6 +236,7 @@
     settings.node.zone = ZoneId("a");
     settings.node.caller_listen = Address{ip, 0};
     settings.node.admin_listen = Address{ip, 0};
+    settings.node.peer_listen = Address{ip, peer_port_};
     settings.node.stop_delay = 20ms;
     settings.node.stop_linger = 100ms;
     settings.node.stop_grace = 20ms;
@@ -235,6 +251,7 @@
 
   asio::io_context context_{1};
   std::uint16_t ingress_port_;
+  std::uint16_t peer_port_ = freePort(ingress_port_);
   FakeSource source_;
   std::vector<std::unique_ptr<Machine>> machines_;
   runtime::HttpClient client_;
@@ -271,11 +288,12 @@
 
 TEST_CASE("a cut answer is tried elsewhere only where that is allowed, and never passed on short") {
   Fixture mesh;
-  mesh.setBehaviour([](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
-    responder.begin(properAnswer(request, ""));
-    responder.sendChunk("half");
-    responder.cut();
-  });
+  mesh.setBehaviour(
+      [](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
+        responder.begin(properAnswer(request, ""));
+        responder.sendChunk("half");
+        responder.cut();
+      });
   const auto read = mesh.send("GET", "/read");
   CHECK(read.status == 502);
   CHECK(mesh.arrivals() == 2);
@@ -286,15 +304,16 @@
 
 TEST_CASE("a server that was started anew is served under its new name") {
   Fixture mesh;
-  mesh.setBehaviour([](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
-    if (headerOf(request, "X-Target-Instance") == "i-new") {
-      return responder.respond(properAnswer(request, "new"));
-    }
-    runtime::HttpResponse refusal;
-    refusal.status = 421;
-    refusal.headers.push_back({"X-Instance-Id", "i-new"});
-    responder.respond(refusal);
-  });
+  mesh.setBehaviour(
+      [](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
+        if (headerOf(request, "X-Target-Instance") == "i-new") {
+          return responder.respond(properAnswer(request, "new"));
+        }
+        runtime::HttpResponse refusal;
+        refusal.status = 421;
+        refusal.headers.push_back({"X-Instance-Id", "i-new"});
+        responder.respond(refusal);
+      });
   CHECK(mesh.send("POST", "/book", "b").body == "new");
 }
 
@@ -355,10 +374,7 @@
   entry.id = EndpointId("i-frozen");
   entry.address = {frozen.host, 1};
   entry.revision = Generation(3);
-  for (model::ServerEntry& other : mesh.source().servers) {
-    other.zone = ZoneId("b");  // Dearer than the frozen one, which is therefore tried first.
-    other.revision = Generation(3);
-  }
+  mesh.moveServersAway();  // Dearer than the frozen one, which is therefore tried first.
   mesh.source().servers.push_back(entry);
   mesh.source().revision = 3;
   // Until the entry is known, requests don't touch the frozen machine.
@@ -378,6 +394,24 @@
   CHECK(mesh.arrivals() == before + sent);
 }
 
+TEST_CASE("a node that starts while the source is away learns from the peers that reach it") {
+  Fixture mesh;
+  mesh.moveServersAway();  // So that the new one is preferred, and reached.
+  mesh.addMachine("127.0.0.6", "stock");
+  mesh.source().revision = 5;
+  for (int turn = 0; turn < 20; ++turn) mesh.context().run_for(5ms);
+  mesh.source().is_away = true;
+  mesh.machine(3).node->start();
+  CHECK(mesh.readiness(3) == 503);
+  CHECK(mesh.runUntil([&] {
+    mesh.send("GET", "/read");
+    return mesh.readiness(3) == 200;
+  }));
+  const auto answer =
+      mesh.call(mesh.machine(3).node->addresses().caller, Fixture::makeRequest("GET", "/read", ""));
+  CHECK(answer.status == 200);
+}
+
 TEST_CASE("a planned stop fails readiness, asks callers to close and ends clean") {
   Fixture mesh;
   std::optional<StopOutcome> outcome;
--- a/tests/source/watch_loop_test.cpp
+++ b/tests/source/watch_loop_test.cpp
@@ -34,12 +34,13 @@
 class LoopFixture {
  public:
   LoopFixture()
-      : loop(settings, client, environment,
-             [this](const WatchBatch& batch, bool is_complete) {
-               revisions.push_back(batch.revision.value());
-               complete.push_back(is_complete);
-             },
-             [this](const Error& error) { failures.push_back(error.kind); }) {
+      : loop(
+            settings, client, environment,
+            [this](const WatchBatch& batch, bool is_complete) {
+              revisions.push_back(batch.revision.value());
+              complete.push_back(is_complete);
+            },
+            [this](const Error& error) { failures.push_back(error.kind); }) {
     loop.start();
   }
 
@@ -153,6 +154,17 @@
   CHECK(fixture.revisions.size() == 1);
 }
 
+TEST_CASE("what a peer told is not listed again") {
+  LoopFixture fixture;
+  fixture.fail(ErrorKind::kTimeout);
+  fixture.loop.resumeFrom(Generation(40));
+  CHECK(fixture.loop.hasListed());
+  fixture.environment.advance(seconds(1));
+  REQUIRE(fixture.client.reads.size() == 2);
+  CHECK_FALSE(fixture.client.reads[1].is_list);
+  CHECK(fixture.client.reads[1].after == Generation(40));
+}
+
 TEST_CASE("everything is listed anew now and then") {
   LoopFixture fixture;
   fixture.answer(LoopFixture::batch(10));
