--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -99,7 +99,7 @@
       source_.configuration.services[ServiceName(service)].name = ServiceName(service);
     }
     source_.configuration.version = Version(1);
-    addMachine("127.0.0.2", "shop");
+    addMachine("127.0.0.1", "shop");
     addMachine("127.0.0.3", "stock");
     addMachine("127.0.0.4", "stock");
     for (auto& machine : machines_) machine->node->start();
@@ -172,7 +172,7 @@
   static std::uint16_t freePort(std::uint16_t taken = 0) {
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor(
-        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.2"), 0));
+        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     const std::uint16_t port = acceptor.local_endpoint().port();
     return port == taken ? freePort(taken) : port;
   }
@@ -424,7 +424,7 @@
 TEST_CASE("a node without a client of a watchable source is refused with the remedy") {
   asio::io_context context;
   runtime::Settings settings;
-  settings.two_hop.ingress_listen = {"127.0.0.2", 0};
+  settings.two_hop.ingress_listen = {"127.0.0.1", 0};
   const auto node = TwoHopNode::create(context, settings, {});
   REQUIRE_FALSE(node.has_value());
   CHECK(node.error().kind == ErrorKind::kInvalidArgument);
