--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -144,6 +144,12 @@
     return call(machines_[machine]->node->addresses().admin, std::move(request)).status;
   }
 
+  std::string statusPage(std::size_t machine) {
+    runtime::HttpClientRequest request;
+    request.target = "/status";
+    return call(machines_[machine]->node->addresses().admin, std::move(request)).body;
+  }
+
   std::size_t arrivals() const {
     std::size_t count = 0;
     for (const auto& machine : machines_) count += machine->received.size();
@@ -399,7 +405,7 @@
   mesh.moveServersAway();  // So that the new one is preferred, and reached.
   mesh.addMachine("127.0.0.6", "stock");
   mesh.source().revision = 5;
-  for (int turn = 0; turn < 20; ++turn) mesh.context().run_for(5ms);
+  REQUIRE(mesh.runUntil([&] { return mesh.statusPage(0).find("known: 4") != std::string::npos; }));
   mesh.source().is_away = true;
   mesh.machine(3).node->start();
   CHECK(mesh.readiness(3) == 503);
