Egress: an entry that went without a word of leaving is the last resort for 1.4 s

Ruled out: the watch (it listed within 0.1 s of the store's return). Change: such a server stays as the dearest choice for 1.4 s (the bound for leaving servers is 2 s); one that said it was leaving is forgotten at once. The ingress keeps its own server as long.

--- a/src/egress/server_directory.cpp
+++ b/src/egress/server_directory.cpp
@@ -13,19 +13,45 @@
     server->cold_until = now + entry.cold_remaining;
   }
   server->entry = entry;
+  server->lapsed_at.reset();
   server->ingress = {
       entry.id, {entry.address.host, settings_.ingress_port}, entry.zone, entry.state};
   rebuild();
 }
 
-void ServerDirectory::remove(const EndpointId& id) {
-  if (servers_.erase(id) > 0) rebuild();
+void ServerDirectory::remove(const EndpointId& id, TimePoint now) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) return;
+  if (found->second->draining()) {
+    servers_.erase(found);
+  } else if (!found->second->lapsed_at) {
+    found->second->lapsed_at = now;
+  }
+  rebuild();
+}
+
+std::optional<TimePoint> ServerDirectory::forgetLapsed(TimePoint now) {
+  std::optional<TimePoint> next;
+  std::erase_if(servers_, [&](const auto& item) {
+    const std::optional<TimePoint>& lapsed_at = item.second->lapsed_at;
+    if (!lapsed_at) return false;
+    const TimePoint due = *lapsed_at + settings_.lapse_hold;
+    if (due <= now) return true;
+    if (!next || due < *next) next = due;
+    return false;
+  });
+  rebuild();
+  return next;
 }
 
 void ServerDirectory::replaceAll(const std::vector<model::ServerEntry>& entries, TimePoint now) {
   std::unordered_set<EndpointId> listed;
   for (const model::ServerEntry& entry : entries) listed.insert(entry.id);
-  std::erase_if(servers_, [&](const auto& item) { return !listed.contains(item.first); });
+  std::vector<EndpointId> gone;
+  for (const auto& [id, server] : servers_) {
+    if (!listed.contains(id)) gone.push_back(id);
+  }
+  for (const EndpointId& id : gone) remove(id, now);
   for (const model::ServerEntry& entry : entries) upsert(entry, now);
   rebuild();
 }
--- a/src/egress/server_directory.h
+++ b/src/egress/server_directory.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -27,6 +28,7 @@
   TimePoint slowness_at;       ///< this time; from then on it drifts back to 1.
   std::uint32_t failures = 0;  ///< To reach it, in a row.
   TimePoint avoid_until;
+  std::optional<TimePoint> lapsed_at;  ///< Its entry went; see Settings::lapse_hold.
   TimePoint leaving_until;  ///< Its ingress said so: used only when nothing else is left.
   TimePoint cold_until;
 
@@ -43,9 +45,12 @@
 
   /// Takes in one entry; an older one than is held is ignored.
   void upsert(const model::ServerEntry& entry, TimePoint now);
-  void remove(const EndpointId& id);
+  /// A server that said it was leaving is forgotten; another lapses.
+  void remove(const EndpointId& id, TimePoint now);
   /// Removes what `entries` doesn't list, and takes in the rest.
   void replaceAll(const std::vector<model::ServerEntry>& entries, TimePoint now);
+  /// Forgets servers that lapsed long enough ago. Returns when to call again, if any are left.
+  std::optional<TimePoint> forgetLapsed(TimePoint now);
 
   /// Servers that may take new work, by id.
   const std::vector<ServerPointer>& usable(const ServiceName& service) const;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -143,6 +143,7 @@
   void takeIn(const source::WatchBatch& batch, bool is_complete);
   void onConfiguration(const model::Configuration& configuration);
   void onServers(const source::WatchBatch& batch, bool is_complete);
+  void forgetLapsedServers();
   void updateOwnServer();
   void onWatchFailed(const Error& error);
   void onPeerState(const source::SharedState& state);
@@ -174,6 +175,7 @@
   runtime::MetricTable metrics_;
   std::unique_ptr<AdminServer> admin_;
   std::optional<model::ServerEntry> own_server_;
+  TimerId lapse_timer_ = 0;
   bool stopping_ = false;
   int draining_servers_ = 0;
   std::function<void(StopOutcome)> stopped_;
@@ -214,8 +216,8 @@
   source.begin_stop = [this] { ingress_.beginStop(); };
   runtime::ProxyServerSettings server_settings = ingressServerSettings(settings_);
   server_settings.on_caller = [this](const std::string& host) { peers_.notePeer(host); };
-  auto server = runtime::ProxyServer::create(context_, server_settings,
-                                             std::move(source), environment_);
+  auto server =
+      runtime::ProxyServer::create(context_, server_settings, std::move(source), environment_);
   if (!server) return server.error();
   ingress_server_ = std::move(*server);
   return {};
@@ -295,13 +297,23 @@
     egress_.directory().replaceAll(batch.servers, now);
   } else {
     for (const model::ServerEntry& entry : batch.servers) egress_.directory().upsert(entry, now);
-    for (const EndpointId& id : batch.removed_servers) egress_.directory().remove(id);
+    for (const EndpointId& id : batch.removed_servers) egress_.directory().remove(id, now);
   }
-  egress_.onDirectoryChanged();
+  forgetLapsedServers();
   for (const auto& [id, server] : egress_.directory().all()) {
-    if (server->entry.address != settings_.two_hop.server) peers_.notePeer(server->entry.address.host);
+    if (server->entry.address != settings_.two_hop.server)
+      peers_.notePeer(server->entry.address.host);
   }
+}
+
+/// Entries that went without a word of leaving stand for a moment longer.
+void Implementation::forgetLapsedServers() {
+  environment_.cancel(lapse_timer_);
+  const TimePoint now = environment_.now();
+  const std::optional<TimePoint> next = egress_.directory().forgetLapsed(now);
+  egress_.onDirectoryChanged();
   updateOwnServer();
+  if (next) lapse_timer_ = environment_.schedule(*next - now, [this] { forgetLapsedServers(); });
 }
 
 /// The newest entry at this machine's server address. One that is no longer listed is leaving.
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -396,6 +396,36 @@
   CHECK(egress.state.slowness(slow, egress.environment.now()) < 1.01);
 }
 
+TEST_CASE("a server whose entry went is the last resort for a moment, then forgotten") {
+  EgressFixture egress;
+  egress.begin(2);
+  ServerDirectory& directory = egress.state.directory();
+  directory.remove(EndpointId("s1"), egress.environment.now());
+  for (int number = 0; number < 8; ++number) CHECK(egress.send("/stock")->server() == "s2");
+  directory.remove(EndpointId("s2"), egress.environment.now());
+  CHECK(egress.send("/stock")->io.plans.size() == 1);
+  egress.environment.advance(milliseconds(1500));
+  CHECK_FALSE(directory.forgetLapsed(egress.environment.now()).has_value());
+  CHECK(directory.all().empty());
+}
+
+TEST_CASE("an entry that comes back stands as before; one that was leaving is gone at once") {
+  EgressFixture egress;
+  egress.begin(2);
+  ServerDirectory& directory = egress.state.directory();
+  directory.remove(EndpointId("s1"), egress.environment.now());
+  directory.upsert(EgressFixture::entry("s1", "a"), egress.environment.now());
+  egress.environment.advance(seconds(5));
+  directory.forgetLapsed(egress.environment.now());
+  CHECK(directory.all().size() == 2);
+  model::ServerEntry leaving = EgressFixture::entry("s2", "a");
+  leaving.state = model::MachineState::kLeaving;
+  leaving.revision = Generation(9);
+  directory.upsert(leaving, egress.environment.now());
+  directory.remove(EndpointId("s2"), egress.environment.now());
+  CHECK(directory.all().size() == 1);
+}
+
 TEST_CASE("a draining server gets no new request") {
   EgressFixture egress;
   egress.begin(2);
