--- a/src/egress/server_directory.cpp
+++ b/src/egress/server_directory.cpp
@@ -10,7 +10,7 @@
   if (server && entry.revision < server->entry.revision) return;
   if (!server || server->entry.address != entry.address) {
     server = std::make_shared<Server>();
-    server->cold_until = now + entry.cold_remaining;
+    server->cold_until = now + entry.warm_up_left;
   }
   server->entry = entry;
   server->lapsed_at.reset();
@@ -57,9 +57,9 @@
 }
 
 const std::vector<ServerPointer>& ServerDirectory::usable(const ServiceName& service) const {
-  static const std::vector<ServerPointer> kNone;
+  static const std::vector<ServerPointer> none;
   const auto found = usable_.find(service);
-  return found == usable_.end() ? kNone : found->second;
+  return found == usable_.end() ? none : found->second;
 }
 
 void ServerDirectory::rebuild() {
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-IngressState::IngressState(Settings settings, Environment& environment)
+IngressState::IngressState(const Settings& settings, Environment& environment)
     : settings_(settings),
       environment_(environment),
       service_time_us_(static_cast<double>(settings.first_service_time.count())),
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -40,7 +40,7 @@
 
 class IngressState final : public proxy::ConnectionPolicy {
  public:
-  IngressState(Settings settings, Environment& environment);
+  IngressState(const Settings& settings, Environment& environment);
 
   /// What the server on this machine lists of itself; nothing when it is not listed.
   void setServer(const std::optional<model::ServerEntry>& entry);
--- a/src/model/json_reader.cpp
+++ b/src/model/json_reader.cpp
@@ -281,7 +281,7 @@
   element.refuseUnknownKeys();
 }
 
-void ObjectReader::refuse(std::string_view key, ErrorKind kind, std::string message,
+void ObjectReader::refuse(std::string_view key, ErrorKind kind, const std::string& message,
                           std::string remedy) {
   std::string place = placeOf(key);
   const std::string prefix = place.empty() ? std::string() : place + ": ";
--- a/src/model/json_reader.h
+++ b/src/model/json_reader.h
@@ -65,7 +65,7 @@
   void optionalObject(std::string_view key, const ElementReader& read);
 
   /// Adds a mistake at `key` of this object (at the object itself when empty).
-  void refuse(std::string_view key, ErrorKind kind, std::string message, std::string remedy);
+  void refuse(std::string_view key, ErrorKind kind, const std::string& message, std::string remedy);
   /// Every key that no call asked for is a mistake; the remedy names the nearest known key.
   void refuseUnknownKeys();
 
--- a/src/model/server_entry.h
+++ b/src/model/server_entry.h
@@ -18,8 +18,8 @@
   ZoneId zone;
   std::uint32_t slots = 0;  ///< Requests it runs at a time; zero: not told.
   MachineState state = MachineState::kLive;
-  Duration cold_remaining{};  ///< How much longer it is slow, when the entry was written.
-  Generation revision;        ///< Of the source, at the entry's last change.
+  Duration warm_up_left{};  ///< How much longer it is slow, when the entry was written.
+  Generation revision;      ///< Of the source, at the entry's last change.
   friend bool operator==(const ServerEntry&, const ServerEntry&) = default;
 };
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// An answer up to this long is held until it is whole.
-constexpr std::size_t kWholeAnswerBytes = 256 * 1024;
+constexpr std::size_t kWholeAnswerBytes = std::size_t{256} * 1024;
 /// Servers close idle connections after some seconds; ours are closed before.
 constexpr Duration kServerIdleTimeout = std::chrono::seconds(8);
 constexpr Duration kHopIdleTimeout = std::chrono::seconds(30);
--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -79,7 +79,7 @@
   CHECK(server->address == Address{"10.0.0.9", 8080});
   CHECK(server->slots == 18);
   CHECK(server->state == model::MachineState::kLeaving);
-  CHECK(server->cold_remaining == milliseconds(1500));
+  CHECK(server->warm_up_left == milliseconds(1500));
   CHECK_FALSE(decodeServer("i-1", R"({"service":"s1"})").has_value());
 }
 
