--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -23,7 +23,10 @@
   const bool is_another = entry && (!server_ || server_->id != entry->id);
   if (is_another) instance_ = entry->id.value();
   server_ = entry;
-  dispatch(environment_.now());
+  const TimePoint now = environment_.now();
+  // What waits could reach the server long after it said that it is leaving.
+  if (isServerLeaving()) refuseWaiting(Reason::kServerDraining, now);
+  dispatch(now);
 }
 
 model::Endpoint IngressState::endpoint(const std::string& instance) const {
@@ -77,6 +80,13 @@
   return std::nullopt;
 }
 
+void IngressState::refuseWaiting(Reason reason, TimePoint now) {
+  while (Waiter* const waiter = queue_.first()) {
+    queue_.remove(*waiter);
+    waiter->onDisplaced(reason, now);
+  }
+}
+
 void IngressState::release(TimePoint now) {
   --running_;
   dispatch(now);
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -100,6 +100,7 @@
   Duration expectedWait(std::size_t ahead) const;
   Duration expectedService(Duration target) const;
   bool hasFreeSlot(TimePoint now) const;
+  void refuseWaiting(proxy::Reason reason, TimePoint now);
   void dispatch(TimePoint now);
   void wakeAfterPause(TimePoint now);
 
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -136,6 +136,17 @@
   CHECK(running->io.forwarded.size() == 1);
 }
 
+TEST_CASE("what waits when the server begins to leave is refused: it would arrive too late") {
+  IngressFixture ingress;
+  const auto first = ingress.send("r1");
+  const auto second = ingress.send("r2");
+  const auto waiting = ingress.send("r3", 1, milliseconds(5000));
+  ingress.listServer("i-1", model::MachineState::kLeaving);
+  checkRefused(*waiting, "server_draining");
+  first->answerWhole();
+  CHECK(waiting->io.plans.empty());
+}
+
 TEST_CASE("a request for another service is refused: the address has a new owner") {
   IngressFixture ingress;
   proxy::RequestHead head;
