--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/http_headers.h"
+#include "proxy/answer_check.h"
 #include "proxy/deadline_queue.h"
 #include "proxy/reason.h"
 #include "proxy/repeatability.h"
@@ -25,8 +26,6 @@
 /// A request with less than this left is not begun again.
 constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
 
-bool isSuccess(int status) { return status >= 200 && status < 300; }
-
 class EgressFlow final : public proxy::Exchange, private proxy::DeadlineEntry {
  public:
   EgressFlow(proxy::RequestHead head, EgressState& state, Environment& environment,
@@ -63,7 +62,9 @@
   bool isCurrent(AttemptId attempt, Phase phase) const {
     return phase_ == phase && attempt == attempt_;
   }
-  bool isProper(const AnswerHead& answer) const;
+  bool isProper(const AnswerHead& answer) const {
+    return proxy::isProperAnswer(answer, head_.request_id, state_.settings().expects_signature);
+  }
   bool shouldRepeat(const AnswerHead& answer, TimePoint now);
   void onNotRun(const AnswerHead& answer, TimePoint now);
   void onUnknown(Reason reason, TimePoint now);
@@ -310,12 +311,6 @@
   io_.forwardAnswer(attempt_);
 }
 
-bool EgressFlow::isProper(const AnswerHead& answer) const {
-  if (answer.request_id != head_.request_id) return false;
-  if (!isSuccess(answer.status)) return true;
-  return !answer.is_encoded && (answer.is_signed || !state_.settings().expects_signature);
-}
-
 /// A server's own failure of a repeatable request is worth another server's try, while the first
 /// failure can still be passed on: only when a server for it is at hand.
 bool EgressFlow::shouldRepeat(const AnswerHead& answer, TimePoint now) {
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "proxy/answer_check.h"
 #include "proxy/reason.h"
 
 namespace coursepond::ingress {
@@ -19,8 +20,6 @@
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
 const ServiceName kOwnServer("own");
 
-bool isSuccess(int status) { return status >= 200 && status < 300; }
-
 class IngressFlow final : public proxy::Exchange, private Waiter, private proxy::DeadlineEntry {
  public:
   IngressFlow(proxy::RequestHead head, IngressState& state, Environment& environment,
@@ -53,7 +52,9 @@
   bool isCurrent(AttemptId attempt, Phase phase) const {
     return phase_ == phase && attempt == attempt_;
   }
-  bool isProper(const AnswerHead& answer) const;
+  bool isProper(const AnswerHead& answer) const {
+    return proxy::isProperAnswer(answer, head_.request_id, state_.settings().expects_signature);
+  }
   void onServerRefused(const AnswerHead& answer, TimePoint now);
 
   void note(proxy::DecisionKind kind, std::string_view reason, int status) const;
@@ -167,12 +168,6 @@
   io_.forwardAnswer(attempt_);
 }
 
-bool IngressFlow::isProper(const AnswerHead& answer) const {
-  if (answer.request_id != head_.request_id) return false;
-  if (!isSuccess(answer.status)) return true;
-  return !answer.is_encoded && (answer.is_signed || !state_.settings().expects_signature);
-}
-
 void IngressFlow::onServerRefused(const AnswerHead& answer, TimePoint now) {
   ++state_.statistics().server_refusals;
   io_.discardAnswer(attempt_);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "node/metric_counters.h"
+
 namespace coursepond::node {
 namespace {
 
@@ -16,23 +18,6 @@
 constexpr MessageKind kMessageKinds[] = {MessageKind::kMembership, MessageKind::kDistribution,
                                          MessageKind::kAcceptance, MessageKind::kAdmin};
 
-/// A counter of one part: its name, its meaning and the field that holds it.
-template <typename Statistics>
-struct CounterField {
-  const char* name;
-  const char* meaning;
-  std::uint64_t Statistics::*field;
-};
-
-template <typename Statistics, typename Read>
-void addCounters(MetricTable& table, const std::vector<CounterField<Statistics>>& fields,
-                 Read read) {
-  for (const CounterField<Statistics>& counter : fields) {
-    table.addCounter(counter.name, counter.meaning,
-                     [read, field = counter.field] { return static_cast<double>(read().*field); });
-  }
-}
-
 /// One value of a counter with the label "reason".
 template <typename Statistics>
 struct ReasonField {
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -2,27 +2,13 @@
 
 #include <vector>
 
+#include "node/metric_counters.h"
+
 namespace coursepond::node {
 namespace {
 
 using runtime::MetricTable;
 
-template <typename Statistics>
-struct CounterField {
-  const char* name;
-  const char* meaning;
-  std::uint64_t Statistics::*field;
-};
-
-template <typename Statistics, typename Read>
-void addCounters(MetricTable& table, const std::vector<CounterField<Statistics>>& fields,
-                 Read read) {
-  for (const CounterField<Statistics>& counter : fields) {
-    table.addCounter(counter.name, counter.meaning,
-                     [read, field = counter.field] { return static_cast<double>(read().*field); });
-  }
-}
-
 void addEgress(MetricTable& table, egress::EgressState& state) {
   using S = egress::Statistics;
   addCounters<S>(
