--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -41,12 +41,12 @@
                                                                  const Address& listen,
                                                                  StateSource known) {
   std::unique_ptr<PeerStateServer> server(new PeerStateServer(std::move(known)));
-  auto http = runtime::HttpServer::create(
-      context, listen, {},
-      [self = server.get()](const runtime::HttpRequest& request,
-                            const runtime::HttpResponder& responder) {
-        responder.respond(self->answer(request));
-      });
+  auto http =
+      runtime::HttpServer::create(context, listen, {},
+                                  [self = server.get()](const runtime::HttpRequest& request,
+                                                        const runtime::HttpResponder& responder) {
+                                    responder.respond(self->answer(request));
+                                  });
   if (!http) return http.error();
   server->server_ = std::move(*http);
   return server;
@@ -74,11 +74,11 @@
                                source::PeerStateCallback callback) {
   runtime::HttpClientRequest request;
   request.target = std::string(kPath) + "?" + std::string(kAfter) + std::to_string(after.value());
-  client_.request(Address{host, port_}, std::move(request), timeout,
-                  [callback = std::move(callback)](
-                      const Result<runtime::HttpClientResponse>& response) {
-                    callback(interpret(response));
-                  });
+  client_.request(
+      Address{host, port_}, std::move(request), timeout,
+      [callback = std::move(callback)](const Result<runtime::HttpClientResponse>& response) {
+        callback(interpret(response));
+      });
 }
 
 }  // namespace coursepond::node
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -23,8 +23,7 @@
 
   /// kUnavailable when the address cannot be bound.
   static Result<std::unique_ptr<PeerStateServer>> create(boost::asio::io_context& context,
-                                                         const Address& listen,
-                                                         StateSource known);
+                                                         const Address& listen, StateSource known);
   Address address() const { return server_->address(); }
 
  private:
--- a/src/source/peer_reader.cpp
+++ b/src/source/peer_reader.cpp
@@ -46,11 +46,11 @@
   schedule(Duration(static_cast<Duration::rep>(half + environment_.random(half + 1))));
   if (peers_.empty()) return;
   ++asked_;
-  client_.read(anyPeer(), revision_, settings_.timeout,
-               [this, alive = std::weak_ptr<int>(alive_)](
-                   const Result<std::optional<SharedState>>& answer) {
-                 if (!alive.expired()) onAnswer(answer);
-               });
+  client_.read(
+      anyPeer(), revision_, settings_.timeout,
+      [this, alive = std::weak_ptr<int>(alive_)](const Result<std::optional<SharedState>>& answer) {
+        if (!alive.expired()) onAnswer(answer);
+      });
 }
 
 void PeerReader::onAnswer(const Result<std::optional<SharedState>>& answer) {
--- a/src/source/peer_reader.h
+++ b/src/source/peer_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Asks other nodes for what they know while this node's own reads of the source fail: after a start
-/// the source may be away, and then only a peer can tell what is in force.
+/// Asks other nodes for what they know while this node's own reads of the source fail: after a
+/// start the source may be away, and then only a peer can tell what is in force.
 
 #include <cstdint>
 #include <functional>
--- a/src/source/shared_state.h
+++ b/src/source/shared_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// What a node knows from a watched source, as nodes tell it to one another while the source is away.
+/// What a node knows from a watched source, as nodes tell it to one another while the source is
+/// away.
 
 #include <string>
 #include <string_view>
