Ingress: a stopping node takes only what surely ends before it does

Ruled out: the egress (it was stopping too, and waited), the server (it ran on). Change: a request whose deadline is later than the end of the stop is refused as not run, at once and free; egresses go elsewhere. Test: ingress_flow_test (written with the change, since it needs the new call; not seen red).

--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -88,6 +88,7 @@
       std::min(head_.deadline.value_or(settings.longest_deadline), settings.longest_deadline);
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline, now);
   deadline_ = now + allowed;
+  if (state_.mightBeCut(deadline_)) return conclude(Reason::kStopping, now);
   const proxy::HopClass hop = head_.hop_class.value_or(proxy::HopClass{});
   target = hop.target_latency > Duration(0) ? hop.target_latency : settings.default_target;
   rank = hop.rank;
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -145,7 +145,7 @@
   load.waiting = static_cast<std::uint32_t>(queue_.size());
   load.slots = slots();
   load.service_time = Duration(static_cast<Duration::rep>(service_time_us_));
-  load.draining = is_leaving_ || is_stopped_ || isServerLeaving();
+  load.draining = stop_end_.has_value() || is_stopped_ || isServerLeaving();
   return load;
 }
 
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -45,8 +45,11 @@
   /// What the server on this machine lists of itself; nothing when it is not listed.
   void setServer(const std::optional<model::ServerEntry>& entry);
   void setConnectionLimit(std::uint32_t connections) { connection_limit_ = connections; }
-  /// A planned stop of this node began: egresses are told to go elsewhere.
-  void announceStop() { is_leaving_ = true; }
+  /// A planned stop of this node began: egresses are told to go elsewhere. What is still running
+  /// at `end` will be cut.
+  void announceStop(TimePoint end) { stop_end_ = end; }
+  /// Whether a request that may run until `deadline` might be cut by the node's stop.
+  bool mightBeCut(TimePoint deadline) const { return stop_end_ && deadline > *stop_end_; }
   /// From now on, new requests are refused.
   void beginStop() { is_stopped_ = true; }
 
@@ -118,7 +121,7 @@
   TimePoint paused_until_;
   TimerId wake_timer_ = 0;
   bool is_dispatching_ = false;
-  bool is_leaving_ = false;
+  std::optional<TimePoint> stop_end_;  ///< Of a planned stop that began.
   bool is_stopped_ = false;
   proxy::DeadlineQueue deadlines_;
   Statistics statistics_;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -406,7 +406,9 @@
   if (stopping_) return stopped_(StopOutcome::kCut);
   stopping_ = true;
   writeLog(runtime::LogLevel::kInfo, "stopping", {});
-  ingress_.announceStop();
+  const runtime::NodeSettings& times = settings_.node;
+  ingress_.announceStop(environment_.now() + times.stop_delay + times.stop_linger +
+                        times.stop_grace + times.stop_timeout);
   egress_server_->announceClose();
   environment_.schedule(settings_.node.stop_delay,
                         [this] { endWhenQuiet(environment_.now() + settings_.node.stop_linger); });
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -147,6 +147,19 @@
   CHECK(waiting->io.plans.empty());
 }
 
+TEST_CASE("a stopping node takes only what surely ends before it does") {
+  IngressFixture ingress;
+  const auto running = ingress.send("r1");
+  ingress.state.announceStop(ingress.environment.now() + seconds(5));
+  CHECK(ingress.state.load().draining);
+  // The deadline of 4 s ends in time now, and does not a second and a half later.
+  CHECK(ingress.send("r2")->io.plans.size() == 1);
+  ingress.environment.advance(milliseconds(1500));
+  checkRefused(*ingress.send("r3"), "stopping");
+  running->answerWhole();
+  CHECK(running->io.forwarded.size() == 1);
+}
+
 TEST_CASE("a request for another service is refused: the address has a new owner") {
   IngressFixture ingress;
   proxy::RequestHead head;
