Logs: a reader that stands still holds no request up

Cause: glog wrote each line itself, in a call that waits when the pipe is full; a stopped log reader would stop the node. Ruled out: a writer thread (a second thread in a process that has none) and a non-blocking standard error (that flag is shared with whoever else holds the terminal). Change: glog formats, LineWriter writes: only when poll() says that a line fits, otherwise up to 1,000 lines are kept and the rest counted and told in a line of their own.

--- a/src/runtime/logging.cpp
+++ b/src/runtime/logging.cpp
@@ -1,6 +1,7 @@
 #include "runtime/logging.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
@@ -20,6 +21,24 @@
   return google::GLOG_INFO;
 }
 
+/// Lines kept while the reader of standard error stands still.
+constexpr std::size_t kLinesKept = 1000;
+
+LineWriter& standardError() {
+  static LineWriter writer(STDERR_FILENO, kLinesKept);
+  return writer;
+}
+
+/// Takes glog's finished messages, so that glog itself never writes, which could wait.
+class StandardErrorSink final : public google::LogSink {
+ public:
+  void send(google::LogSeverity severity, const char* /*full_filename*/, const char* base_filename,
+            int line, const google::LogMessageTime& time, const char* message,
+            std::size_t length) override {
+    standardError().write(ToString(severity, base_filename, line, time, message, length) + "\n");
+  }
+};
+
 bool needsQuotes(const std::string& value) {
   return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char character) {
            return character <= ' ' || character == '"' || character == '=' || character == 0x7F;
@@ -53,6 +72,8 @@
   if (!google::IsGoogleLoggingInitialized()) google::InitGoogleLogging(program);
 }
 
+const LineWriter& standardErrorLines() { return standardError(); }
+
 std::string formatLine(std::string_view event, const std::vector<LogField>& fields) {
   std::string line = "event=" + std::string(event);
   for (const LogField& field : fields) {
@@ -75,7 +96,8 @@
     suppressed_in_a_row_ = 0;
   }
   ++written_;
-  google::LogMessage("state", 0, severityOf(level)).stream() << line;
+  static StandardErrorSink sink;
+  google::LogMessage("state", 0, severityOf(level), &sink, false).stream() << line;
 }
 
 }  // namespace coursepond::runtime
--- a/src/runtime/logging.h
+++ b/src/runtime/logging.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "runtime/line_writer.h"
 #include "runtime/settings.h"
 #include "runtime/token_bucket.h"
 
@@ -25,8 +26,11 @@
 /// "event=x key=value key2="with blanks""; control characters are escaped.
 std::string formatLine(std::string_view event, const std::vector<LogField>& fields);
 
+/// Lines of this process that wait for the reader of its standard error, and those dropped.
+const LineWriter& standardErrorLines();
+
 /// Writes lines, at most so many per second; what exceeds it is counted, and the next line that is
-/// written says how many were left out.
+/// written says how many were left out. Never waits for the reader of standard error.
 class StateLog {
  public:
   explicit StateLog(std::uint32_t lines_per_second) : bucket_(lines_per_second) {}
