Explain: from a request's id to its cause, over the logs of all nodes

Every request that ends in anything but its server's whole answer now has a line: cut answers and callers that left had none. Decision lines carry what decided them: the egress the age of the version and of the server's entry, the ingress its running and waiting requests. What a node holds of a server has lines of its own (listed, leaving, lapsed, forgotten, unreachable, reached).

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -6,6 +6,7 @@
 
 #include "cli/check_command.h"
 #include "cli/confirm_command.h"
+#include "cli/explain_command.h"
 #include "cli/node_command.h"
 #include "cli/plan_command.h"
 #include "cli/status_command.h"
@@ -44,7 +45,7 @@
 const std::vector<Command>& commands() {
   static const std::vector<Command> all = {nodeCommand(),    checkCommand(),  planCommand(),
                                            confirmCommand(), statusCommand(), proxiesCommand(),
-                                           versionCommand()};
+                                           explainCommand(), versionCommand()};
   return all;
 }
 
--- /dev/null
+++ b/src/cli/explain_command.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "cli/command.h"
+
+namespace coursepond::cli {
+
+/// `coursepond explain`
+Command explainCommand();
+
+}  // namespace coursepond::cli
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -388,12 +388,14 @@
 void EgressFlow::onAnswerCut(AttemptId attempt) {
   if (!isCurrent(attempt, Phase::kForwarding)) return;
   ++state_.statistics().answers_cut;
+  note(proxy::DecisionKind::kAnswerCut, "", 0);
   finish();
 }
 
 void EgressFlow::onCallerGone() {
   if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
   ++state_.statistics().caller_gone;
+  note(proxy::DecisionKind::kCallerGone, "", 0);
   if (phase_ != Phase::kWaiting) io_.cancelAttempt(attempt_);
   finish();
 }
@@ -401,7 +403,7 @@
 void EgressFlow::note(proxy::DecisionKind kind, std::string_view reason, int status) const {
   proxy::Decision decision;
   decision.kind = kind;
-  decision.side = "egress";
+  decision.side = proxy::kEgressSide;
   decision.request = head_.request_id;
   decision.attempt = attempt_;
   if (server_) decision.server = server_->entry.id.value();
@@ -409,6 +411,8 @@
   decision.status = status;
   decision.elapsed = environment_.now() - started_;
   decision.version = configurationVersion();
+  if (routing_) decision.inputs.configuration_age = environment_.now() - state_.inForceSince();
+  if (server_) decision.inputs.entry_age = environment_.now() - server_->entry_since;
   state_.note(decision);
 }
 
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -30,12 +30,16 @@
 EgressState::EgressState(Settings settings, Environment& environment)
     : settings_(std::move(settings)),
       environment_(environment),
-      directory_(settings_),
+      directory_(settings_, [this](proxy::ServerChange change,
+                                   const EndpointId& server) { note(change, server); }),
       split_(environment.random(std::numeric_limits<std::uint32_t>::max())),
       deadlines_(environment) {}
 
 bool EgressState::apply(model::SnapshotPointer snapshot) {
   if (routing_ && snapshot->version < routing_->snapshot->version) return false;
+  if (!routing_ || routing_->snapshot->version != snapshot->version) {
+    in_force_since_ = environment_.now();
+  }
   routing_ = std::make_shared<const RoutingTable>(std::move(snapshot));
   return true;
 }
@@ -96,9 +100,12 @@
   return cost;
 }
 
-void EgressState::onReached(Server& server) { server.failures = 0; }
+void EgressState::onReached(Server& server) {
+  if (std::exchange(server.failures, 0) > 0) note(proxy::ServerChange::kReached, server.entry.id);
+}
 
 void EgressState::onUnreachable(Server& server, TimePoint now) {
+  if (server.failures == 0) note(proxy::ServerChange::kUnreachable, server.entry.id);
   const std::uint32_t shift = std::min(server.failures++, kLargestAvoidShift);
   const Duration pause = std::min(settings_.avoid * (1U << shift), settings_.longest_avoid);
   server.avoid_until = std::max(server.avoid_until, now + pause);
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -63,6 +63,8 @@
   /// force is refused (returns false).
   bool apply(model::SnapshotPointer snapshot);
   std::shared_ptr<const RoutingTable> routing() const { return routing_; }
+  /// When the version in force came into force here.
+  TimePoint inForceSince() const { return in_force_since_; }
   Version version() const { return routing_ ? routing_->snapshot->version : Version(); }
 
   ServerDirectory& directory() { return directory_; }
@@ -93,6 +95,9 @@
   void note(const proxy::Decision& decision) const {
     if (log_ != nullptr) log_->onDecision(decision);
   }
+  void note(proxy::ServerChange change, const EndpointId& server) const {
+    if (log_ != nullptr) log_->onServerChange(change, server);
+  }
   std::size_t& inFlight() { return in_flight_; }
   std::size_t inFlight() const { return in_flight_; }
 
@@ -106,6 +111,7 @@
   Environment& environment_;
   ServerDirectory directory_;
   std::shared_ptr<const RoutingTable> routing_;
+  TimePoint in_force_since_;
   std::map<ServiceName, ServiceUse> uses_;
   TrafficSplit split_;
   proxy::DeadlineQueue deadlines_;
--- a/src/egress/server_directory.cpp
+++ b/src/egress/server_directory.cpp
@@ -38,7 +38,10 @@
     const std::optional<TimePoint>& lapsed_at = item.second->lapsed_at;
     if (!lapsed_at) return false;
     const TimePoint due = *lapsed_at + settings_.lapse_hold;
-    if (due <= now) return true;
+    if (due <= now) {
+      tell(proxy::ServerChange::kForgotten, item.first);
+      return true;
+    }
     if (!next || due < *next) next = due;
     return false;
   });
@@ -49,14 +52,23 @@
 void ServerDirectory::put(const model::ServerEntry& entry, TimePoint now) {
   ServerPointer& server = servers_[entry.id];
   if (server && entry.revision < server->entry.revision) return;
+  const bool was_listed = server && !server->lapsed_at;
+  const bool was_draining = server && server->draining();
+  const bool is_changed = !server || server->entry != entry;
   if (!server || server->entry.address != entry.address) {
     server = std::make_shared<Server>();
     server->cold_until = now + entry.warm_up_left;
   }
   server->entry = entry;
+  if (is_changed) server->entry_since = now;
   server->lapsed_at.reset();
   server->ingress = {
       entry.id, {entry.address.host, settings_.ingress_port}, entry.zone, entry.state};
+  if (server->draining()) {
+    if (!was_draining) tell(proxy::ServerChange::kLeaving, entry.id);
+  } else if (!was_listed) {
+    tell(proxy::ServerChange::kListed, entry.id);
+  }
 }
 
 void ServerDirectory::drop(const EndpointId& id, TimePoint now) {
@@ -64,8 +76,10 @@
   if (found == servers_.end()) return;
   if (found->second->draining()) {
     servers_.erase(found);
+    tell(proxy::ServerChange::kForgotten, id);
   } else if (!found->second->lapsed_at) {
     found->second->lapsed_at = now;
+    tell(proxy::ServerChange::kLapsed, id);
   }
 }
 
--- a/src/egress/server_directory.h
+++ b/src/egress/server_directory.h
@@ -3,6 +3,7 @@
 /// The servers that this egress knows, and what it observed of each and of the ingress beside it.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "core/time.h"
 #include "egress/settings.h"
 #include "model/server_entry.h"
+#include "proxy/decision_log.h"
 #include "proxy/request_flow.h"
 
 namespace coursepond::egress {
@@ -31,6 +33,7 @@
   std::optional<TimePoint> lapsed_at;  ///< Its entry went; see Settings::lapse_hold.
   TimePoint leaving_until;  ///< Its ingress said so: used only when nothing else is left.
   TimePoint cold_until;
+  TimePoint entry_since;  ///< When its entry last changed here.
 
   bool avoided(TimePoint now) const { return now < avoid_until; }
   bool leaving(TimePoint now) const { return now < leaving_until; }
@@ -41,7 +44,11 @@
 
 class ServerDirectory {
  public:
-  explicit ServerDirectory(const Settings& settings) : settings_(settings) {}
+  /// Told of each server that comes, leaves or goes.
+  using ChangeHandler = std::function<void(proxy::ServerChange, const EndpointId&)>;
+
+  explicit ServerDirectory(const Settings& settings, ChangeHandler on_change = nullptr)
+      : settings_(settings), on_change_(std::move(on_change)) {}
 
   /// Takes in one entry; an older one than is held is ignored.
   void upsert(const model::ServerEntry& entry, TimePoint now);
@@ -64,8 +71,12 @@
   void put(const model::ServerEntry& entry, TimePoint now);
   void drop(const EndpointId& id, TimePoint now);
   void rebuild();
+  void tell(proxy::ServerChange change, const EndpointId& id) const {
+    if (on_change_) on_change_(change, id);
+  }
 
   const Settings& settings_;
+  ChangeHandler on_change_;
   std::unordered_map<EndpointId, ServerPointer> servers_;
   std::map<ServiceName, std::vector<ServerPointer>> usable_;
 };
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -199,12 +199,14 @@
 void IngressFlow::onAnswerCut(AttemptId attempt) {
   if (!isCurrent(attempt, Phase::kForwarding)) return;
   ++state_.statistics().answers_cut;
+  note(proxy::DecisionKind::kAnswerCut, "", 0);
   finish(environment_.now());
 }
 
 void IngressFlow::onCallerGone() {
   if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
   ++state_.statistics().caller_gone;
+  note(proxy::DecisionKind::kCallerGone, "", 0);
   if (phase_ != Phase::kWaiting) io_.cancelAttempt(attempt_);
   finish(environment_.now());
 }
@@ -212,13 +214,15 @@
 void IngressFlow::note(proxy::DecisionKind kind, std::string_view reason, int status) const {
   proxy::Decision decision;
   decision.kind = kind;
-  decision.side = "ingress";
+  decision.side = proxy::kIngressSide;
   decision.request = head_.request_id;
   decision.attempt = attempt_;
   decision.server = instance_;
   decision.reason = reason;
   decision.status = status;
   decision.elapsed = environment_.now() - started_;
+  decision.inputs.running = static_cast<std::uint32_t>(state_.running());
+  decision.inputs.waiting = static_cast<std::uint32_t>(state_.waiting());
   state_.note(decision);
 }
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -85,18 +85,6 @@
   return ingress;
 }
 
-std::string_view decisionWord(proxy::DecisionKind kind) {
-  switch (kind) {
-    case proxy::DecisionKind::kForwarded:
-      return "forwarded";
-    case proxy::DecisionKind::kAttemptEnded:
-      return "attempt_ended";
-    case proxy::DecisionKind::kAnsweredItself:
-      return "answered_itself";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 class TwoHopNode::Implementation final : private proxy::DecisionLog {
@@ -133,6 +121,7 @@
 
  private:
   void onDecision(const proxy::Decision& decision) override;
+  void onServerChange(proxy::ServerChange change, const EndpointId& server) override;
 
   Result<void> openEgress();
   Result<void> openIngress();
@@ -387,15 +376,30 @@
   if (lines == runtime::DecisionLines::kNone) return;
   const bool is_failure = decision.kind != proxy::DecisionKind::kForwarded;
   if (!is_failure && lines != runtime::DecisionLines::kAll) return;
-  writeLog(runtime::LogLevel::kInfo, decisionWord(decision.kind),
-           {{"side", std::string(decision.side)},
-            {"request", std::string(decision.request)},
-            {"attempt", std::to_string(decision.attempt)},
-            {"server", std::string(decision.server)},
-            {"reason", std::string(decision.reason)},
-            {"status", std::to_string(decision.status)},
-            {"elapsed_ms", std::to_string(toMilliseconds(decision.elapsed))},
-            {"version", std::to_string(decision.version.value())}});
+  const proxy::DecisionInputs& inputs = decision.inputs;
+  std::vector<runtime::LogField> fields = {
+      {"side", std::string(decision.side)},
+      {"request", std::string(decision.request)},
+      {"attempt", std::to_string(decision.attempt)},
+      {"server", std::string(decision.server)},
+      {"reason", std::string(decision.reason)},
+      {"status", std::to_string(decision.status)},
+      {"elapsed_ms", std::to_string(toMilliseconds(decision.elapsed))},
+  };
+  if (decision.side == proxy::kEgressSide) {
+    fields.push_back({"version", std::to_string(decision.version.value())});
+    fields.push_back({"version_age_ms", std::to_string(toMilliseconds(inputs.configuration_age))});
+    fields.push_back({"entry_age_ms", std::to_string(toMilliseconds(inputs.entry_age))});
+  } else {
+    fields.push_back({"running", std::to_string(inputs.running)});
+    fields.push_back({"waiting", std::to_string(inputs.waiting)});
+  }
+  writeLog(runtime::LogLevel::kInfo, decisionWord(decision.kind), std::move(fields));
+}
+
+void Implementation::onServerChange(proxy::ServerChange change, const EndpointId& server) {
+  if (settings_.log.decisions == runtime::DecisionLines::kNone) return;
+  writeLog(runtime::LogLevel::kInfo, changeWord(change), {{"server", server.value()}});
 }
 
 // ---- Stop
--- /dev/null
+++ b/src/proxy/decision_log.cpp
@@ -0,0 +1,39 @@
+#include "proxy/decision_log.h"
+
+namespace coursepond::proxy {
+
+std::string_view decisionWord(DecisionKind kind) {
+  switch (kind) {
+    case DecisionKind::kForwarded:
+      return "forwarded";
+    case DecisionKind::kAttemptEnded:
+      return "attempt_ended";
+    case DecisionKind::kAnsweredItself:
+      return "answered_itself";
+    case DecisionKind::kAnswerCut:
+      return "answer_cut";
+    case DecisionKind::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+std::string_view changeWord(ServerChange change) {
+  switch (change) {
+    case ServerChange::kListed:
+      return "server_listed";
+    case ServerChange::kLeaving:
+      return "server_leaving";
+    case ServerChange::kLapsed:
+      return "server_lapsed";
+    case ServerChange::kForgotten:
+      return "server_forgotten";
+    case ServerChange::kUnreachable:
+      return "server_unreachable";
+    case ServerChange::kReached:
+      return "server_reached";
+  }
+  return "unknown";
+}
+
+}  // namespace coursepond::proxy
--- a/src/runtime/logging.h
+++ b/src/runtime/logging.h
@@ -9,17 +9,12 @@
 #include <vector>
 
 #include "runtime/line_writer.h"
+#include "runtime/log_line.h"
 #include "runtime/settings.h"
 #include "runtime/token_bucket.h"
 
 namespace coursepond::runtime {
 
-/// One "key=value" of a line. Never give it the value of a secret.
-struct LogField {
-  std::string key;
-  std::string value;
-};
-
 /// Prepares the process's logging; once, before the first line.
 void initializeLogging(const char* program, const LogSettings& settings);
 
