Metrics: how long requests took, by service and outcome, and time in the ingress's queue

Histograms of prometheus-cpp, fed with the decisions that end a request. The age of a version in a decision line is that of the request's own version, not of the newest.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -405,13 +405,14 @@
   decision.kind = kind;
   decision.side = proxy::kEgressSide;
   decision.request = head_.request_id;
+  decision.service = service_.value();
   decision.attempt = attempt_;
   if (server_) decision.server = server_->entry.id.value();
   decision.reason = reason;
   decision.status = status;
   decision.elapsed = environment_.now() - started_;
   decision.version = configurationVersion();
-  if (routing_) decision.inputs.configuration_age = environment_.now() - state_.inForceSince();
+  if (routing_) decision.inputs.configuration_age = environment_.now() - routing_->since;
   if (server_) decision.inputs.entry_age = environment_.now() - server_->entry_since;
   state_.note(decision);
 }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -37,10 +37,9 @@
 
 bool EgressState::apply(model::SnapshotPointer snapshot) {
   if (routing_ && snapshot->version < routing_->snapshot->version) return false;
-  if (!routing_ || routing_->snapshot->version != snapshot->version) {
-    in_force_since_ = environment_.now();
-  }
-  routing_ = std::make_shared<const RoutingTable>(std::move(snapshot));
+  const bool is_same = routing_ && routing_->snapshot->version == snapshot->version;
+  const TimePoint since = is_same ? routing_->since : environment_.now();
+  routing_ = std::make_shared<const RoutingTable>(std::move(snapshot), since);
   return true;
 }
 
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -42,10 +42,11 @@
 
 /// A snapshot made ready for routing.
 struct RoutingTable {
-  explicit RoutingTable(model::SnapshotPointer held)
-      : snapshot(std::move(held)), table(snapshot->routes) {}
+  RoutingTable(model::SnapshotPointer held, TimePoint in_force_since)
+      : snapshot(std::move(held)), table(snapshot->routes), since(in_force_since) {}
   model::SnapshotPointer snapshot;
   proxy::RouteTable table;
+  TimePoint since;  ///< When this version came into force here.
 };
 
 /// One service's state on this node.
@@ -63,8 +64,6 @@
   /// force is refused (returns false).
   bool apply(model::SnapshotPointer snapshot);
   std::shared_ptr<const RoutingTable> routing() const { return routing_; }
-  /// When the version in force came into force here.
-  TimePoint inForceSince() const { return in_force_since_; }
   Version version() const { return routing_ ? routing_->snapshot->version : Version(); }
 
   ServerDirectory& directory() { return directory_; }
@@ -111,7 +110,6 @@
   Environment& environment_;
   ServerDirectory directory_;
   std::shared_ptr<const RoutingTable> routing_;
-  TimePoint in_force_since_;
   std::map<ServiceName, ServiceUse> uses_;
   TrafficSplit split_;
   proxy::DeadlineQueue deadlines_;
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -216,6 +216,7 @@
   decision.kind = kind;
   decision.side = proxy::kIngressSide;
   decision.request = head_.request_id;
+  if (head_.hop_class) decision.service = head_.hop_class->service;
   decision.attempt = attempt_;
   decision.server = instance_;
   decision.reason = reason;
@@ -223,6 +224,8 @@
   decision.elapsed = environment_.now() - started_;
   decision.inputs.running = static_cast<std::uint32_t>(state_.running());
   decision.inputs.waiting = static_cast<std::uint32_t>(state_.waiting());
+  const bool was_sent = attempt_ > 0;
+  decision.inputs.queued = was_sent ? attempt_started_ - started_ : decision.elapsed;
   state_.note(decision);
 }
 
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "node/metric_counters.h"
+#include "runtime/logging.h"
 
 namespace coursepond::node {
 namespace {
@@ -76,6 +77,11 @@
   add("rejected", "Items that could not be read.", &S::rejected);
 }
 
+void addLogLines(MetricTable& table) {
+  table.addCounter("log_lines_dropped_total", "Log lines left out while their reader stood still.",
+                   [] { return static_cast<double>(runtime::standardErrorLines().dropped()); });
+}
+
 }  // namespace
 
 MetricTable makeTwoHopMetrics(const TwoHopSources& sources) {
@@ -88,6 +94,8 @@
                    [&peers] { return static_cast<double>(peers.asked()); });
   table.addCounter("peer_state_learned_total", "Answers of peers that told something newer.",
                    [&peers] { return static_cast<double>(peers.learned()); });
+  addLogLines(table);
+  sources.histograms.addTo(table);
   return table;
 }
 
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -4,6 +4,7 @@
 
 #include "egress/egress_state.h"
 #include "ingress/ingress_state.h"
+#include "node/request_histograms.h"
 #include "runtime/metrics.h"
 #include "source/peer_reader.h"
 #include "source/watch_loop.h"
@@ -16,6 +17,7 @@
   ingress::IngressState& ingress;
   const source::WatchLoop& watch;
   const source::PeerReader& peers;
+  const RequestHistograms& histograms;
 };
 
 runtime::MetricTable makeTwoHopMetrics(const TwoHopSources& sources);
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -161,6 +161,7 @@
   std::optional<model::Configuration> configuration_;  ///< In force; for peers.
   std::unique_ptr<runtime::ProxyServer> egress_server_;
   std::unique_ptr<runtime::ProxyServer> ingress_server_;
+  RequestHistograms histograms_;
   runtime::MetricTable metrics_;
   std::unique_ptr<AdminServer> admin_;
   std::optional<model::ServerEntry> own_server_;
@@ -178,7 +179,7 @@
   if (Result<void> opened = openEgress(); !opened) return opened;
   if (Result<void> opened = openIngress(); !opened) return opened;
   if (Result<void> opened = openPeers(); !opened) return opened;
-  metrics_ = makeTwoHopMetrics({egress_, ingress_, watch_, peers_});
+  metrics_ = makeTwoHopMetrics({egress_, ingress_, watch_, peers_, histograms_});
   return openAdmin();
 }
 
@@ -372,6 +373,7 @@
 }
 
 void Implementation::onDecision(const proxy::Decision& decision) {
+  histograms_.observe(decision);
   const runtime::DecisionLines lines = settings_.log.decisions;
   if (lines == runtime::DecisionLines::kNone) return;
   const bool is_failure = decision.kind != proxy::DecisionKind::kForwarded;
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -31,6 +31,7 @@
   Duration entry_age{};          ///< Since the server's entry last changed here.
   std::uint32_t running = 0;     ///< Requests at the server.
   std::uint32_t waiting = 0;     ///< Requests that wait for a slot.
+  Duration queued{};             ///< How long this one was here before its server had it.
 };
 
 /// One decision; the views last for the call.
@@ -38,6 +39,7 @@
   DecisionKind kind = DecisionKind::kForwarded;
   std::string_view side;     ///< kEgressSide or kIngressSide.
   std::string_view request;  ///< Its id.
+  std::string_view service;  ///< Empty while no route is found.
   std::uint32_t attempt = 0;
   std::string_view server;  ///< Of the attempt; empty when there was none.
   std::string_view reason;  ///< A stable word; empty for kForwarded.
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -10,25 +10,64 @@
 
 constexpr char kPrefix[] = "coursepond_";
 
+prometheus::ClientMetric::Histogram toHistogram(const HistogramValue& value) {
+  prometheus::ClientMetric::Histogram histogram;
+  histogram.sample_count = value.count;
+  histogram.sample_sum = value.sum;
+  for (const HistogramBucket& bucket : value.buckets) {
+    histogram.bucket.push_back({bucket.cumulative, bucket.upper_bound});
+  }
+  return histogram;
+}
+
 prometheus::ClientMetric toClientMetric(const MetricSample& sample, MetricType type) {
   prometheus::ClientMetric metric;
   for (const MetricLabel& label : sample.labels) {
     metric.label.push_back(prometheus::ClientMetric::Label{label.name, label.value});
   }
-  if (type == MetricType::kCounter) {
-    metric.counter.value = sample.value;
-  } else {
-    metric.gauge.value = sample.value;
+  switch (type) {
+    case MetricType::kCounter:
+      metric.counter.value = sample.value;
+      break;
+    case MetricType::kGauge:
+      metric.gauge.value = sample.value;
+      break;
+    case MetricType::kHistogram:
+      metric.histogram = toHistogram(sample.histogram);
+      break;
   }
   return metric;
 }
 
+prometheus::MetricType toFamilyType(MetricType type) {
+  switch (type) {
+    case MetricType::kCounter:
+      return prometheus::MetricType::Counter;
+    case MetricType::kGauge:
+      return prometheus::MetricType::Gauge;
+    case MetricType::kHistogram:
+      return prometheus::MetricType::Histogram;
+  }
+  return prometheus::MetricType::Untyped;
+}
+
+const char* typeWord(MetricType type) {
+  switch (type) {
+    case MetricType::kCounter:
+      return "counter";
+    case MetricType::kGauge:
+      return "gauge";
+    case MetricType::kHistogram:
+      return "histogram";
+  }
+  return "untyped";
+}
+
 prometheus::MetricFamily toFamily(const Metric& metric) {
   prometheus::MetricFamily family;
   family.name = kPrefix + metric.name;
   family.help = metric.meaning;
-  family.type = metric.type == MetricType::kCounter ? prometheus::MetricType::Counter
-                                                    : prometheus::MetricType::Gauge;
+  family.type = toFamilyType(metric.type);
   for (const MetricSample& sample : metric.read()) {
     family.metric.push_back(toClientMetric(sample, metric.type));
   }
@@ -66,9 +105,8 @@
   for (const Metric& metric : metrics_) {
     std::string labels;
     for (const std::string& label : metric.labels) labels += (labels.empty() ? "" : ", ") + label;
-    const char* type = metric.type == MetricType::kCounter ? "counter" : "gauge";
-    text += "| `" + std::string(kPrefix) + metric.name + "` | " + type + " | " + labels + " | " +
-            metric.meaning + " |\n";
+    text += "| `" + std::string(kPrefix) + metric.name + "` | " + typeWord(metric.type) + " | " +
+            labels + " | " + metric.meaning + " |\n";
   }
   return text;
 }
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -3,23 +3,36 @@
 /// Metrics in the Prometheus text format. Parts keep plain counters; a MetricTable says how each is
 /// called and reads it when it is asked, so that nothing is counted twice.
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
 namespace coursepond::runtime {
 
-enum class MetricType { kCounter, kGauge };
+enum class MetricType { kCounter, kGauge, kHistogram };
 
 struct MetricLabel {
   std::string name;
   std::string value;
 };
 
+struct HistogramBucket {
+  double upper_bound = 0;
+  std::uint64_t cumulative = 0;  ///< Observations up to that bound.
+};
+
+struct HistogramValue {
+  std::uint64_t count = 0;
+  double sum = 0;
+  std::vector<HistogramBucket> buckets;
+};
+
 /// One value of a metric.
 struct MetricSample {
   std::vector<MetricLabel> labels;
   double value = 0;
+  HistogramValue histogram = {};  ///< In place of `value`, for a histogram.
 };
 
 struct Metric {
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -28,7 +28,10 @@
   };
   NoPeers no_peers;
   source::PeerReader peers{{}, no_peers, environment, [](const source::SharedState&) {}};
-  runtime::MetricTable table() { return makeTwoHopMetrics({egress, ingress, watch, peers}); }
+  RequestHistograms histograms;
+  runtime::MetricTable table() {
+    return makeTwoHopMetrics({egress, ingress, watch, peers, histograms});
+  }
 };
 
 }  // namespace
@@ -44,6 +47,39 @@
   CHECK(text.find("coursepond_watch_lists_total 1") != std::string::npos);
 }
 
+TEST_CASE("how long requests took is told by service and outcome") {
+  Parts parts;
+  proxy::Decision decision;
+  decision.side = proxy::kEgressSide;
+  decision.service = "stock";
+  decision.elapsed = std::chrono::milliseconds(30);
+  parts.histograms.observe(decision);
+  decision.kind = proxy::DecisionKind::kAnsweredItself;
+  decision.reason = "queue_full";
+  parts.histograms.observe(decision);
+  decision.side = proxy::kIngressSide;
+  decision.inputs.queued = std::chrono::milliseconds(2);
+  parts.histograms.observe(decision);
+  const std::string text = parts.table().exposition();
+  const std::string name = "coursepond_egress_request_seconds_";
+  const std::string answered = "{service=\"stock\",outcome=\"answered\"";
+  CHECK(text.find(name + "count" + answered + "} 1") != std::string::npos);
+  CHECK(text.find(name + "bucket" + answered + ",le=\"0.025\"} 0") != std::string::npos);
+  CHECK(text.find(name + "bucket" + answered + ",le=\"0.05\"} 1") != std::string::npos);
+  CHECK(text.find(name + "sum{service=\"stock\",outcome=\"queue_full\"} 0.03") !=
+        std::string::npos);
+  CHECK(text.find("coursepond_ingress_queue_seconds_sum{service=\"stock\"") != std::string::npos);
+}
+
+TEST_CASE("an attempt that did not end its request is not counted as one") {
+  Parts parts;
+  proxy::Decision decision;
+  decision.kind = proxy::DecisionKind::kAttemptEnded;
+  decision.side = proxy::kEgressSide;
+  parts.histograms.observe(decision);
+  CHECK(parts.table().exposition().find("egress_request_seconds_count") == std::string::npos);
+}
+
 TEST_CASE("the page of two-hop metrics holds exactly the table of metrics") {
   testing::checkPageEndsWith("docs/operators/METRICS-TWO-HOP.md", "| Metric |",
                              Parts().table().reference());
