Promises: the times of watch, directory and stop follow from what operators are promised

The pauses of the watch were fixed as well. Change: a [promises] section (leaving_ms, in_force_ms, settled_ms, stop_ms) from which these times follow; single keys still go first.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -36,7 +36,7 @@
 
 class Membership::Implementation final : private MessageSender<Message> {
  public:
-  Implementation(Member self, Settings settings, Environment& environment,
+  Implementation(const Member& self, Settings settings, Environment& environment,
                  MessageSender<Message>& sender, MembershipObserver& observer);
 
   void start();
@@ -172,8 +172,8 @@
 
 // ---- Construction and the outer calls ----
 
-Membership::Implementation::Implementation(Member self, Settings settings, Environment& environment,
-                                           MessageSender<Message>& sender,
+Membership::Implementation::Implementation(const Member& self, Settings settings,
+                                           Environment& environment, MessageSender<Message>& sender,
                                            MembershipObserver& observer)
     : settings_(settings),
       environment_(environment),
@@ -635,7 +635,7 @@
                                            bool send_back) {
   const std::vector<Member> members = table_.allMembers();
   const std::vector<ZoneReport> reports = zones_.reports();
-  const auto takeFrom = [](const auto& items, std::size_t& position, std::size_t count) {
+  const auto take_from = [](const auto& items, std::size_t& position, std::size_t count) {
     const std::size_t end = std::min(items.size(), position + count);
     std::decay_t<decltype(items)> taken(items.begin() + static_cast<std::ptrdiff_t>(position),
                                         items.begin() + static_cast<std::ptrdiff_t>(end));
@@ -648,8 +648,8 @@
   while (!last) {
     TablePage page;
     page.sequence = sequence;
-    page.table.members = takeFrom(members, next_member, settings_.max_members_per_page);
-    page.table.reports = takeFrom(reports, next_report, kReportsPerPage);
+    page.table.members = take_from(members, next_member, settings_.max_members_per_page);
+    page.table.reports = take_from(reports, next_report, kReportsPerPage);
     last = next_member == members.size() && next_report == reports.size();
     page.last = last;
     page.send_back = last && send_back;
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -133,7 +133,7 @@
     writeMessage(std::move(message));
   }
 
-  void writeHead(HttpResponse answer) {
+  void writeHead(const HttpResponse& answer) {
     auto message = std::make_shared<http::response<http::empty_body>>();
     fillHead(*message, answer);
     message->chunked(true);
--- a/src/runtime/peer_transport.cpp
+++ b/src/runtime/peer_transport.cpp
@@ -221,7 +221,8 @@
 }
 
 void Implementation::closeSession(const SessionPointer& session) {
-  const SessionPointer kept = session;  // The argument may be one of the fields reset below.
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization): it may be a field reset below.
+  const SessionPointer kept = session;
   kept->connection->close();
   sessions_.erase(kept);
   const auto found = peers_.find(kept->peer);
--- /dev/null
+++ b/src/runtime/promises.cpp
@@ -0,0 +1,69 @@
+#include "runtime/promises.h"
+
+#include <algorithm>
+
+#include "runtime/settings.h"
+
+namespace coursepond::runtime {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Kept back from each promise for processing, the network and timers that go off late.
+constexpr Duration kReserve = milliseconds(300);
+/// The same for a change that is taken in: two hops of a read and its decoding.
+constexpr Duration kTakeInReserve = milliseconds(100);
+
+// An answer that comes later than this is not waited for: the source answers within milliseconds.
+constexpr Duration kLongestAnswerTimeout = milliseconds(700);
+constexpr Duration kLongestPatientTimeout = milliseconds(1200);
+
+/// Callers notice unreadiness at the second of two questions that are a second apart.
+constexpr Duration kReadinessNoticed = milliseconds(2100);
+constexpr Duration kStopGrace = milliseconds(50);
+/// Of the stop that is left after readiness is noticed, the part spent waiting for a quiet moment.
+constexpr double kLingerPart = 0.2254;
+
+Duration part(Duration whole, double share) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
+}
+
+void deriveRepair(Duration settled, source::WatchSettings& watch) {
+  watch.answer_timeout = std::min(kLongestAnswerTimeout, settled / 4);
+  watch.patient_timeout = std::min(kLongestPatientTimeout, settled * 2 / 5);
+  watch.wait = settled - watch.answer_timeout - kReserve;
+  // A failed read and the pause after it both pass before the promises hold again.
+  watch.backoff_limit = (settled - watch.patient_timeout) * 4 / 9;
+  watch.backoff_base = std::min(watch.backoff_base, watch.backoff_limit);
+}
+
+void deriveTakingIn(const Promises& promises, Settings& settings) {
+  Duration shortest = std::max(promises.leaving, promises.in_force);
+  if (promises.leaving > Duration(0)) shortest = std::min(shortest, promises.leaving);
+  if (promises.in_force > Duration(0)) shortest = std::min(shortest, promises.in_force);
+  settings.watch.gather = shortest / 4;
+  if (promises.leaving == Duration(0)) return;
+  settings.egress.lapse_hold =
+      std::max(Duration(0), promises.leaving - settings.watch.gather - kTakeInReserve);
+}
+
+void deriveStop(Duration stop, NodeSettings& node) {
+  const Duration available = std::max(stop - kReserve, stop / 2);
+  node.stop_delay = std::min(kReadinessNoticed, available / 2);
+  node.stop_grace = kStopGrace;
+  const Duration rest = std::max(Duration(0), available - node.stop_delay - kStopGrace);
+  node.stop_linger = part(rest, kLingerPart);
+  node.stop_timeout = rest - node.stop_linger;
+}
+
+}  // namespace
+
+void deriveTimings(Settings& settings) {
+  const Promises& promises = settings.promises;
+  if (promises.settled > Duration(0)) deriveRepair(promises.settled, settings.watch);
+  const bool bounds_changes = promises.leaving > Duration(0) || promises.in_force > Duration(0);
+  if (bounds_changes) deriveTakingIn(promises, settings);
+  if (promises.stop > Duration(0)) deriveStop(promises.stop, settings.node);
+}
+
+}  // namespace coursepond::runtime
--- /dev/null
+++ b/src/runtime/promises.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// What operators are promised, and the times of the parts that follow from it. Whoever runs a mesh
+/// states the promises; the parts' own settings can still be set one by one.
+
+#include "core/time.h"
+
+namespace coursepond::runtime {
+
+struct Settings;
+
+/// [promises]: zero leaves the parts' own defaults as they are.
+struct Promises {
+  /// A server that said it leaves, or whose entry went, gets no new work after this.
+  Duration leaving{};
+  /// A version that the source acknowledged is in force on every node after this.
+  Duration in_force{};
+  /// How long after the last trouble of a node or the source the two above hold again.
+  Duration settled{};
+  /// The longest planned stop; then the process is killed.
+  Duration stop{};
+};
+
+/// Sets what follows from `settings.promises`:
+///   - watch: a read that hangs since before the trouble's end is given up, and a source that
+///   failed
+///     is asked again, before `settled` is over;
+///   - watch.gather and egress.lapse_hold: a change is taken in, and a lapsed server used no more,
+///     before `leaving` and `in_force` are over;
+///   - node.stop_*: a planned stop ends by itself before `stop` is over.
+void deriveTimings(Settings& settings);
+
+}  // namespace coursepond::runtime
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -98,8 +98,9 @@
  public:
   SettingsOutcome load(std::string_view toml, const std::vector<SettingOverride>& overrides) {
     const toml::table file = parseToml(std::string(toml), outcome_.mistakes);
-    for (const auto& [section, node] : file) readSection(std::string(section.str()), node);
-    for (const SettingOverride& setting : overrides) readOverride(setting);
+    readAll(file, overrides, true);
+    deriveTimings(outcome_.settings);
+    readAll(file, overrides, false);
     checkRequired();
     checkTogether();
     std::stable_sort(outcome_.mistakes.begin(), outcome_.mistakes.end(),
@@ -111,6 +112,23 @@
   }
 
  private:
+  /// Reads the promises, or all the rest.
+  void readAll(const toml::table& file, const std::vector<SettingOverride>& overrides,
+               bool promises) {
+    for (const auto& [section, node] : file) {
+      if ((section.str() == kPromisesSection) == promises) {
+        readSection(std::string(section.str()), node);
+      }
+    }
+    for (const SettingOverride& setting : overrides) {
+      if (isPromise(setting.key) == promises) readOverride(setting);
+    }
+  }
+
+  static bool isPromise(std::string_view full_name) {
+    return full_name.substr(0, full_name.find('.')) == kPromisesSection;
+  }
+
   void readSection(const std::string& section, const toml::node& node) {
     const toml::table* table = node.as_table();
     if (table == nullptr) {
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -17,6 +17,7 @@
 #include "ingress/settings.h"
 #include "proxy/settings.h"
 #include "runtime/header_names.h"
+#include "runtime/promises.h"
 #include "source/watch_loop.h"
 
 namespace coursepond::runtime {
@@ -112,6 +113,7 @@
 /// What is in force. Parts that bring their own settings are held as they define them, so that
 /// each default stands in one place.
 struct Settings {
+  Promises promises;
   NodeSettings node;
   PlatformSettings platform;
   std::string mesh_name = "coursepond";
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -55,6 +55,25 @@
                                  FIELD(node.stop_timeout)));
 }
 
+void addPromiseKeys(Keys& keys) {
+  const std::string section(kPromisesSection);
+  keys.push_back(millisecondsKey(section, "leaving_ms", {0, kHourMs},
+                                 "A server that said it leaves gets no new work after this. 0, "
+                                 "here and below: the parts' own times stand.",
+                                 FIELD(promises.leaving)));
+  keys.push_back(millisecondsKey(section, "in_force_ms", {0, kHourMs},
+                                 "A version that a watchable source acknowledged is in force on "
+                                 "every node after this.",
+                                 FIELD(promises.in_force)));
+  keys.push_back(millisecondsKey(section, "settled_ms", {0, kHourMs},
+                                 "How long after the last trouble of a node or the source those "
+                                 "two hold again.",
+                                 FIELD(promises.settled)));
+  keys.push_back(millisecondsKey(section, "stop_ms", {0, kHourMs},
+                                 "The longest planned stop; then the process is killed.",
+                                 FIELD(promises.stop)));
+}
+
 void addPlatformKeys(Keys& keys) {
   const std::string section = "platform";
   keys.push_back(addressKey(section, "address", AddressUse::kConnect,
@@ -419,6 +438,7 @@
 Keys makeKeys() {
   Keys keys;
   addNodeKeys(keys);
+  addPromiseKeys(keys);
   addPlatformKeys(keys);
   addMeshKeys(keys);
   addDistributionKeys(keys);
--- a/src/runtime/settings_keys.h
+++ b/src/runtime/settings_keys.h
@@ -13,6 +13,9 @@
 
 namespace coursepond::runtime {
 
+/// Read before all others, since its keys decide their defaults; see promises.h.
+inline constexpr std::string_view kPromisesSection = "promises";
+
 /// The types a key may have in the file.
 enum class SettingType { kText, kInteger, kTextList };
 
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -4,19 +4,14 @@
 #include <memory>
 
 namespace coursepond::source {
-namespace {
-
-constexpr std::uint32_t kLargestBackoffShift = 8;
-
-}  // namespace
-
 WatchLoop::WatchLoop(const WatchSettings& settings, WatchClient& client, Environment& environment,
                      BatchHandler on_batch, FailureHandler on_failure)
     : settings_(settings),
       client_(client),
       environment_(environment),
       on_batch_(std::move(on_batch)),
-      on_failure_(std::move(on_failure)) {}
+      on_failure_(std::move(on_failure)),
+      backoff_(Duration(0), settings.backoff_base, settings.backoff_limit) {}
 
 WatchLoop::~WatchLoop() { stop(); }
 
@@ -50,7 +45,7 @@
 }
 
 Duration WatchLoop::timeout() const {
-  return failures_in_a_row_ == 0 ? settings_.answer_timeout : settings_.patient_timeout;
+  return backoff_.failing() ? settings_.patient_timeout : settings_.answer_timeout;
 }
 
 void WatchLoop::list() {
@@ -61,7 +56,7 @@
 void WatchLoop::watch() {
   ++statistics_.watches;
   // After a failure it must show soon whether the source answers again: don't wait for a change.
-  const Duration wait = failures_in_a_row_ == 0 ? settings_.wait : Duration(0);
+  const Duration wait = backoff_.failing() ? Duration(0) : settings_.wait;
   client_.watch(revision_, wait, wait + timeout(), guarded(&WatchLoop::onWatch));
 }
 
@@ -93,7 +88,7 @@
 }
 
 void WatchLoop::noteAnswer(const WatchBatch& batch) {
-  failures_in_a_row_ = 0;
+  backoff_.onSuccess();
   statistics_.rejected += batch.rejected.size();
 }
 
@@ -108,12 +103,8 @@
   } else {
     on_failure_(error);
   }
-  const std::uint32_t shift = std::min(failures_in_a_row_++, kLargestBackoffShift);
-  const Duration ceiling =
-      std::min(settings_.backoff_base * (1U << shift), settings_.backoff_limit);
-  const auto half = static_cast<std::uint64_t>(ceiling.count() / 2);
-  const Duration pause(static_cast<Duration::rep>(half + environment_.random(half + 1)));
-  watchLater(pause);
+  backoff_.onFailure();
+  watchLater(backoff_.next(environment_));
 }
 
 void WatchLoop::watchLater(Duration pause) {
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "core/environment.h"
+#include "source/retry_backoff.h"
 #include "source/watch_client.h"
 
 namespace coursepond::source {
@@ -22,7 +23,7 @@
   Duration answer_timeout = std::chrono::milliseconds(700);
   /// The same for a read that a slow source has failed before.
   Duration patient_timeout = std::chrono::milliseconds(1200);
-  /// The first pause after a failure; doubles with each further one. Half of it is jitter.
+  /// See RetryBackoff: the longest pause after the first failure, doubled with each further one.
   Duration backoff_base = std::chrono::milliseconds(100);
   Duration backoff_limit = std::chrono::milliseconds(800);
   /// What was held is listed anew after this, in case a change was missed. Zero: never.
@@ -82,7 +83,7 @@
   bool running_ = false;
   bool has_listed_ = false;
   bool must_list_ = true;
-  std::uint32_t failures_in_a_row_ = 0;
+  RetryBackoff backoff_;
   Generation revision_;
   TimePoint last_list_;
   WatchStatistics statistics_;
--- /dev/null
+++ b/tests/runtime/promises_test.cpp
@@ -0,0 +1,83 @@
+#include "runtime/promises.h"
+
+#include <doctest/doctest.h>
+
+#include "runtime/settings.h"
+
+namespace coursepond::runtime {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kNode[] = R"([node]
+id = "a1"
+zone = "a"
+caller_listen = "127.0.0.1:0"
+peer_listen = "127.0.0.1:0"
+admin_listen = "127.0.0.1:0"
+[platform]
+address = "127.0.0.1:7000"
+[admin]
+token = "correct-horse"
+)";
+
+Settings derived(const Promises& promises) {
+  Settings settings;
+  settings.promises = promises;
+  deriveTimings(settings);
+  return settings;
+}
+
+Settings loaded(const std::string& more) {
+  const SettingsOutcome outcome = loadSettings(kNode + more, {});
+  CHECK(outcome.mistakes.empty());
+  return outcome.settings;
+}
+
+}  // namespace
+
+TEST_CASE("whatever is promised, each part is done before it is due") {
+  for (const int scale : {1, 2, 3, 5, 9, 20, 60}) {
+    CAPTURE(scale);
+    const Promises promises{milliseconds(600) * scale, milliseconds(700) * scale,
+                            milliseconds(1000) * scale, milliseconds(1200) * scale};
+    const Settings settings = derived(promises);
+    const source::WatchSettings& watch = settings.watch;
+    CHECK(watch.wait > Duration(0));
+    CHECK(watch.wait + watch.answer_timeout + watch.backoff_base < promises.settled);
+    CHECK(watch.patient_timeout + watch.backoff_limit < promises.settled);
+    CHECK(watch.gather <= promises.in_force / 4);
+    CHECK(watch.gather + settings.egress.lapse_hold < promises.leaving);
+    const NodeSettings& node = settings.node;
+    CHECK(node.stop_timeout > Duration(0));
+    CHECK(node.stop_delay + node.stop_linger + node.stop_grace + node.stop_timeout < promises.stop);
+  }
+}
+
+TEST_CASE("without promises the parts keep their own times") {
+  const Settings settings = derived({});
+  CHECK(settings.watch.gather == source::WatchSettings().gather);
+  CHECK(settings.egress.lapse_hold == egress::Settings().lapse_hold);
+  CHECK(settings.node.stop_timeout == NodeSettings().stop_timeout);
+}
+
+TEST_CASE("a promise decides the defaults wherever it stands; a key that is set goes first") {
+  const Settings settings = loaded(
+      "[watch]\ngather_ms = 40\n"
+      "[promises]\nleaving_ms = 1200\nin_force_ms = 2000\nsettled_ms = 3000\nstop_ms = 6000\n");
+  CHECK(settings.watch.gather == milliseconds(40));
+  CHECK(settings.watch.wait == seconds(2));
+  CHECK(settings.egress.lapse_hold < milliseconds(1200));
+  CHECK(settings.node.stop_delay == milliseconds(2100));
+}
+
+TEST_CASE("a promise can be given as a flag, and its mistakes are told") {
+  const SettingsOutcome outcome = loadSettings(kNode, {{"promises.stop_ms", "4000"}});
+  CHECK(outcome.mistakes.empty());
+  CHECK(outcome.settings.node.stop_timeout < seconds(2));
+  CHECK(loadSettings(std::string(kNode) + "[promises]\nstop_ms = \"soon\"\n", {}).mistakes.size() ==
+        1);
+}
+
+}  // namespace coursepond::runtime
