--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -236,7 +236,10 @@
   writeLog(runtime::LogLevel::kInfo, "started",
            {{"callers", formatAddress(bound.caller)},
             {"ingress", formatAddress(bound.peer)},
-            {"admin", formatAddress(bound.admin)}});
+            {"admin", formatAddress(bound.admin)},
+            {"gather_ms", std::to_string(toMilliseconds(settings_.watch.gather))},
+            {"lapse_hold_ms", std::to_string(toMilliseconds(settings_.egress.lapse_hold))},
+            {"stop_timeout_ms", std::to_string(toMilliseconds(settings_.node.stop_timeout))}});
   watch_.start();
 }
 
