Egress: a request that begins during a planned stop is answered before the stop ends

The ingress refuses what might be cut by its stop; the egress had no such bound. Ruled out: the stop's own timing (it ended 0.25 s before the grace). Change: requests that begin after the announcement get the stop's end, less 50 ms, as their deadline, which the next hop and the server are told too. Test: egress_flow_test, red before (remaining 1,997 ms at 800 ms to the end; no answer); 30 cases pass.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
 /// A request with less than this left is not begun again.
 constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
+/// Kept back from the end of a planned stop, so that the last answers still go out.
+constexpr Duration kStopReserve = std::chrono::milliseconds(50);
 
 class EgressFlow final : public proxy::Exchange, private proxy::DeadlineEntry {
  public:
@@ -140,6 +142,7 @@
   Duration allowed =
       std::min(head_.deadline.value_or(route_->timeout), state_.settings().longest_deadline);
   if (is_held) allowed = std::min(allowed, route_->longest_hold);
+  if (state_.stopEnd()) allowed = std::min(allowed, *state_.stopEnd() - kStopReserve - started_);
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
   deadline_ = started_ + allowed;
   const auto patience = static_cast<Duration::rep>(state_.settings().patience *
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -97,6 +97,10 @@
   void note(proxy::ServerChange change, const EndpointId& server) const {
     if (log_ != nullptr) log_->onServerChange(change, server);
   }
+  /// A planned stop of this node began: requests that begin from now on are answered before `end`,
+  /// when the process goes and would cut them.
+  void announceStop(TimePoint end) { stop_end_ = end; }
+  const std::optional<TimePoint>& stopEnd() const { return stop_end_; }
   std::size_t& inFlight() { return in_flight_; }
   std::size_t inFlight() const { return in_flight_; }
 
@@ -116,6 +120,7 @@
   Statistics statistics_;
   proxy::DecisionLog* log_ = nullptr;
   std::size_t in_flight_ = 0;
+  std::optional<TimePoint> stop_end_;
 };
 
 }  // namespace coursepond::egress
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -415,8 +415,10 @@
   stopping_ = true;
   writeLog(runtime::LogLevel::kInfo, "stopping", {});
   const runtime::NodeSettings& times = settings_.node;
-  ingress_.announceStop(environment_.now() + times.stop_delay + times.stop_linger +
-                        times.stop_grace + times.stop_timeout);
+  const TimePoint end = environment_.now() + times.stop_delay + times.stop_linger +
+                        times.stop_grace + times.stop_timeout;
+  ingress_.announceStop(end);
+  egress_.announceStop(end);
   egress_server_->announceClose();
   environment_.schedule(settings_.node.stop_delay,
                         [this] { endWhenQuiet(environment_.now() + settings_.node.stop_linger); });
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -312,6 +312,17 @@
   CHECK(exchange->io.cancelled.size() == 1);
 }
 
+TEST_CASE("a request that begins during a planned stop is answered before the stop ends") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.state.announceStop(egress.environment.now() + milliseconds(800));
+  const auto exchange = egress.send("/stock");
+  exchange->flow->onAttemptReceived(exchange->io.plans.at(0).id);
+  CHECK(exchange->io.plans[0].remaining < milliseconds(800));
+  egress.environment.advance(milliseconds(799));
+  checkAnswered(*exchange, 504, proxy::Outcome::kUnknown);
+}
+
 TEST_CASE("an ingress that stays silent is left: what was not confirmed has not run") {
   EgressFixture egress(0);
   egress.begin(3);
