--- a/bench/deployments/vary_site.py
+++ b/bench/deployments/vary_site.py
@@ -5,7 +5,7 @@
 as it is, so that a broken rule points at what the product took for granted. Nothing of a site file
 is kept in the repository: the site is read where it lies, the variants go to a folder that you name.
 
-    vary_site.py SITE.toml FOLDER [VARIANT...]
+    vary_site.py SITE.toml FOLDER [VARIANT[+VARIANT...] ...]
 """
 
 import pathlib
@@ -135,6 +135,33 @@
     return scaled(text, "per_s", 2.4)
 
 
+def throttled(text):
+    """A store that serves a handful of calls a second to all nodes together."""
+    return assigned(text, "reads_per_s", "30.0")
+
+
+def lone_servers(text):
+    """One server, and so one machine, for each service."""
+    machines = re.search(r"^machines = \[\n(.*?)^\]", text, flags=re.M | re.S).group(1)
+    kept, seen = [], set()
+    for line in machines.splitlines():
+        app = re.search(r'app = "([\w-]+)"', line).group(1)
+        if app not in seen:
+            kept.append(re.sub(r"count = \d+", "count = 1", line))
+        seen.add(app)
+    text = text.replace(machines, "\n".join(kept) + "\n")
+    zones = {re.search(r'zone = "([\w-]+)"', line).group(1) for line in kept}
+    # Callers live where machines are.
+    lone = sorted(zones)[0]
+    text = re.sub(
+        r'^(  \{ zone = ")([\w-]+)(", mix)',
+        lambda m: m.group(1) + (m.group(2) if m.group(2) in zones else lone) + m.group(3),
+        text,
+        flags=re.M,
+    )
+    return scaled(text, "per_s", 0.22)
+
+
 VARIANTS = {
     "five-zones": five_zones,
     "few-slots": few_slots,
@@ -148,6 +175,8 @@
     "small-machines": small_machines,
     "fresh-connections": fresh_connections,
     "pipelined": pipelined,
+    "throttled": throttled,
+    "lone-servers": lone_servers,
 }
 
 
@@ -158,9 +187,11 @@
     folder = pathlib.Path(sys.argv[2])
     folder.mkdir(parents=True, exist_ok=True)
     for name in sys.argv[3:] or VARIANTS:
-        if name not in VARIANTS:
-            sys.exit(f"vary_site: no variant '{name}' (remedy: one of {', '.join(VARIANTS)})")
-        text = VARIANTS[name](site.read_text())
+        text = site.read_text()
+        for part in name.split("+"):
+            if part not in VARIANTS:
+                sys.exit(f"vary_site: no variant '{part}' (remedy: one of {', '.join(VARIANTS)})")
+            text = VARIANTS[part](text)
         target = folder / f"{site.stem}-{name}.toml"
         target.write_text(text.replace(f'name = "{site.stem}"', f'name = "{target.stem}"', 1))
         print(target)
