Tests: the adapter's reads over real sockets, against a stand-in store

StoreClient had no test: pages, watches, busy, throttled, silent, reset and garbled answers, forgotten history (with a watch loop).

--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,163 @@
+// The adapter's reads over real sockets, against the stand-in store.
+
+#include "store_client.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "runtime/asio_environment.h"
+#include "source/watch_loop.h"
+#include "store_stand_in.h"
+
+namespace coursepond::platform {
+namespace {
+
+using source::WatchBatch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Far longer than any read takes; only a fault of the test would let it pass.
+constexpr Duration kPatience = seconds(20);
+constexpr Duration kShort = milliseconds(60);
+
+std::string serverText(const std::string& address, const std::string& state = "ready") {
+  return R"({"service":"s","address":")" + address + R"(","zone":"a","slots":3,"state":")" + state +
+         R"("})";
+}
+
+constexpr char kConfiguration[] =
+    R"({"version":"r3","resources":[
+        {"entry_type":"services","metadata":{"name":"s"},"spec":{}},
+        {"entry_type":"routes","metadata":{"name":"r"},"spec":{"host":"h","path_prefix":"/",
+         "type":"safe","service":"s"}}]})";
+
+struct Bench {
+  boost::asio::io_context context;
+  StoreStandIn store{context};
+  StoreClient client{context, store.address()};
+
+  Bench() {
+    store.put("op/config", kConfiguration);
+    store.put("servers/i-1", serverText("10.0.0.1:80"));
+    store.put("servers/i-2", serverText("10.0.0.2:80"));
+  }
+
+  template <typename Start>
+  Result<WatchBatch> await(const Start& start) {
+    std::optional<Result<WatchBatch>> answer;
+    start([&](Result<WatchBatch> batch) {
+      answer = std::move(batch);
+      context.stop();
+    });
+    context.restart();
+    context.run_for(kPatience);
+    REQUIRE(answer.has_value());
+    return std::move(*answer);
+  }
+  Result<WatchBatch> list(Duration timeout = kPatience) {
+    return await(
+        [&](source::WatchCallback callback) { client.list(timeout, std::move(callback)); });
+  }
+  Result<WatchBatch> watch(std::uint64_t after, Duration wait, Duration timeout = kPatience) {
+    return await([&](source::WatchCallback callback) {
+      client.watch(Generation(after), wait, timeout, std::move(callback));
+    });
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a list brings everything, page by page, with the first page's revision") {
+  Bench bench;
+  for (const std::size_t page_size : {1, 2, 3, 500}) {
+    CAPTURE(page_size);
+    bench.store.setPageSize(page_size);
+    const auto batch = bench.list();
+    REQUIRE(batch.has_value());
+    CHECK(batch->revision == Generation(3));
+    REQUIRE(batch->configurations.size() == 1);
+    CHECK(batch->configurations[0].version == Version(3));
+    CHECK(batch->servers.size() == 2);
+  }
+}
+
+TEST_CASE("a watch brings what changed after its revision, at once when something did") {
+  Bench bench;
+  bench.store.remove("servers/i-1");
+  bench.store.put("servers/i-2", serverText("10.0.0.2:80", "draining"));
+  const auto batch = bench.watch(3, seconds(2));
+  REQUIRE(batch.has_value());
+  CHECK(batch->revision == Generation(5));
+  CHECK(batch->removed_servers == std::vector{EndpointId("i-1")});
+  REQUIRE(batch->servers.size() == 1);
+  CHECK(batch->servers[0].state == model::MachineState::kLeaving);
+}
+
+TEST_CASE("a watch waits for a change, and one that does not wait tells that there is none") {
+  Bench bench;
+  boost::asio::steady_timer change(bench.context, milliseconds(30));
+  change.async_wait([&](boost::system::error_code) { bench.store.remove("servers/i-2"); });
+  CHECK(bench.watch(3, seconds(2))->removed_servers.size() == 1);
+  const auto nothing = bench.watch(4, Duration(0));
+  REQUIRE(nothing.has_value());
+  CHECK(nothing->revision == Generation(4));
+  CHECK(nothing->servers.empty());
+}
+
+TEST_CASE("each trouble of the store is an error of its kind, and the next read works") {
+  struct Case {
+    StoreTrouble trouble;
+    ErrorKind kind;
+  };
+  Bench bench;
+  for (const Case& expected : {Case{StoreTrouble::kBusy, ErrorKind::kUnavailable},
+                               Case{StoreTrouble::kThrottled, ErrorKind::kOverloaded},
+                               Case{StoreTrouble::kSilent, ErrorKind::kTimeout},
+                               Case{StoreTrouble::kReset, ErrorKind::kUnavailable},
+                               Case{StoreTrouble::kGarbled, ErrorKind::kMalformed}}) {
+    CAPTURE(static_cast<int>(expected.trouble));
+    bench.store.setTrouble(expected.trouble);
+    const bool is_silent = expected.trouble == StoreTrouble::kSilent;
+    const Duration timeout = is_silent ? kShort : kPatience;
+    const auto failed_list = bench.list(timeout);
+    REQUIRE(failed_list.has_error());
+    CHECK(failed_list.error().kind == expected.kind);
+    const auto failed_watch = bench.watch(3, Duration(0), timeout);
+    REQUIRE(failed_watch.has_error());
+    CHECK(failed_watch.error().kind == expected.kind);
+    CHECK_FALSE(failed_watch.error().remedy.empty());
+    bench.store.setTrouble(StoreTrouble::kNone);
+    CHECK(bench.list().has_value());
+  }
+}
+
+TEST_CASE("forgotten history is told as such, and a loop lists anew") {
+  Bench bench;
+  bench.store.put("servers/i-3", serverText("10.0.0.3:80"));
+  bench.store.forgetHistory();
+  CHECK(bench.watch(3, Duration(0)).error().kind == ErrorKind::kBaseMismatch);
+
+  runtime::AsioEnvironment environment(bench.context);
+  const source::WatchSettings settings;
+  std::size_t lists = 0;
+  source::WatchLoop loop(
+      settings, bench.client, environment,
+      [&](const WatchBatch& batch, bool is_complete) {
+        if (!is_complete) return;
+        ++lists;
+        CHECK(batch.servers.size() == 3);
+        if (lists == 2) return bench.context.stop();
+        // What changes now is forgotten before the loop watches for it.
+        bench.store.put("op/other", "");
+        bench.store.forgetHistory();
+      },
+      [](const Error&) {});
+  loop.start();
+  bench.context.restart();
+  bench.context.run_for(kPatience);
+  CHECK(lists == 2);
+  CHECK(loop.statistics().history_lost == 1);
+}
+
+}  // namespace coursepond::platform
--- /dev/null
+++ b/tests/platform/store_stand_in.h
@@ -0,0 +1,74 @@
+#pragma once
+
+/// A stand-in for the platform's store: items with revisions, ranges in pages, watches, and the
+/// troubles a store can have. Serves on a free port of loopback.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "runtime/http_server.h"
+
+namespace coursepond::platform {
+
+/// How the store treats reads.
+enum class StoreTrouble {
+  kNone,
+  kBusy,       ///< 503: nothing was done.
+  kThrottled,  ///< 429.
+  kSilent,     ///< No answer, the connection stays open.
+  kReset,      ///< The connection ends without an answer.
+  kGarbled,    ///< An answer that is no JSON.
+};
+
+class StoreStandIn {
+ public:
+  explicit StoreStandIn(boost::asio::io_context& context);
+
+  Address address() const { return server_->address(); }
+
+  void put(const std::string& key, const std::string& value);
+  void remove(const std::string& key);
+  /// Forgets what changed so far: watches from before get 410.
+  void forgetHistory() { forgotten_ = revision_; }
+  void setTrouble(StoreTrouble trouble) { trouble_ = trouble; }
+  void setPageSize(std::size_t items) { page_size_ = items; }
+
+  std::uint64_t revision() const { return revision_; }
+  std::size_t reads() const { return reads_; }
+
+ private:
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+  };
+  struct Event {
+    std::string key;
+    std::uint64_t revision = 0;
+    std::optional<std::string> value;  ///< Nothing: the item is gone.
+  };
+  struct Watcher {
+    std::uint64_t after = 0;
+    runtime::HttpResponder responder;
+  };
+
+  void serve(const runtime::HttpRequest& request, const runtime::HttpResponder& responder);
+  void serveRange(std::string_view target, const runtime::HttpResponder& responder);
+  void serveWatch(std::string_view target, const runtime::HttpResponder& responder);
+  void record(Event event);
+  std::string eventsAfter(std::uint64_t revision) const;
+
+  std::map<std::string, Item> items_;
+  std::vector<Event> events_;
+  std::vector<Watcher> watchers_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t forgotten_ = 0;
+  std::size_t page_size_ = 500;
+  std::size_t reads_ = 0;
+  StoreTrouble trouble_ = StoreTrouble::kNone;
+  std::unique_ptr<runtime::HttpServer> server_;
+};
+
+}  // namespace coursepond::platform
