--- a/bench/deployments/play_days.py
+++ b/bench/deployments/play_days.py
@@ -13,6 +13,7 @@
 import re
 import subprocess
 import sys
+import zlib
 
 LENGTH_S = 32.0
 FIRST_AT = 7.0
@@ -210,13 +211,14 @@
     parser.add_argument("folder", type=pathlib.Path)
     parser.add_argument("--set", default="single", choices=["single", "twice", "pairs", "grown"])
     parser.add_argument("--jobs", type=int, default=4)
-    parser.add_argument("--only", default="")
+    parser.add_argument("--only", default="", help="days whose names hold this")
+    parser.add_argument("--seed", type=int, default=0, help="another number, other luck")
     options = parser.parse_args()
     options.folder.mkdir(parents=True, exist_ok=True)
     days = {name: entries for name, entries in days_of(options.set).items() if options.only in name}
     paths = [
-        write_day(options.folder, name, entries, 1000 + number)
-        for number, (name, entries) in enumerate(days.items())
+        write_day(options.folder, name, entries, options.seed + zlib.crc32(name.encode()))
+        for name, entries in days.items()
     ]
     failures = 0
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
