Logs and histograms: a refused line is kept, the series of histograms stay bounded

From a last reading: a descriptor that is set not to block could refuse a line that was then lost without being counted; and an ingress took the service's name in a histogram's label from the hop before, without a bound.

--- a/src/node/request_histograms.cpp
+++ b/src/node/request_histograms.cpp
@@ -12,6 +12,9 @@
 const prometheus::Histogram::BucketBoundaries kBoundaries = {
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
 
+/// Series of one histogram; what comes after goes into one of its own.
+constexpr std::size_t kMostSeries = 2000;
+
 double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 std::string outcomeOf(const Decision& decision) {
@@ -50,6 +53,9 @@
 
 prometheus::Histogram& RequestHistograms::find(Histograms& histograms, const Decision& decision) {
   Series series{std::string(decision.service), outcomeOf(decision)};
+  // An ingress takes the service from the hop before, which may name anything.
+  const bool is_known = histograms.contains(series);
+  if (!is_known && histograms.size() >= kMostSeries) series = Series{"other", "other"};
   return histograms.try_emplace(std::move(series), kBoundaries).first->second;
 }
 
--- a/src/runtime/line_writer.cpp
+++ b/src/runtime/line_writer.cpp
@@ -50,6 +50,7 @@
     const std::string& line = lines_.front();
     const ssize_t written = ::write(descriptor_, line.data(), line.size());
     if (written < 0 && errno == EINTR) continue;
+    if (written < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
     // Nobody reads any more, or the line went out; a part of one is not worth repeating.
     lines_.pop_front();
   }
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -71,6 +71,22 @@
   CHECK(text.find("coursepond_ingress_queue_seconds_sum{service=\"stock\"") != std::string::npos);
 }
 
+TEST_CASE("however many services peers name, the series stay bounded") {
+  Parts parts;
+  proxy::Decision decision;
+  decision.side = proxy::kIngressSide;
+  for (int number = 0; number < 5000; ++number) {
+    const std::string service = "s" + std::to_string(number);
+    decision.service = service;
+    parts.histograms.observe(decision);
+  }
+  const std::string text = parts.table().exposition();
+  CHECK(text.find("{service=\"s1999\"") != std::string::npos);
+  CHECK(text.find("{service=\"s2000\"") == std::string::npos);
+  CHECK(text.find("ingress_queue_seconds_count{service=\"other\",outcome=\"other\"} 3000") !=
+        std::string::npos);
+}
+
 TEST_CASE("an attempt that did not end its request is not counted as one") {
   Parts parts;
   proxy::Decision decision;
--- a/tests/runtime/line_writer_test.cpp
+++ b/tests/runtime/line_writer_test.cpp
@@ -72,6 +72,21 @@
                        "\nevent=last\n"));
 }
 
+TEST_CASE("a line that a full descriptor refuses is kept, not lost") {
+  Pipe pipe;
+  REQUIRE(::fcntl(pipe.writeEnd(), F_SETFL, O_NONBLOCK) == 0);
+  LineWriter writer(pipe.writeEnd(), kLinesKept);
+  // Lines that leave a part of the pipe's last page free: poll() may call it writable.
+  for (int number = 0; number < kManyLines; ++number) writer.write(std::string(700, 'x') + "\n");
+  CHECK(writer.waiting() == kLinesKept);
+  std::string text = pipe.read();
+  while (writer.waiting() > 0) {
+    writer.flush();
+    text += pipe.read();
+  }
+  CHECK(text.size() == 701 * (kManyLines - writer.dropped()));
+}
+
 TEST_CASE("a line that is too long for one write is cut, and still ends as a line") {
   Pipe pipe;
   LineWriter writer(pipe.writeEnd(), kLinesKept);
