--- a/tests/cli/commands_test.cpp
+++ b/tests/cli/commands_test.cpp
@@ -8,6 +8,7 @@
 
 #include "cli/command.h"
 #include "repository_files.h"
+#include "support/node_settings.h"
 
 using namespace coursepond;
 using namespace coursepond::cli;
@@ -44,18 +45,6 @@
   std::filesystem::path path_;
 };
 
-constexpr char kSettings[] = R"([node]
-id = "a1"
-zone = "a"
-caller_listen = "127.0.0.1:0"
-peer_listen = "127.0.0.1:0"
-admin_listen = "127.0.0.1:0"
-[platform]
-address = "127.0.0.1:7000"
-[admin]
-token = "correct-horse"
-)";
-
 }  // namespace
 
 TEST_CASE("help names every command, with examples for each") {
@@ -137,14 +126,14 @@
 }
 
 TEST_CASE("check passes what is right") {
-  const TemporaryFile file("good.toml", kSettings);
+  const TemporaryFile file("good.toml", testing::kNodeSettings);
   const Run result = run({"check", file.path()});
   CHECK(result.code == ExitCode::kOk);
   CHECK(result.out.find("no mistakes") != std::string::npos);
 }
 
 TEST_CASE("--print-settings shows what is in force, flags included, and no secret") {
-  const TemporaryFile file("good.toml", kSettings);
+  const TemporaryFile file("good.toml", testing::kNodeSettings);
   const Run result =
       run({"node", "--config", file.path(), "--set", "node.zone=b", "--print-settings"});
   CHECK(result.code == ExitCode::kOk);
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -8,6 +8,7 @@
 
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
+#include "support/loopback_bench.h"
 
 using namespace coursepond;
 using namespace coursepond::node;
@@ -15,9 +16,6 @@
 
 namespace {
 
-/// A test waits at most so long for something that has to happen.
-constexpr auto kPatience = 20s;
-
 runtime::Settings testSettings(const Address& platform) {
   runtime::Settings settings;
   settings.node.id = NodeId("a1");
@@ -38,7 +36,7 @@
 }
 
 /// A platform with one version and no machines, and a node that reads it, in one process.
-class Fixture {
+class Fixture : public testing::LoopbackBench {
  public:
   Fixture() {
     auto platform = runtime::HttpServer::create(
@@ -54,21 +52,6 @@
     node_->start();
   }
 
-  bool runUntil(const std::function<bool()>& reached) {
-    const auto deadline = std::chrono::steady_clock::now() + kPatience;
-    while (!reached() && std::chrono::steady_clock::now() < deadline) context_.run_for(2ms);
-    return reached();
-  }
-
-  runtime::HttpClientResponse call(const Address& address, runtime::HttpClientRequest request) {
-    std::optional<Result<runtime::HttpClientResponse>> response;
-    client_.request(address, std::move(request), 5s,
-                    [&response](auto received) { response = std::move(received); });
-    REQUIRE(runUntil([&response] { return response.has_value(); }));
-    REQUIRE(response->has_value());
-    return **response;
-  }
-
   runtime::HttpClientResponse get(const std::string& target, const std::string& token = "") {
     runtime::HttpClientRequest request;
     request.target = target;
@@ -83,7 +66,6 @@
   }
 
   Node& node() { return *node_; }
-  boost::asio::io_context& context() { return context_; }
 
  private:
   static runtime::HttpResponse answer(const runtime::HttpRequest& request) {
@@ -102,8 +84,6 @@
     return response;
   }
 
-  boost::asio::io_context context_{1};
-  runtime::HttpClient client_{context_};
   std::unique_ptr<runtime::HttpServer> platform_;
   std::unique_ptr<Node> node_;
 };
--- a/tests/node/settings_watch_test.cpp
+++ b/tests/node/settings_watch_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "runtime/settings_change.h"
+#include "support/node_settings.h"
 #include "support/virtual_environment.h"
 
 namespace coursepond::node {
@@ -10,21 +11,9 @@
 
 using std::chrono::seconds;
 
-constexpr char kNode[] = R"([node]
-id = "a1"
-zone = "a"
-caller_listen = "127.0.0.1:0"
-peer_listen = "127.0.0.1:0"
-admin_listen = "127.0.0.1:0"
-[platform]
-address = "127.0.0.1:7000"
-[admin]
-token = "correct-horse"
-)";
-
 /// A settings file in memory.
 struct Bench {
-  std::string text = kNode;
+  std::string text = testing::kNodeSettings;
   bool is_readable = true;
   std::vector<runtime::Settings> taken;
   std::size_t refused = 0;
@@ -59,11 +48,11 @@
 
 TEST_CASE("mistakes are told once and change nothing; the corrected file is taken") {
   Bench bench;
-  bench.text = std::string(kNode) + "[log]\nlines_per_second = \"many\"\n";
+  bench.text = std::string(testing::kNodeSettings) + "[log]\nlines_per_second = \"many\"\n";
   bench.environment.advance(seconds(20));
   CHECK(bench.refused == 1);
   CHECK(bench.taken.empty());
-  bench.text = std::string(kNode) + "[log]\nlines_per_second = 9\n";
+  bench.text = std::string(testing::kNodeSettings) + "[log]\nlines_per_second = 9\n";
   bench.environment.advance(seconds(6));
   CHECK(bench.taken.size() == 1);
 }
@@ -75,20 +64,21 @@
   bench.is_readable = true;
   bench.watch.check();
   CHECK(bench.taken.empty());
-  bench.text = std::string(kNode).substr(0, 40);
+  bench.text = std::string(testing::kNodeSettings).substr(0, 40);
   bench.watch.check();
   CHECK(bench.refused == 1);
-  bench.text = kNode;
+  bench.text = testing::kNodeSettings;
   bench.watch.check();
   CHECK(bench.taken.size() == 1);
 }
 
 TEST_CASE("changes are named, with those that need a restart; only the others are taken over") {
-  const runtime::Settings before = runtime::loadSettings(kNode, {}).settings;
-  const runtime::Settings after = runtime::loadSettings(kNode, {{"log.lines_per_second", "7"},
-                                                                {"node.zone", "b"},
-                                                                {"promises.leaving_ms", "1200"}})
-                                      .settings;
+  const runtime::Settings before = runtime::loadSettings(testing::kNodeSettings, {}).settings;
+  const runtime::Settings after =
+      runtime::loadSettings(
+          testing::kNodeSettings,
+          {{"log.lines_per_second", "7"}, {"node.zone", "b"}, {"promises.leaving_ms", "1200"}})
+          .settings;
   const auto changes = runtime::changesBetween(before, after);
   std::vector<std::string> applied;
   std::vector<std::string> waiting;
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -11,6 +11,7 @@
 
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
+#include "support/loopback_bench.h"
 
 using namespace coursepond;
 using namespace coursepond::node;
@@ -19,8 +20,6 @@
 
 namespace {
 
-/// A test waits at most so long for something that has to happen.
-constexpr auto kPatience = 20s;
 constexpr char kSignature[] = "X-Signature";
 
 /// A source that holds one list; a change of it is seen by the next read.
@@ -90,9 +89,9 @@
 };
 
 /// Two machines of two zones: "shop" on the first, "stock" on the second and the third.
-class Fixture {
+class Fixture : public testing::LoopbackBench {
  public:
-  Fixture() : ingress_port_(freePort()), client_(context_) {
+  Fixture() {
     addRoute("read", "/read", model::Repeatability::kAlways);
     addRoute("book", "/book", model::Repeatability::kNever);
     for (const char* service : {"shop", "stock"}) {
@@ -106,21 +105,6 @@
     REQUIRE(runUntil([this] { return readiness(0) == 200 && readiness(1) == 200; }));
   }
 
-  bool runUntil(const std::function<bool()>& reached) {
-    const auto deadline = std::chrono::steady_clock::now() + kPatience;
-    while (!reached() && std::chrono::steady_clock::now() < deadline) context_.run_for(2ms);
-    return reached();
-  }
-
-  runtime::HttpClientResponse call(const Address& address, runtime::HttpClientRequest request) {
-    std::optional<Result<runtime::HttpClientResponse>> response;
-    client_.request(address, std::move(request), 10s,
-                    [&response](auto received) { response = std::move(received); });
-    REQUIRE(runUntil([&response] { return response.has_value(); }));
-    REQUIRE(response->has_value());
-    return **response;
-  }
-
   /// A request that begins on the first machine.
   runtime::HttpClientResponse send(const std::string& method, const std::string& target,
                                    const std::string& body = "") {
@@ -158,7 +142,6 @@
 
   Machine& machine(std::size_t index) { return *machines_[index]; }
   FakeSource& source() { return source_; }
-  asio::io_context& context() { return context_; }
   std::uint16_t ingressPort() const { return ingress_port_; }
 
   /// Puts all servers into another zone than the nodes'.
@@ -174,15 +157,6 @@
   }
 
  private:
-  /// A port that is free on the first machine, other than `taken`.
-  static std::uint16_t freePort(std::uint16_t taken = 0) {
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(
-        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    const std::uint16_t port = acceptor.local_endpoint().port();
-    return port == taken ? freePort(taken) : port;
-  }
-
   void addRoute(const std::string& name, const std::string& prefix,
                 model::Repeatability repeatability) {
     model::Route& route = source_.configuration.routes[RouteName(name)];
@@ -255,12 +229,10 @@
     return settings;
   }
 
-  asio::io_context context_{1};
-  std::uint16_t ingress_port_;
-  std::uint16_t peer_port_ = freePort(ingress_port_);
+  std::uint16_t ingress_port_ = freePort();
+  std::uint16_t peer_port_ = freePort("127.0.0.1", ingress_port_);
   FakeSource source_;
   std::vector<std::unique_ptr<Machine>> machines_;
-  runtime::HttpClient client_;
 };
 
 }  // namespace
--- a/tests/platform/node_on_store_test.cpp
+++ b/tests/platform/node_on_store_test.cpp
@@ -3,23 +3,19 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include "node/two_hop_node.h"
 #include "runtime/http_client.h"
 #include "store_client.h"
 #include "store_stand_in.h"
+#include "support/loopback_bench.h"
 
 namespace coursepond::platform {
 namespace {
 
-using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
 constexpr char kIp[] = "127.0.0.1";
 constexpr char kServerKey[] = "servers/i-1";
-/// Far longer than any step takes; only a fault lets it pass.
-constexpr auto kPatience = 20s;
 
 std::string configurationText(int version, const std::string& prefix) {
   return R"({"version":"r)" + std::to_string(version) + R"(","resources":[
@@ -30,9 +26,9 @@
        "service":"stock"}}]})";
 }
 
-class Bench {
+class Bench : public testing::LoopbackBench {
  public:
-  Bench() : store_(context_), client_(context_), server_(makeServer()) {}
+  Bench() : store_(context_), server_(makeServer()) {}
 
   void start() {
     node::Extensions extensions;
@@ -58,23 +54,12 @@
     runtime::HttpClientRequest request;
     request.target = target;
     request.headers = {{"X-Request-Id", "id-1"}};
-    std::optional<Result<runtime::HttpClientResponse>> response;
-    client_.request(node_->addresses().caller, std::move(request), 10s,
-                    [&](auto received) { response = std::move(received); });
-    REQUIRE(runUntil([&] { return response.has_value(); }));
-    REQUIRE(response->has_value());
-    return **response;
+    return call(node_->addresses().caller, std::move(request));
   }
   /// Whether requests for `target` come to be answered so.
   bool becomes(const std::string& target, int status) {
     return runUntil([&] { return send(target).status == status; });
   }
-  bool runUntil(const std::function<bool()>& reached) {
-    const auto deadline = std::chrono::steady_clock::now() + kPatience;
-    while (!reached() && std::chrono::steady_clock::now() < deadline) context_.run_for(2ms);
-    return reached();
-  }
-
   StoreStandIn& store() { return store_; }
   std::size_t runs() const { return runs_; }
 
@@ -91,13 +76,6 @@
         }));
   }
 
-  static std::uint16_t freePort() {
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context,
-                                     asio::ip::tcp::endpoint(asio::ip::make_address(kIp), 0));
-    return acceptor.local_endpoint().port();
-  }
-
   runtime::Settings makeSettings() {
     runtime::Settings settings;
     settings.node.id = NodeId("a1");
@@ -112,9 +90,7 @@
     return settings;
   }
 
-  asio::io_context context_{1};
   StoreStandIn store_;
-  runtime::HttpClient client_;
   std::unique_ptr<runtime::HttpServer> server_;
   std::unique_ptr<node::TwoHopNode> node_;
   std::size_t runs_ = 0;
--- a/tests/runtime/promises_test.cpp
+++ b/tests/runtime/promises_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "runtime/settings.h"
+#include "support/node_settings.h"
 
 namespace coursepond::runtime {
 namespace {
@@ -10,18 +11,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kNode[] = R"([node]
-id = "a1"
-zone = "a"
-caller_listen = "127.0.0.1:0"
-peer_listen = "127.0.0.1:0"
-admin_listen = "127.0.0.1:0"
-[platform]
-address = "127.0.0.1:7000"
-[admin]
-token = "correct-horse"
-)";
-
 Settings derived(const Promises& promises) {
   Settings settings;
   settings.promises = promises;
@@ -30,7 +19,7 @@
 }
 
 Settings loaded(const std::string& more) {
-  const SettingsOutcome outcome = loadSettings(kNode + more, {});
+  const SettingsOutcome outcome = loadSettings(testing::kNodeSettings + more, {});
   CHECK(outcome.mistakes.empty());
   return outcome.settings;
 }
@@ -73,11 +62,12 @@
 }
 
 TEST_CASE("a promise can be given as a flag, and its mistakes are told") {
-  const SettingsOutcome outcome = loadSettings(kNode, {{"promises.stop_ms", "4000"}});
+  const SettingsOutcome outcome =
+      loadSettings(testing::kNodeSettings, {{"promises.stop_ms", "4000"}});
   CHECK(outcome.mistakes.empty());
   CHECK(outcome.settings.node.stop_timeout < seconds(2));
-  CHECK(loadSettings(std::string(kNode) + "[promises]\nstop_ms = \"soon\"\n", {}).mistakes.size() ==
-        1);
+  CHECK(loadSettings(std::string(testing::kNodeSettings) + "[promises]\nstop_ms = \"soon\"\n", {})
+            .mistakes.size() == 1);
 }
 
 }  // namespace coursepond::runtime
