Server directory: one that lapses beside others gets no work, not even their overflow

Ruled out: a node that never learned (82 of 82 told server_lapsed). Change: lapsed servers are used only when their service has no listed one, which is what the hold is for (entries that lapse in numbers while the source is away). The cost for lapsed servers is gone with it.

--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -12,8 +12,6 @@
 constexpr std::uint32_t kUnknownSlots = 8;
 /// An ingress that is leaving still serves for a moment: dearer than any other.
 constexpr double kLeavingCost = 1000;
-/// A server whose entry went is the very last.
-constexpr double kLapsedCost = 2000;
 /// Cost factor of a server that is still cold.
 constexpr double kColdFactor = 1.6;
 /// Two costs that differ by less are equal: the choice is then random.
@@ -93,7 +91,6 @@
   if (used > 1) cost += settings_.waiting_cost * (used - 1);
   cost *= slowness(server, now);
   if (server.leaving(now)) cost += kLeavingCost;
-  if (server.lapsed_at) cost += kLapsedCost;
   if (now < server.cold_until) cost *= kColdFactor;
   if (server.entry.zone != settings_.own_zone) cost += settings_.remote_zone_cost;
   return cost;
--- a/src/egress/server_directory.h
+++ b/src/egress/server_directory.h
@@ -62,7 +62,7 @@
   /// Forgets servers that lapsed long enough ago. Returns when to call again, if any are left.
   std::optional<TimePoint> forgetLapsed(TimePoint now);
 
-  /// Servers that may take new work, by id.
+  /// Servers that may take new work, by id; lapsed ones only when no other is left.
   const std::vector<ServerPointer>& usable(const ServiceName& service) const;
   const std::unordered_map<EndpointId, ServerPointer>& all() const { return servers_; }
 
@@ -71,6 +71,7 @@
   void put(const model::ServerEntry& entry, TimePoint now);
   void drop(const EndpointId& id, TimePoint now);
   void rebuild();
+  void useLapsed(const std::vector<ServerPointer>& lapsed);
   void tell(proxy::ServerChange change, const EndpointId& id) const {
     if (on_change_) on_change_(change, id);
   }
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -49,8 +49,8 @@
   /// Pause after an ingress said that it takes no new work.
   Duration avoid_draining = std::chrono::milliseconds(500);
 
-  /// A server whose entry went without a word of leaving is the last resort for so long: entries
-  /// also lapse while the source is away, and come back with the next heartbeat.
+  /// A server whose entry went without a word of leaving is used for so long when its service has
+  /// no other: entries also lapse while the source is away, and come back with the next heartbeat.
   Duration lapse_hold = std::chrono::milliseconds(1400);
   /// How long a request waits for the first configuration of a node that has just started.
   Duration configuration_patience = std::chrono::milliseconds(150);
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -420,6 +420,20 @@
   CHECK(directory.all().empty());
 }
 
+TEST_CASE("a server whose entry went takes no overflow of the listed ones") {
+  EgressFixture egress;
+  egress.begin(2);
+  egress.state.directory().remove(EndpointId("s1"), egress.environment.now());
+  const auto stock = egress.send("/stock");
+  CHECK(stock->server() == "s2");
+  stock->answer(refusal(stock->id, "queue_full", milliseconds(100)));
+  CHECK(stock->io.plans.size() == 1);
+  checkAnswered(*stock, 503, proxy::Outcome::kNotRun);
+  // Its entry comes back: it takes work again at once.
+  egress.list({EgressFixture::entry("s1", "a"), EgressFixture::entry("s2", "a")});
+  CHECK(egress.state.directory().usable(ServiceName("stock")).size() == 2);
+}
+
 TEST_CASE("an entry that comes back stands as before; one that was leaving is gone at once") {
   EgressFixture egress;
   egress.begin(2);
