--- a/src/cli/request_story.cpp
+++ b/src/cli/request_story.cpp
@@ -136,12 +136,12 @@
 }
 
 const LogLine& RequestStory::lastDecision() const {
-  const LogLine* last = nullptr;
+  const LogLine* last = &decisions_.front();
   bool is_egress = false;
   for (const LogLine& line : decisions_) {
     const bool of_egress = valueOf(line, "side") == proxy::kEgressSide;
     if (is_egress && !of_egress) continue;
-    const bool is_later = last == nullptr || !isEarlier(line, *last);
+    const bool is_later = !isEarlier(line, *last);
     if (is_later || (of_egress && !is_egress)) last = &line;
     is_egress = is_egress || of_egress;
   }
--- a/src/cli/request_story.h
+++ b/src/cli/request_story.h
@@ -43,6 +43,7 @@
   bool isFound() const { return !decisions_.empty(); }
 
  private:
+  /// Call only when isFound().
   const runtime::LogLine& lastDecision() const;
 
   std::string request_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -791,10 +791,10 @@
 
 // ---- The outer class ----
 
-Membership::Membership(Member self, Settings settings, Environment& environment,
+Membership::Membership(const Member& self, Settings settings, Environment& environment,
                        MessageSender<Message>& sender, MembershipObserver& observer)
-    : implementation_(std::make_unique<Implementation>(std::move(self), settings, environment,
-                                                       sender, observer)) {}
+    : implementation_(
+          std::make_unique<Implementation>(self, settings, environment, sender, observer)) {}
 
 Membership::~Membership() = default;
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -49,7 +49,7 @@
  public:
   /// `self.incarnation` must be above that of any earlier life of the id (wall-clock milliseconds
   /// at start will do; the caller supplies it). All references must outlive this.
-  Membership(Member self, Settings settings, Environment& environment,
+  Membership(const Member& self, Settings settings, Environment& environment,
              MessageSender<Message>& sender, MembershipObserver& observer);
   ~Membership();
 
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -393,7 +393,7 @@
 void SessionChannel::begin(HttpResponse head) {
   if (!session_ || begun_) return;
   begun_ = true;
-  session_->writeHead(std::move(head));
+  session_->writeHead(head);
 }
 
 void SessionChannel::sendChunk(std::string bytes) {
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -92,10 +92,11 @@
 
 void LoadRun::sendOn(const std::shared_ptr<Connection>& connection, const RequestPointer& request) {
   const RequestKind& kind = *request->kind;
-  OutgoingRequest outgoing{kind.method,       kind.host,
-                           kind.target,       makeRequestId(options_.id_prefix, request->number),
-                           options_.deadline, options_.timeout};
-  connection->connection.send(std::move(outgoing),
+  const OutgoingRequest outgoing{
+      kind.method,       kind.host,
+      kind.target,       makeRequestId(options_.id_prefix, request->number),
+      options_.deadline, options_.timeout};
+  connection->connection.send(outgoing,
                               [this, connection, request](ExchangeEnd end, const Answer& answer) {
                                 finish(connection, request, end, answer);
                               });
