--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -35,12 +35,12 @@
   return readFile(parsed["config"].as<std::string>());
 }
 
-/// To notice changes of the file; flags go on overriding it.
-node::SettingsFile settingsFile(const cxxopts::ParseResult& parsed,
+/// To notice changes of the file, which had `text` at the start; flags go on overriding it.
+node::SettingsFile settingsFile(const cxxopts::ParseResult& parsed, std::string text,
                                 const std::vector<runtime::SettingOverride>& overrides) {
   if (parsed.count("config") == 0) return {};
   const auto path = parsed["config"].as<std::string>();
-  return {[path] { return readFile(path); },
+  return {std::move(text), [path] { return readFile(path); },
           [overrides](const std::string& text) { return runtime::loadSettings(text, overrides); }};
 }
 
@@ -74,7 +74,7 @@
     streams.out << runtime::printSettings(outcome.settings);
     return ExitCode::kOk;
   }
-  return node::runNode(outcome.settings, extensions, settingsFile(parsed, *overrides));
+  return node::runNode(outcome.settings, extensions, settingsFile(parsed, *file, *overrides));
 }
 
 }  // namespace
--- a/src/cli/request_story.cpp
+++ b/src/cli/request_story.cpp
@@ -100,6 +100,15 @@
   return found == kReasons.end() ? ReasonText{word, "", ""} : *found;
 }
 
+std::string reasonsReference() {
+  std::string text = "| Reason | What happened | Look at |\n|---|---|---|\n";
+  for (const ReasonText& reason : kReasons) {
+    text += "| `" + std::string(reason.word) + "` | " + std::string(reason.meaning) + " | " +
+            std::string(reason.look_at) + " |\n";
+  }
+  return text;
+}
+
 void RequestStory::read(std::istream& log) {
   std::string text;
   while (std::getline(log, text)) {
--- a/src/cli/request_story.h
+++ b/src/cli/request_story.h
@@ -60,4 +60,7 @@
 };
 ReasonText explainReason(std::string_view word);
 
+/// The table of docs/operators/REASONS.md as Markdown.
+std::string reasonsReference();
+
 }  // namespace coursepond::cli
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -404,6 +404,7 @@
 }
 
 void EgressFlow::note(proxy::DecisionKind kind, std::string_view reason, int status) const {
+  const TimePoint now = environment_.now();
   proxy::Decision decision;
   decision.kind = kind;
   decision.side = proxy::kEgressSide;
@@ -413,10 +414,10 @@
   if (server_) decision.server = server_->entry.id.value();
   decision.reason = reason;
   decision.status = status;
-  decision.elapsed = environment_.now() - started_;
+  decision.elapsed = now - started_;
   decision.version = configurationVersion();
-  if (routing_) decision.inputs.configuration_age = environment_.now() - routing_->since;
-  if (server_) decision.inputs.entry_age = environment_.now() - server_->entry_since;
+  if (routing_) decision.inputs.configuration_age = now - routing_->since;
+  if (server_) decision.inputs.entry_age = now - server_->entry_since;
   state_.note(decision);
 }
 
--- a/src/egress/server_directory.cpp
+++ b/src/egress/server_directory.cpp
@@ -1,7 +1,6 @@
 #include "egress/server_directory.h"
 
 #include <algorithm>
-#include <set>
 #include <unordered_set>
 
 namespace coursepond::egress {
@@ -90,31 +89,16 @@
   return found == usable_.end() ? none : found->second;
 }
 
-/// Entries lapse in numbers while the source is away; one that lapses beside others has most likely
-/// ended, and gets no work, not even what the others refuse.
-void ServerDirectory::useLapsed(const std::vector<ServerPointer>& lapsed) {
-  std::set<ServiceName> without_others;
-  for (const ServerPointer& server : lapsed) {
-    if (!usable_.contains(server->entry.service)) without_others.insert(server->entry.service);
-  }
-  for (const ServerPointer& server : lapsed) {
-    if (!without_others.contains(server->entry.service)) continue;
-    usable_[server->entry.service].push_back(server);
-  }
-}
-
 void ServerDirectory::rebuild() {
   usable_.clear();
-  std::vector<ServerPointer> lapsed;
+  std::map<ServiceName, std::vector<ServerPointer>> lapsed;
   for (const auto& [id, server] : servers_) {
     if (server->draining()) continue;
-    if (server->lapsed_at) {
-      lapsed.push_back(server);
-    } else {
-      usable_[server->entry.service].push_back(server);
-    }
+    (server->lapsed_at ? lapsed : usable_)[server->entry.service].push_back(server);
   }
-  useLapsed(lapsed);
+  // Entries lapse in numbers while the source is away; one that lapses beside others has most
+  // likely ended. So only services without any listed server take theirs from the lapsed ones.
+  usable_.merge(lapsed);
   for (auto& [service, servers] : usable_) {
     std::sort(servers.begin(), servers.end(),
               [](const ServerPointer& left, const ServerPointer& right) {
--- a/src/egress/server_directory.h
+++ b/src/egress/server_directory.h
@@ -71,7 +71,6 @@
   void put(const model::ServerEntry& entry, TimePoint now);
   void drop(const EndpointId& id, TimePoint now);
   void rebuild();
-  void useLapsed(const std::vector<ServerPointer>& lapsed);
   void tell(proxy::ServerChange change, const EndpointId& id) const {
     if (on_change_) on_change_(change, id);
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,6 +26,7 @@
 
 /// Where a running node's settings come from, to notice changes; may be empty.
 struct SettingsFile {
+  std::string text;  ///< That the node was started with.
   /// The file's text, or why it cannot be read.
   std::function<Result<std::string>()> read;
   /// The settings that a text makes, with what else was given at the start.
--- a/src/node/request_histograms.cpp
+++ b/src/node/request_histograms.cpp
@@ -53,9 +53,10 @@
 
 prometheus::Histogram& RequestHistograms::find(Histograms& histograms, const Decision& decision) {
   Series series{std::string(decision.service), outcomeOf(decision)};
+  const auto found = histograms.find(series);
+  if (found != histograms.end()) return found->second;
   // An ingress takes the service from the hop before, which may name anything.
-  const bool is_known = histograms.contains(series);
-  if (!is_known && histograms.size() >= kMostSeries) series = Series{"other", "other"};
+  if (histograms.size() >= kMostSeries) series = Series{"other", "other"};
   return histograms.try_emplace(std::move(series), kBoundaries).first->second;
 }
 
--- a/src/node/settings_watch.cpp
+++ b/src/node/settings_watch.cpp
@@ -13,9 +13,7 @@
 SettingsWatch::~SettingsWatch() { environment_.cancel(timer_); }
 
 void SettingsWatch::start() {
-  if (!file_.read) return;
-  if (const Result<std::string> text = file_.read()) held_ = *text;
-  checkLater();
+  if (file_.read) checkLater();
 }
 
 void SettingsWatch::checkLater() {
@@ -28,9 +26,9 @@
 void SettingsWatch::check() {
   if (!file_.read) return;
   const Result<std::string> text = file_.read();
-  if (!text || *text == held_) return;
-  held_ = *text;
-  const runtime::SettingsOutcome outcome = file_.load(held_);
+  if (!text || *text == file_.text) return;
+  file_.text = *text;
+  const runtime::SettingsOutcome outcome = file_.load(file_.text);
   if (!outcome.mistakes.empty()) return on_mistakes_(outcome.mistakes);
   on_change_(outcome.settings);
 }
--- a/src/node/settings_watch.h
+++ b/src/node/settings_watch.h
@@ -32,12 +32,11 @@
  private:
   void checkLater();
 
-  SettingsFile file_;
+  SettingsFile file_;  ///< Its text is the last that was taken in or refused.
   Duration interval_;
   Environment& environment_;
   ChangeHandler on_change_;
   MistakeHandler on_mistakes_;
-  std::string held_;  ///< The text that was last taken in or refused.
   TimerId timer_ = 0;
 };
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -495,6 +495,7 @@
 }
 
 void TwoHopNode::start() { implementation_->start(); }
+
 void TwoHopNode::changeSettings(const runtime::Settings& settings) {
   implementation_->changeSettings(settings);
 }
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -38,10 +38,9 @@
 }
 
 void deriveTakingIn(const Promises& promises, Settings& settings) {
-  Duration shortest = std::max(promises.leaving, promises.in_force);
-  if (promises.leaving > Duration(0)) shortest = std::min(shortest, promises.leaving);
-  if (promises.in_force > Duration(0)) shortest = std::min(shortest, promises.in_force);
-  settings.watch.gather = shortest / 4;
+  const bool has_both = promises.leaving > Duration(0) && promises.in_force > Duration(0);
+  const auto [shorter, longer] = std::minmax(promises.leaving, promises.in_force);
+  settings.watch.gather = (has_both ? shorter : longer) / 4;
   if (promises.leaving == Duration(0)) return;
   settings.egress.lapse_hold =
       std::max(Duration(0), promises.leaving - settings.watch.gather - kTakeInReserve);
--- a/src/source/watch_client.cpp
+++ b/src/source/watch_client.cpp
@@ -4,13 +4,11 @@
 
 void WatchBatch::put(model::ServerEntry entry) {
   std::erase(removed_servers, entry.id);
-  std::erase_if(servers, [&](const model::ServerEntry& held) { return held.id == entry.id; });
   servers.push_back(std::move(entry));
 }
 
 void WatchBatch::remove(const EndpointId& id) {
   std::erase_if(servers, [&](const model::ServerEntry& held) { return held.id == id; });
-  std::erase(removed_servers, id);
   removed_servers.push_back(id);
 }
 
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -17,8 +17,9 @@
 
 namespace coursepond::source {
 
-/// What one read gave. A list holds everything; a watch what changed. Configurations are in order;
-/// a server is in one of the two lists at most, by its last change: use put() and remove().
+/// What one read gave. A list holds everything; a watch what changed, in order. A server is in one
+/// of the two lists of servers at most, by its last change: use put() and remove(). A list of any
+/// length has nothing removed, so that taking it in costs no search.
 struct WatchBatch {
   Generation revision;  ///< Go on from here.
   std::vector<model::Configuration> configurations;
@@ -26,9 +27,9 @@
   std::vector<EndpointId> removed_servers;
   std::vector<Error> rejected;  ///< Items that could not be read; what was held stays in force.
 
-  /// `entry` was written: it takes the place of an earlier change of this server.
+  /// `entry` was written: an earlier end of this server no longer counts.
   void put(model::ServerEntry entry);
-  /// The entry of `id` was taken away.
+  /// The entry of `id` was taken away, whatever was written before.
   void remove(const EndpointId& id);
 };
 
--- a/tests/cli/explain_test.cpp
+++ b/tests/cli/explain_test.cpp
@@ -4,6 +4,7 @@
 
 #include "cli/request_story.h"
 #include "proxy/reason.h"
+#include "repository_files.h"
 
 namespace coursepond::cli {
 namespace {
@@ -73,4 +74,8 @@
   }
 }
 
+TEST_CASE("the page of reasons holds exactly what explain says") {
+  testing::checkPageEndsWith("docs/operators/REASONS.md", "| Reason |", reasonsReference());
+}
+
 }  // namespace coursepond::cli
--- a/tests/node/settings_watch_test.cpp
+++ b/tests/node/settings_watch_test.cpp
@@ -13,12 +13,13 @@
 
 /// A settings file in memory.
 struct Bench {
-  std::string text = testing::kNodeSettings;
+  std::string text;
   bool is_readable = true;
   std::vector<runtime::Settings> taken;
   std::size_t refused = 0;
   proxy::VirtualEnvironment environment;
-  SettingsWatch watch{{[this]() -> Result<std::string> {
+  SettingsWatch watch{{testing::kNodeSettings,
+                       [this]() -> Result<std::string> {
                          if (is_readable) return text;
                          return Error{ErrorKind::kNotFound, "away", ""};
                        },
@@ -28,7 +29,8 @@
                       [this](const runtime::Settings& settings) { taken.push_back(settings); },
                       [this](const std::vector<runtime::SettingMistake>&) { ++refused; }};
 
-  Bench() { watch.start(); }
+  /// The node was started with the smallest settings; the file holds `now` since.
+  explicit Bench(std::string now = testing::kNodeSettings) : text(std::move(now)) { watch.start(); }
 };
 
 }  // namespace
@@ -46,6 +48,12 @@
   CHECK(bench.taken.size() == 2);
 }
 
+TEST_CASE("a change between the node's reading of the file and the first look is not missed") {
+  Bench bench(std::string(testing::kNodeSettings) + "[log]\nlines_per_second = 7\n");
+  bench.environment.advance(seconds(6));
+  CHECK(bench.taken.size() == 1);
+}
+
 TEST_CASE("mistakes are told once and change nothing; the corrected file is taken") {
   Bench bench;
   bench.text = std::string(testing::kNodeSettings) + "[log]\nlines_per_second = \"many\"\n";
@@ -93,6 +101,10 @@
   CHECK(held.log.lines_per_second == 7);
   CHECK(held.egress.lapse_hold == after.egress.lapse_hold);
   CHECK(held.node.zone == before.node.zone);
+  // What was named as changed and what was taken over are the same.
+  for (const runtime::SettingChange& left : runtime::changesBetween(held, after)) {
+    CHECK(left.needs_restart);
+  }
 }
 
 }  // namespace coursepond::node
