--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -54,6 +54,15 @@
   CHECK(configuration->limits.idle_timeout == std::chrono::seconds(15));
 }
 
+TEST_CASE("a route for large bodies is one that may not be repeated") {
+  std::string text = kConfiguration;
+  text.replace(text.find("unsafe"), 6, "upload");
+  const auto configuration = decodeConfiguration(text);
+  REQUIRE(configuration.has_value());
+  const model::Route& seat = configuration->routes.at(RouteName("seat"));
+  CHECK(seat.repeatability == model::Repeatability::kNever);
+}
+
 TEST_CASE("a configuration that is cut, odd or names an unknown service is refused whole") {
   const std::string whole = kConfiguration;
   for (std::size_t size = 0; size < whole.size(); size += 7) {
