--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -27,6 +27,12 @@
 /// Kept back from the end of a planned stop, so that the last answers still go out.
 constexpr Duration kStopReserve = std::chrono::milliseconds(50);
 
+/// Whether an ingress refused since its server is busy, not since it is leaving or another's.
+bool isForWantOfRoom(const AnswerHead& answer) {
+  return answer.node_reason == reasonWord(Reason::kQueueFull) ||
+         answer.node_reason == reasonWord(Reason::kDeadlineTooShort);
+}
+
 class EgressFlow final : public proxy::Exchange, private proxy::DeadlineEntry {
  public:
   EgressFlow(proxy::RequestHead head, EgressState& state, Environment& environment,
@@ -96,7 +102,8 @@
   std::vector<EndpointId> tried_;
   Phase phase_ = Phase::kNew;
   AttemptId attempt_ = 0;
-  std::uint32_t arrivals_ = 0;  ///< Servers that may have seen the request.
+  std::uint32_t arrivals_ = 0;        ///< Servers that may have seen the request.
+  std::uint32_t full_ingresses_ = 0;  ///< That refused it for want of room.
   std::uint32_t max_attempts_ = 1;
   bool is_repeatable_ = false;
   bool may_have_run_ = false;
@@ -335,6 +342,10 @@
     tried_.push_back(server_->entry.id);
     releaseServer();
     if (now >= deadline_) return conclude(Reason::kDeadline);
+    if (isForWantOfRoom(answer)) ++full_ingresses_;
+    if (full_ingresses_ >= state_.settings().most_full_ingresses) {
+      return conclude(Reason::kQueueFull);
+    }
     return sendOrWait(now);
   }
   ++state_.statistics().server_refusals;
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -41,6 +41,10 @@
   /// and in a burst: this many divided by the number of nodes.
   double retry_burst = 45;
 
+  /// Ingresses that may refuse one request for want of room before it gets its final answer. The
+  /// second choice is worth its message; measured, further ones only load a fleet that is full.
+  std::uint32_t most_full_ingresses = 2;
+
   /// An ingress that has not said within this that it has a request counts as silent.
   Duration receipt_timeout = std::chrono::milliseconds(250);
   /// Pause after a server's ingress could not be reached; doubles up to the longest.
