--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -1,36 +1,67 @@
 #pragma once
 
-/// Tells other nodes what this one knows from the source, and asks them, over HTTP:
-///   GET /v1/state?after=REVISION  200 with a CBOR state, 204 when nothing newer is known,
-///                                 503 when nothing is known yet.
+/// Tells other nodes what this one holds of the source, and asks them, over HTTP:
+///   GET /v1/state?after=REVISION&version=VERSION&wait_ms=MS&fresh=1
+///     200 with a state update; 204 when nothing newer was known before the wait was over;
+///     503 when nothing is known yet, or `fresh` is asked of a node that does not read the source.
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "core/address.h"
+#include "core/environment.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
+#include "source/held_state.h"
 #include "source/peer_reader.h"
 
 namespace coursepond::node {
 
 class PeerStateServer {
  public:
-  /// What is known; nothing before the first configuration. Called for each question.
-  using StateSource = std::function<std::optional<source::SharedState>()>;
+  /// Whether what is held is as new as the source's own.
+  using FreshnessCheck = std::function<bool()>;
 
-  /// kUnavailable when the address cannot be bound.
+  /// kUnavailable when the address cannot be bound. `held` and `environment` must outlive it.
   static Result<std::unique_ptr<PeerStateServer>> create(boost::asio::io_context& context,
-                                                         const Address& listen, StateSource known);
+                                                         const Address& listen,
+                                                         const source::HeldState& held,
+                                                         Environment& environment,
+                                                         FreshnessCheck is_fresh);
+  ~PeerStateServer();
   Address address() const { return server_->address(); }
 
+  /// What is held changed: answers who waits for it.
+  void onNews();
+  /// This node no longer reads the source, or stops: who waits here shall ask another.
+  void dismissWaiting();
+
  private:
-  explicit PeerStateServer(StateSource known) : known_(std::move(known)) {}
-  runtime::HttpResponse answer(const runtime::HttpRequest& request);
+  struct Waiting {
+    source::PeerQuestion question;
+    runtime::HttpResponder responder;
+    TimerId timer = 0;
+  };
+  using WaitingList = std::list<Waiting>;
+
+  PeerStateServer(const source::HeldState& held, Environment& environment, FreshnessCheck is_fresh)
+      : held_(held), environment_(environment), is_fresh_(std::move(is_fresh)) {}
+  void answer(const runtime::HttpRequest& request, runtime::HttpResponder responder);
+  void wait(const source::PeerQuestion& question, runtime::HttpResponder responder);
+  runtime::HttpResponse makeAnswer(const source::PeerQuestion& question);
 
-  StateSource known_;
+  const source::HeldState& held_;
+  Environment& environment_;
+  FreshnessCheck is_fresh_;
+  WaitingList waiting_;
+  /// The last answer and what it is for: most nodes that wait hold the same.
+  std::string encoded_;
+  source::PeerQuestion encoded_for_;
+  Generation encoded_revision_;
   std::unique_ptr<runtime::HttpServer> server_;
 };
 
@@ -39,7 +70,7 @@
   /// Every node listens for its peers on `port`.
   HttpPeerStateClient(boost::asio::io_context& context, std::uint16_t port)
       : port_(port), client_(context) {}
-  void read(const std::string& host, Generation after, Duration timeout,
+  void read(const std::string& host, const source::PeerQuestion& question, Duration timeout,
             source::PeerStateCallback callback) override;
 
  private:
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -77,6 +77,20 @@
   add("rejected", "Items that could not be read.", &S::rejected);
 }
 
+void addRelay(MetricTable& table, const source::RelayClient& relay) {
+  using S = source::RelayStatistics;
+  const auto add = [&](const char* name, const char* meaning, std::uint64_t S::*field) {
+    table.addCounter(name, meaning,
+                     [&relay, field] { return static_cast<double>(relay.statistics().*field); });
+  };
+  add("relay_source_reads_total", "Reads of the source by this node.", &S::source_reads);
+  add("relay_source_failures_total", "Those that failed.", &S::source_failures);
+  add("relay_peer_reads_total", "Questions to nodes that read the source.", &S::peer_reads);
+  add("relay_peer_failures_total", "Those that failed.", &S::peer_failures);
+  table.addGauge("relay_reads_source", "1 when this node is one that reads the source for others.",
+                 [&relay] { return relay.isReader() ? 1.0 : 0.0; });
+}
+
 void addLogLines(MetricTable& table) {
   table.addCounter("log_lines_dropped_total", "Log lines left out while their reader stood still.",
                    [] { return static_cast<double>(runtime::standardErrorLines().dropped()); });
@@ -89,6 +103,7 @@
   addEgress(table, sources.egress);
   addIngress(table, sources.ingress);
   addWatch(table, sources.watch);
+  addRelay(table, sources.relay);
   const source::PeerReader& peers = sources.peers;
   table.addCounter("peer_state_asked_total", "Questions to peers while the source failed.",
                    [&peers] { return static_cast<double>(peers.asked()); });
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -7,6 +7,7 @@
 #include "node/request_histograms.h"
 #include "runtime/metrics.h"
 #include "source/peer_reader.h"
+#include "source/relay_client.h"
 #include "source/watch_loop.h"
 
 namespace coursepond::node {
@@ -16,6 +17,7 @@
   egress::EgressState& egress;
   ingress::IngressState& ingress;
   const source::WatchLoop& watch;
+  const source::RelayClient& relay;
   const source::PeerReader& peers;
   const RequestHistograms& histograms;
 };
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -1,5 +1,7 @@
 #include "node/two_hop_node.h"
 
+#include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -13,6 +15,8 @@
 #include "runtime/logging.h"
 #include "runtime/proxy_server.h"
 #include "runtime/settings_change.h"
+#include "source/reader_choice.h"
+#include "source/relay_client.h"
 #include "source/watch_loop.h"
 
 namespace coursepond::node {
@@ -99,18 +103,22 @@
         egress_(egressSettings(settings_), environment_),
         ingress_(ingressSettings(settings_), environment_),
         client_(std::move(client)),
+        peer_client_(context, settings_.node.peer_listen.port),
+        relay_(settings_.relay, *client_, peer_client_, held_, environment_),
         watch_(
-            settings_.watch, *client_, environment_,
+            settings_.watch, relay_, environment_,
             [this](const source::WatchBatch& batch, bool is_complete) {
               onBatch(batch, is_complete);
             },
             [this](const Error& error) { onWatchFailed(error); }),
-        peer_client_(context, settings_.node.peer_listen.port),
-        peers_({}, peer_client_, environment_,
-               [this](const source::SharedState& state) { onPeerState(state); }) {
+        peers_({}, peer_client_, held_, environment_,
+               [this](const source::StateUpdate& update) { onPeerState(update); }) {
     ingress_.setAddress(settings_.two_hop.server);
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
+    relay_.onFreshnessLost([this] {
+      if (peer_server_) peer_server_->dismissWaiting();
+    });
   }
 
   Result<void> open();
@@ -138,8 +146,8 @@
   void forgetLapsedServers();
   void updateOwnServer();
   void onWatchFailed(const Error& error);
-  void onPeerState(const source::SharedState& state);
-  std::optional<source::SharedState> sharedState() const;
+  void onPeerState(const source::StateUpdate& update);
+  void chooseReaders();
 
   std::string unreadiness() const;
   std::string statusPage() const;
@@ -157,11 +165,12 @@
   egress::EgressState egress_;
   ingress::IngressState ingress_;
   std::unique_ptr<source::WatchClient> client_;
-  source::WatchLoop watch_;
+  source::HeldState held_;
   HttpPeerStateClient peer_client_;
+  source::RelayClient relay_;
+  source::WatchLoop watch_;
   source::PeerReader peers_;
   std::unique_ptr<PeerStateServer> peer_server_;
-  std::optional<model::Configuration> configuration_;  ///< In force; for peers.
   std::unique_ptr<runtime::ProxyServer> egress_server_;
   std::unique_ptr<runtime::ProxyServer> ingress_server_;
   RequestHistograms histograms_;
@@ -182,7 +191,7 @@
   if (Result<void> opened = openEgress(); !opened) return opened;
   if (Result<void> opened = openIngress(); !opened) return opened;
   if (Result<void> opened = openPeers(); !opened) return opened;
-  metrics_ = makeTwoHopMetrics({egress_, ingress_, watch_, peers_, histograms_});
+  metrics_ = makeTwoHopMetrics({egress_, ingress_, watch_, relay_, peers_, histograms_});
   return openAdmin();
 }
 
@@ -217,8 +226,8 @@
 }
 
 Result<void> Implementation::openPeers() {
-  auto server = PeerStateServer::create(context_, settings_.node.peer_listen,
-                                        [this] { return sharedState(); });
+  auto server = PeerStateServer::create(context_, settings_.node.peer_listen, held_, environment_,
+                                        [this] { return !stopping_ && relay_.isFresh(); });
   if (!server) return server.error();
   peer_server_ = std::move(*server);
   return {};
@@ -249,7 +258,7 @@
 // ---- What the source says
 
 void Implementation::onBatch(const source::WatchBatch& batch, bool is_complete) {
-  peers_.onSourceAnswered(batch.revision);
+  peers_.onSourceAnswered();
   takeIn(batch, is_complete);
 }
 
@@ -260,7 +269,9 @@
   for (const model::Configuration& configuration : batch.configurations) {
     onConfiguration(configuration);
   }
+  const bool has_news = held_.update(batch, is_complete);
   onServers(batch, is_complete);
+  if (has_news) peer_server_->onNews();
 }
 
 void Implementation::onConfiguration(const model::Configuration& configuration) {
@@ -275,7 +286,6 @@
   }
   const model::CallerLimits limits = (*snapshot)->limits;
   if (!egress_.apply(std::move(*snapshot))) return;
-  configuration_ = configuration;
   egress_server_->setCallerLimits(limits);
   const auto service = configuration.services.find(settings_.two_hop.service);
   if (service != configuration.services.end()) {
@@ -295,6 +305,7 @@
     egress_.directory().update(batch.servers, batch.removed_servers, now);
   }
   forgetLapsedServers();
+  chooseReaders();
   for (const auto& [id, server] : egress_.directory().all()) {
     if (server->entry.address != settings_.two_hop.server)
       peers_.notePeer(server->entry.address.host);
@@ -332,25 +343,36 @@
   peers_.onSourceFailed();
 }
 
-void Implementation::onPeerState(const source::SharedState& state) {
+void Implementation::onPeerState(const source::StateUpdate& update) {
+  const source::ConfigurationPointer held = held_.configuration();
+  const Result<source::WatchBatch> batch = source::toBatch(update, held.get());
+  if (!batch) {
+    return writeLog(runtime::LogLevel::kWarning, "peer_state_rejected",
+                    {{"error", describe(batch.error())}});
+  }
   writeLog(runtime::LogLevel::kInfo, "peer_state",
-           {{"revision", std::to_string(state.revision.value())},
-            {"version", std::to_string(state.configuration.version.value())}});
-  watch_.resumeFrom(state.revision);
-  source::WatchBatch batch;
-  batch.revision = state.revision;
-  batch.configurations = {state.configuration};
-  batch.servers = state.servers;
-  takeIn(batch, true);
+           {{"revision", std::to_string(batch->revision.value())},
+            {"version", std::to_string(held_.version().value())}});
+  watch_.resumeFrom(batch->revision);
+  takeIn(*batch, batch->is_complete);
 }
 
-std::optional<source::SharedState> Implementation::sharedState() const {
-  if (!configuration_) return std::nullopt;
-  source::SharedState state;
-  state.revision = watch_.revision();
-  state.configuration = *configuration_;
-  for (const auto& [id, server] : egress_.directory().all()) state.servers.push_back(server->entry);
-  return state;
+/// Every node computes the same readers from the same servers.
+void Implementation::chooseReaders() {
+  std::map<std::string, ZoneId> zones;
+  for (const auto& [id, server] : egress_.directory().all()) {
+    if (!server->draining()) zones[server->entry.address.host] = server->entry.zone;
+  }
+  std::vector<source::NodeMachine> machines;
+  for (const auto& [host, zone] : zones) machines.push_back({host, zone});
+  const source::NodeMachine own{settings_.two_hop.server.host, settings_.node.zone};
+  const std::vector<source::NodeMachine> readers = source::chooseReaders(machines, {});
+  const bool is_reader = std::find(readers.begin(), readers.end(), own) != readers.end();
+  if (is_reader != relay_.isReader()) {
+    writeLog(runtime::LogLevel::kInfo, is_reader ? "reads_source" : "follows_readers",
+             {{"readers", std::to_string(readers.size())}});
+  }
+  relay_.setReaders(source::askingOrder(own, readers), is_reader);
 }
 
 // ---- What others may ask
@@ -437,6 +459,7 @@
   stopped_ = std::move(stopped);
   if (stopping_) return stopped_(StopOutcome::kCut);
   stopping_ = true;
+  peer_server_->dismissWaiting();
   writeLog(runtime::LogLevel::kInfo, "stopping", {});
   const runtime::NodeSettings& times = settings_.node;
   const TimePoint end = environment_.now() + times.stop_delay + times.stop_linger +
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -37,10 +37,25 @@
   watch.backoff_base = std::min(watch.backoff_base, watch.backoff_limit);
 }
 
+/// A reader that the source or the network fails is noticed, and the next path asked, within the
+/// shorter promise: the longest read of the source, two questions that are answered at once, and as
+/// much again in reserve for a node that is slow itself.
+constexpr double kRelayWaitPart = 0.3;
+constexpr double kSourceSlackPart = 0.25;
+constexpr double kPeerSlackPart = 0.15;
+
+void deriveRelay(Duration shorter, source::RelaySettings& relay) {
+  relay.source_wait = part(shorter, kRelayWaitPart);
+  relay.source_slack = part(shorter, kSourceSlackPart);
+  relay.peer_wait = part(shorter, kRelayWaitPart);
+  relay.peer_slack = part(shorter, kPeerSlackPart);
+}
+
 void deriveTakingIn(const Promises& promises, Settings& settings) {
   const bool has_both = promises.leaving > Duration(0) && promises.in_force > Duration(0);
   const auto [shorter, longer] = std::minmax(promises.leaving, promises.in_force);
   settings.watch.gather = (has_both ? shorter : longer) / 4;
+  deriveRelay(has_both ? shorter : longer, settings.relay);
   if (promises.leaving == Duration(0)) return;
   settings.egress.lapse_hold =
       std::max(Duration(0), promises.leaving - settings.watch.gather - kTakeInReserve);
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -18,6 +18,7 @@
 #include "proxy/settings.h"
 #include "runtime/header_names.h"
 #include "runtime/promises.h"
+#include "source/relay_client.h"
 #include "source/watch_loop.h"
 
 namespace coursepond::runtime {
@@ -125,6 +126,7 @@
   egress::Settings egress;
   ingress::Settings ingress;
   source::WatchSettings watch;
+  source::RelaySettings relay;
   HeaderNames headers;
   AdminSettings admin;
   LogSettings log;
--- a/src/runtime/settings_change.cpp
+++ b/src/runtime/settings_change.cpp
@@ -8,8 +8,8 @@
 namespace coursepond::runtime {
 namespace {
 
-constexpr std::array<std::string_view, 6> kChangeablePrefixes = {
-    "promises.", "log.", "watch.", "egress.", "ingress.", "node.stop_"};
+constexpr std::array<std::string_view, 7> kChangeablePrefixes = {
+    "promises.", "log.", "watch.", "relay.", "egress.", "ingress.", "node.stop_"};
 /// The loop keeps the backoff it began with.
 constexpr std::string_view kWatchBackoff = "watch.backoff_";
 
@@ -39,6 +39,7 @@
   const Duration backoff_limit = held.watch.backoff_limit;
   held.promises = newer.promises;
   held.log = newer.log;
+  held.relay = newer.relay;
   held.watch = newer.watch;
   held.watch.backoff_base = backoff_base;
   held.watch.backoff_limit = backoff_limit;
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -332,6 +332,30 @@
                                  FIELD(watch.relist)));
 }
 
+void addRelayKeys(Keys& keys) {
+  const std::string section = "relay";
+  keys.push_back(millisecondsKey(section, "source_wait_ms", {10, 30'000},
+                                 "How long a read of a watchable source waits for a change, when "
+                                 "others wait for it here.",
+                                 FIELD(relay.source_wait)));
+  keys.push_back(millisecondsKey(section, "source_slack_ms", {10, kMinuteMs},
+                                 "How long beyond that it may take.", FIELD(relay.source_slack)));
+  keys.push_back(millisecondsKey(section, "peer_wait_ms", {10, 30'000},
+                                 "How long a question to a node that reads the source waits.",
+                                 FIELD(relay.peer_wait)));
+  keys.push_back(millisecondsKey(section, "peer_slack_ms", {10, kMinuteMs},
+                                 "How long beyond that it may take.", FIELD(relay.peer_slack)));
+  keys.push_back(millisecondsKey(section, "avoid_silent_ms", {0, kMinuteMs},
+                                 "How long a node that did not answer is not asked.",
+                                 FIELD(relay.avoid_silent)));
+  keys.push_back(millisecondsKey(section, "avoid_unfit_ms", {0, kMinuteMs},
+                                 "The same for one that does not read the source now.",
+                                 FIELD(relay.avoid_unfit)));
+  keys.push_back(millisecondsKey(section, "avoid_source_ms", {0, kMinuteMs},
+                                 "How long a reader that the source turned away asks others.",
+                                 FIELD(relay.avoid_source)));
+}
+
 void addEgressKeys(Keys& keys) {
   const std::string section = "egress";
   keys.push_back(percentKey(section, "retry_ratio_percent", {0, 100},
@@ -353,6 +377,10 @@
   keys.push_back(percentKey(section, "waiting_cost_percent", {0, 10'000},
                             "The same for each further full turn of waiting requests.",
                             FIELD(egress.waiting_cost)));
+  keys.push_back(numberKey(section, "most_full_ingresses", {1, 1000}, "",
+                           "Ingresses that may refuse one request for want of room before it is "
+                           "given up.",
+                           FIELD(egress.most_full_ingresses)));
   keys.push_back(percentKey(section, "patience_percent", {0, 100},
                             "How long a request waits for a server to appear, of its target "
                             "latency.",
@@ -447,6 +475,7 @@
   addProxyKeys(keys);
   addTwoHopKeys(keys);
   addWatchKeys(keys);
+  addRelayKeys(keys);
   addEgressKeys(keys);
   addIngressKeys(keys);
   addHeaderKeys(keys);
--- /dev/null
+++ b/src/source/held_state.cpp
@@ -0,0 +1,105 @@
+#include "source/held_state.h"
+
+#include <algorithm>
+#include <set>
+
+namespace coursepond::source {
+namespace {
+
+/// Removals remembered: more than a whole zone that goes at once.
+constexpr std::size_t kMostRemovals = 512;
+/// Versions that a delta can start from. A peer takes in at least every second version of a storm;
+/// one that is further behind gets the whole configuration.
+constexpr std::size_t kMostConfigurations = 3;
+
+}  // namespace
+
+bool HeldState::update(const WatchBatch& batch, bool is_complete) {
+  bool has_changed = false;
+  // Who went before the first list is not known.
+  if (revision_ == Generation()) forgotten_until_ = batch.revision;
+  for (const model::Configuration& configuration : batch.configurations) {
+    if (hold(configuration)) has_changed = true;
+  }
+  for (const model::ServerEntry& entry : batch.servers) {
+    if (put(entry)) has_changed = true;
+  }
+  for (const EndpointId& id : batch.removed_servers) {
+    if (remove(id, batch.revision)) has_changed = true;
+  }
+  if (is_complete && removeUnlisted(batch.servers, batch.revision)) has_changed = true;
+  revision_ = std::max(revision_, batch.revision);
+  return has_changed;
+}
+
+bool HeldState::put(const model::ServerEntry& entry) {
+  model::ServerEntry& held = servers_[entry.id];
+  if (entry.revision < held.revision || held == entry) return false;
+  held = entry;
+  last_change_ = std::max(last_change_, entry.revision);
+  return true;
+}
+
+bool HeldState::remove(const EndpointId& id, Generation revision) {
+  if (servers_.erase(id) == 0) return false;
+  removals_.push_back({revision, id});
+  last_change_ = std::max(last_change_, revision);
+  if (removals_.size() > kMostRemovals) {
+    forgotten_until_ = removals_.front().revision;
+    removals_.pop_front();
+  }
+  return true;
+}
+
+bool HeldState::removeUnlisted(const std::vector<model::ServerEntry>& listed, Generation revision) {
+  std::set<EndpointId> ids;
+  for (const model::ServerEntry& entry : listed) ids.insert(entry.id);
+  std::vector<EndpointId> gone;
+  for (const auto& [id, entry] : servers_) {
+    if (!ids.contains(id)) gone.push_back(id);
+  }
+  for (const EndpointId& id : gone) remove(id, revision);
+  return !gone.empty();
+}
+
+bool HeldState::hold(const model::Configuration& configuration) {
+  if (configuration.version <= version()) return false;
+  configurations_.push_back(std::make_shared<const model::Configuration>(configuration));
+  if (configurations_.size() > kMostConfigurations) configurations_.pop_front();
+  return true;
+}
+
+ConfigurationPointer HeldState::find(Version version) const {
+  for (const ConfigurationPointer& configuration : configurations_) {
+    if (configuration->version == version) return configuration;
+  }
+  return nullptr;
+}
+
+bool HeldState::hasNews(Generation after, Version version) const {
+  return this->version() > version || last_change_ > after || after < forgotten_until_;
+}
+
+StateUpdate HeldState::since(Generation after, Version version) const {
+  StateUpdate update;
+  update.revision = revision_;
+  update.is_complete = after < forgotten_until_ || after == Generation();
+  for (const auto& [id, entry] : servers_) {
+    if (update.is_complete || entry.revision > after) update.servers.push_back(entry);
+  }
+  if (!update.is_complete) {
+    for (const Removal& removal : removals_) {
+      const bool is_back = servers_.contains(removal.id);
+      if (removal.revision > after && !is_back) update.removed_servers.push_back(removal.id);
+    }
+  }
+  if (this->version() <= version) return update;
+  if (const ConfigurationPointer base = find(version)) {
+    update.delta = model::makeDelta(*base, *newest());
+  } else {
+    update.configuration = newest();
+  }
+  return update;
+}
+
+}  // namespace coursepond::source
--- /dev/null
+++ b/src/source/held_state.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// What a node holds of a watched source, kept so that it can tell another node what changed after
+/// any recent revision: the servers, who went, and the last versions of the configuration.
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "core/ids.h"
+#include "model/configuration.h"
+#include "model/server_entry.h"
+#include "source/state_update.h"
+#include "source/watch_client.h"
+
+namespace coursepond::source {
+
+class HeldState {
+ public:
+  /// Takes in what a read of the source or of a peer gave. Returns whether a server or the
+  /// configuration changed by it.
+  bool update(const WatchBatch& batch, bool is_complete);
+
+  /// What a node that holds everything up to `after`, and configuration `version`, does not know.
+  /// Complete when the removals after that revision are no longer remembered.
+  StateUpdate since(Generation after, Version version) const;
+  /// Whether since() would tell anything.
+  bool hasNews(Generation after, Version version) const;
+
+  Generation revision() const { return revision_; }
+  Version version() const { return configurations_.empty() ? Version() : newest()->version; }
+  /// The newest configuration; null before the first.
+  ConfigurationPointer configuration() const {
+    return configurations_.empty() ? nullptr : newest();
+  }
+
+ private:
+  struct Removal {
+    Generation revision;  ///< At or before which the server went.
+    EndpointId id;
+  };
+
+  const ConfigurationPointer& newest() const { return configurations_.back(); }
+  bool put(const model::ServerEntry& entry);
+  bool remove(const EndpointId& id, Generation revision);
+  bool removeUnlisted(const std::vector<model::ServerEntry>& listed, Generation revision);
+  bool hold(const model::Configuration& configuration);
+  ConfigurationPointer find(Version version) const;
+
+  Generation revision_;
+  Generation last_change_;      ///< Of a server.
+  Generation forgotten_until_;  ///< Removals up to this revision are no longer remembered.
+  std::map<EndpointId, model::ServerEntry> servers_;
+  std::deque<Removal> removals_;                     ///< Oldest first.
+  std::deque<ConfigurationPointer> configurations_;  ///< Oldest first.
+};
+
+}  // namespace coursepond::source
--- a/src/source/peer_reader.cpp
+++ b/src/source/peer_reader.cpp
@@ -11,9 +11,10 @@
 }  // namespace
 
 PeerReader::PeerReader(const PeerReaderSettings& settings, PeerStateClient& client,
-                       Environment& environment, StateHandler on_state)
+                       const HeldState& held, Environment& environment, StateHandler on_state)
     : settings_(settings),
       client_(client),
+      held_(held),
       environment_(environment),
       on_state_(std::move(on_state)) {}
 
@@ -29,8 +30,7 @@
   schedule(settings_.patience);
 }
 
-void PeerReader::onSourceAnswered(Generation revision) {
-  revision_ = std::max(revision_, revision);
+void PeerReader::onSourceAnswered() {
   is_asking_ = false;
   environment_.cancel(timer_);
 }
@@ -47,16 +47,16 @@
   if (peers_.empty()) return;
   ++asked_;
   client_.read(
-      anyPeer(), revision_, settings_.timeout,
-      [this, alive = std::weak_ptr<int>(alive_)](const Result<std::optional<SharedState>>& answer) {
+      anyPeer(), PeerQuestion{held_.revision(), held_.version(), Duration(0), false},
+      settings_.timeout,
+      [this, alive = std::weak_ptr<int>(alive_)](const Result<std::optional<StateUpdate>>& answer) {
         if (!alive.expired()) onAnswer(answer);
       });
 }
 
-void PeerReader::onAnswer(const Result<std::optional<SharedState>>& answer) {
-  if (!answer || !answer->has_value() || (*answer)->revision <= revision_) return;
+void PeerReader::onAnswer(const Result<std::optional<StateUpdate>>& answer) {
+  if (!answer || !answer->has_value() || (*answer)->revision <= held_.revision()) return;
   ++learned_;
-  revision_ = (*answer)->revision;
   on_state_(**answer);
 }
 
--- a/src/source/peer_reader.h
+++ b/src/source/peer_reader.h
@@ -12,19 +12,30 @@
 
 #include "core/environment.h"
 #include "core/error.h"
-#include "source/shared_state.h"
+#include "source/held_state.h"
+#include "source/state_update.h"
 
 namespace coursepond::source {
 
+/// What a node asks another.
+struct PeerQuestion {
+  Generation after;  ///< Everything up to here is held,
+  Version version;   ///< and this version of the configuration.
+  /// How long the answer may wait for a change.
+  Duration wait{};
+  /// Only a peer that reads the source itself shall answer; others refuse (kOverloaded).
+  bool only_fresh = false;
+};
+
 /// Nothing when the peer knows nothing newer.
-using PeerStateCallback = std::function<void(Result<std::optional<SharedState>>)>;
+using PeerStateCallback = std::function<void(Result<std::optional<StateUpdate>>)>;
 
 /// Calls back exactly once, never from inside the call.
 class PeerStateClient {
  public:
   virtual ~PeerStateClient() = default;
-  /// Asks the node on `host` for what it knows beyond `after`.
-  virtual void read(const std::string& host, Generation after, Duration timeout,
+  /// Asks the node on `host` for what it knows beyond what `question` says is held.
+  virtual void read(const std::string& host, const PeerQuestion& question, Duration timeout,
                     PeerStateCallback callback) = 0;
 };
 
@@ -38,11 +49,12 @@
 
 class PeerReader {
  public:
-  using StateHandler = std::function<void(const SharedState& state)>;
+  /// Told what a peer knows beyond `held`.
+  using StateHandler = std::function<void(const StateUpdate& update)>;
 
-  /// `client` and `environment` must outlive the reader.
-  PeerReader(const PeerReaderSettings& settings, PeerStateClient& client, Environment& environment,
-             StateHandler on_state);
+  /// `client`, `held` and `environment` must outlive the reader.
+  PeerReader(const PeerReaderSettings& settings, PeerStateClient& client, const HeldState& held,
+             Environment& environment, StateHandler on_state);
   ~PeerReader();
   PeerReader(const PeerReader&) = delete;
   PeerReader& operator=(const PeerReader&) = delete;
@@ -50,9 +62,9 @@
   /// A machine that runs a node. Nodes that connect to this one are found so, even by a node that
   /// knows of no machine yet.
   void notePeer(const std::string& host);
-  /// The source failed a read, or answered one (`revision` is what is known from it).
+  /// The source failed a read, or answered one.
   void onSourceFailed();
-  void onSourceAnswered(Generation revision);
+  void onSourceAnswered();
 
   std::uint64_t asked() const { return asked_; }
   std::uint64_t learned() const { return learned_; }
@@ -60,16 +72,16 @@
  private:
   void schedule(Duration delay);
   void ask();
-  void onAnswer(const Result<std::optional<SharedState>>& answer);
+  void onAnswer(const Result<std::optional<StateUpdate>>& answer);
   const std::string& anyPeer();
 
   PeerReaderSettings settings_;
   PeerStateClient& client_;
+  const HeldState& held_;
   Environment& environment_;
   StateHandler on_state_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   std::set<std::string> peers_;
-  Generation revision_;
   TimerId timer_ = 0;
   bool is_asking_ = false;  ///< The source fails: a question is scheduled or on its way.
   std::uint64_t asked_ = 0;
--- /dev/null
+++ b/src/source/relay_client.cpp
@@ -0,0 +1,155 @@
+#include "source/relay_client.h"
+
+#include <algorithm>
+
+namespace coursepond::source {
+
+RelayClient::RelayClient(const RelaySettings& settings, WatchClient& source, PeerStateClient& peers,
+                         const HeldState& held, Environment& environment)
+    : settings_(settings), source_(source), peers_(peers), held_(held), environment_(environment) {}
+
+void RelayClient::setReaders(std::vector<std::string> others, bool is_reader) {
+  others_ = std::move(others);
+  is_reader_ = is_reader;
+  std::erase_if(avoided_until_, [this](const auto& item) {
+    return std::find(others_.begin(), others_.end(), item.first) == others_.end();
+  });
+}
+
+bool RelayClient::isFresh() const {
+  const Duration longest_read = settings_.source_wait + settings_.source_slack;
+  // Twice, for the pause between two reads. A process that was frozen finds itself stale by this.
+  return is_fresh_ && environment_.now() - last_source_answer_ <= 2 * longest_read;
+}
+
+void RelayClient::list(Duration timeout, WatchCallback callback) {
+  const bool has_state = held_.configuration() != nullptr;
+  if (has_state && !is_reader_ && !others_.empty()) {
+    // Everything, from a reader: as a watch from before the first revision.
+    return watch(Generation(), Duration(0), timeout, std::move(callback));
+  }
+  ++statistics_.source_reads;
+  source_.list(timeout, [this, callback = std::move(callback),
+                         alive = std::weak_ptr<int>(alive_)](const Result<WatchBatch>& answer) {
+    if (alive.expired()) return;
+    if (answer) noteSourceAnswer(*answer);
+    callback(answer);
+  });
+}
+
+void RelayClient::watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) {
+  step(std::make_shared<Read>(
+      Read{after, wait, timeout, std::move(callback), held_.version(), false, std::nullopt}));
+}
+
+void RelayClient::step(const ReadPointer& read) {
+  const bool reads_itself = is_reader_ && environment_.now() >= source_avoided_until_;
+  if (reads_itself && !read->was_source_asked) return readSource(read);
+  if (const std::optional<std::string> host = nextPeer()) return askPeer(read, *host);
+  if (!read->was_source_asked) return readSource(read);
+  read->callback(*read->failure);
+}
+
+// ---- The source
+
+void RelayClient::readSource(const ReadPointer& read) {
+  ++statistics_.source_reads;
+  read->was_source_asked = true;
+  const Duration wait = read->failure ? Duration(0) : std::min(read->wait, settings_.source_wait);
+  // A caller that does not wait repeats a failed read: it says how patient it is.
+  const Duration timeout =
+      read->wait == Duration(0) ? read->timeout : wait + settings_.source_slack;
+  WatchCallback callback = [this, read,
+                            alive = std::weak_ptr<int>(alive_)](const Result<WatchBatch>& answer) {
+    if (!alive.expired()) onSourceAnswer(read, answer);
+  };
+  if (lists_next_ || read->after == Generation()) {
+    return source_.list(std::max(timeout, settings_.source_wait + settings_.source_slack),
+                        [callback = std::move(callback)](Result<WatchBatch> answer) {
+                          if (answer) answer->is_complete = true;
+                          callback(std::move(answer));
+                        });
+  }
+  source_.watch(read->after, wait, timeout, std::move(callback));
+}
+
+void RelayClient::onSourceAnswer(const ReadPointer& read, const Result<WatchBatch>& answer) {
+  if (answer) {
+    noteSourceAnswer(*answer);
+    return read->callback(answer);
+  }
+  ++statistics_.source_failures;
+  loseFreshness();
+  if (answer.error().kind == ErrorKind::kBaseMismatch) return read->callback(answer);
+  source_avoided_until_ = environment_.now() + settings_.avoid_source;
+  read->failure = answer.error();
+  step(read);
+}
+
+void RelayClient::noteSourceAnswer(const WatchBatch& batch) {
+  const bool is_new =
+      !batch.configurations.empty() && batch.configurations.back().version > held_.version();
+  lists_next_ = is_new;
+  is_fresh_ = true;
+  last_source_answer_ = environment_.now();
+  source_avoided_until_ = TimePoint();
+}
+
+void RelayClient::loseFreshness() {
+  if (std::exchange(is_fresh_, false) && on_freshness_lost_) on_freshness_lost_();
+}
+
+// ---- Other readers
+
+std::optional<std::string> RelayClient::nextPeer() {
+  const TimePoint now = environment_.now();
+  for (const std::string& host : others_) {
+    const auto found = avoided_until_.find(host);
+    if (found == avoided_until_.end() || found->second <= now) return host;
+  }
+  return std::nullopt;
+}
+
+void RelayClient::askPeer(const ReadPointer& read, const std::string& host) {
+  ++statistics_.peer_reads;
+  loseFreshness();
+  PeerQuestion question;
+  question.after = read->after;
+  question.version = read->version;
+  question.wait = read->failure ? Duration(0) : std::min(read->wait, settings_.peer_wait);
+  question.only_fresh = true;
+  peers_.read(host, question, question.wait + settings_.peer_slack,
+              [this, read, host, alive = std::weak_ptr<int>(alive_)](
+                  const Result<std::optional<StateUpdate>>& answer) {
+                if (!alive.expired()) onPeerAnswer(read, host, answer);
+              });
+}
+
+void RelayClient::onPeerAnswer(const ReadPointer& read, const std::string& host,
+                               const Result<std::optional<StateUpdate>>& answer) {
+  if (!answer) {
+    ++statistics_.peer_failures;
+    const bool is_unfit = answer.error().kind == ErrorKind::kOverloaded;
+    avoided_until_[host] =
+        environment_.now() + (is_unfit ? settings_.avoid_unfit : settings_.avoid_silent);
+    read->failure = answer.error();
+    return step(read);
+  }
+  if (!answer->has_value()) {
+    WatchBatch unchanged;
+    unchanged.revision = read->after;
+    return read->callback(std::move(unchanged));
+  }
+  const ConfigurationPointer held = held_.configuration();
+  Result<WatchBatch> batch = toBatch(**answer, held.get());
+  if (batch) return read->callback(std::move(batch));
+  // A delta that does not fit: once more, for the whole configuration.
+  ++statistics_.peer_failures;
+  read->failure = batch.error();
+  const bool was_whole = read->version == Version();
+  read->version = Version();
+  if (was_whole) avoided_until_[host] = environment_.now() + settings_.avoid_silent;
+  step(read);
+}
+
+}  // namespace coursepond::source
--- /dev/null
+++ b/src/source/state_update.cpp
@@ -0,0 +1,125 @@
+#include "source/state_update.h"
+
+#include <nlohmann/json.hpp>
+
+#include "distribution/compression.h"
+#include "model/document.h"
+
+namespace coursepond::source {
+namespace {
+
+using Json = nlohmann::json;
+
+/// A larger state is not decompressed: 40 times the configuration of 280 services and their routes.
+constexpr std::size_t kLargestState = std::size_t{32} * 1024 * 1024;
+
+Json serverToJson(const model::ServerEntry& server) {
+  return {{"id", server.id.value()},
+          {"service", server.service.value()},
+          {"address", formatAddress(server.address)},
+          {"zone", server.zone.value()},
+          {"slots", server.slots},
+          {"leaving", server.state == model::MachineState::kLeaving},
+          {"warm_up_left_ms", toMilliseconds(server.warm_up_left)},
+          {"revision", server.revision.value()}};
+}
+
+/// Throws what nlohmann throws, or std::system_error for an address that is none.
+model::ServerEntry serverFromJson(const Json& json) {
+  model::ServerEntry server;
+  server.id = EndpointId(json.at("id").get<std::string>());
+  server.service = ServiceName(json.at("service").get<std::string>());
+  server.address = parseAddress(json.at("address").get<std::string>()).value();
+  server.zone = ZoneId(json.at("zone").get<std::string>());
+  server.slots = json.at("slots").get<std::uint32_t>();
+  const bool is_leaving = json.at("leaving").get<bool>();
+  server.state = is_leaving ? model::MachineState::kLeaving : model::MachineState::kLive;
+  server.warm_up_left =
+      std::chrono::milliseconds(json.at("warm_up_left_ms").get<std::chrono::milliseconds::rep>());
+  server.revision = Generation(json.at("revision").get<std::uint64_t>());
+  return server;
+}
+
+Error malformed(const std::string& what) {
+  return Error{ErrorKind::kMalformed, "a peer's state cannot be read: " + what,
+               "run the same version of coursepond on all machines"};
+}
+
+/// Throws as serverFromJson, or std::system_error for a configuration that is none.
+void readConfiguration(const Json& json, StateUpdate& update) {
+  if (const auto whole = json.find("configuration"); whole != json.end()) {
+    const Version version(json.at("version").get<std::uint64_t>());
+    update.configuration = std::make_shared<const model::Configuration>(
+        model::parseCanonical(version, whole->get<std::string>()).value());
+  } else if (const auto delta = json.find("delta"); delta != json.end()) {
+    update.delta = model::deltaFromText(delta->get<std::string>()).value();
+  }
+}
+
+Result<StateUpdate> fromJson(const Json& json) {
+  StateUpdate update;
+  update.revision = Generation(json.at("revision").get<std::uint64_t>());
+  update.is_complete = json.at("complete").get<bool>();
+  for (const Json& server : json.at("servers")) update.servers.push_back(serverFromJson(server));
+  for (const Json& id : json.at("removed")) {
+    update.removed_servers.emplace_back(id.get<std::string>());
+  }
+  readConfiguration(json, update);
+  return update;
+}
+
+}  // namespace
+
+std::string encodeStateUpdate(const StateUpdate& update) {
+  Json servers = Json::array();
+  for (const model::ServerEntry& server : update.servers) servers.push_back(serverToJson(server));
+  Json removed = Json::array();
+  for (const EndpointId& id : update.removed_servers) removed.push_back(id.value());
+  Json json = {{"revision", update.revision.value()},
+               {"complete", update.is_complete},
+               {"servers", std::move(servers)},
+               {"removed", std::move(removed)}};
+  if (update.configuration) {
+    json["version"] = update.configuration->version.value();
+    json["configuration"] = model::canonicalText(*update.configuration);
+  } else if (update.delta) {
+    json["delta"] = model::deltaToText(*update.delta);
+  }
+  std::string bytes;
+  Json::to_cbor(json, bytes);
+  return distribution::compressText(bytes);
+}
+
+Result<StateUpdate> decodeStateUpdate(std::string_view bytes) {
+  const Result<std::string> text = distribution::decompressText(bytes, kLargestState);
+  if (!text) return text.error();
+  try {
+    return fromJson(Json::from_cbor(*text));
+  } catch (const Json::exception& error) {
+    return malformed(error.what());
+  } catch (const std::system_error& error) {
+    return malformed(error.what());
+  }
+}
+
+Result<WatchBatch> toBatch(StateUpdate update, const model::Configuration* held) {
+  WatchBatch batch;
+  batch.revision = update.revision;
+  batch.is_complete = update.is_complete;
+  batch.servers = std::move(update.servers);
+  batch.removed_servers = std::move(update.removed_servers);
+  if (update.configuration) {
+    batch.configurations.push_back(*update.configuration);
+  } else if (update.delta) {
+    if (held == nullptr) {
+      return Error{ErrorKind::kBaseMismatch, "a peer sent a delta, but no configuration is held",
+                   "ask for the whole configuration"};
+    }
+    Result<model::Configuration> target = model::applyDelta(*held, *update.delta);
+    if (!target) return target.error();
+    batch.configurations.push_back(std::move(*target));
+  }
+  return batch;
+}
+
+}  // namespace coursepond::source
--- /dev/null
+++ b/src/source/state_update.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// What one node tells another of a watched source: everything, or what changed after a revision.
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/error.h"
+#include "model/configuration.h"
+#include "model/delta.h"
+#include "model/server_entry.h"
+#include "source/watch_client.h"
+
+namespace coursepond::source {
+
+using ConfigurationPointer = std::shared_ptr<const model::Configuration>;
+
+struct StateUpdate {
+  Generation revision;       ///< Of the source, up to which this is known.
+  bool is_complete = false;  ///< `servers` lists all there are; nothing else is held any more.
+  std::vector<model::ServerEntry> servers;
+  std::vector<EndpointId> removed_servers;
+  /// At most one of the two: the whole configuration, or how it differs from the one that the asker
+  /// holds. Neither: it has not changed.
+  ConfigurationPointer configuration;
+  std::optional<model::Delta> delta;
+};
+
+/// Compressed CBOR, and back (kMalformed with what is wrong, kTooLarge). Secrets are no part of it.
+std::string encodeStateUpdate(const StateUpdate& update);
+Result<StateUpdate> decodeStateUpdate(std::string_view bytes);
+
+/// The update as a read of the source would have told it. `held` is the configuration that the
+/// asker named (null: none). kBaseMismatch or kDigestMismatch when the delta does not fit it.
+Result<WatchBatch> toBatch(StateUpdate update, const model::Configuration* held);
+
+}  // namespace coursepond::source
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -21,7 +21,8 @@
 /// of the two lists of servers at most, by its last change: use put() and remove(). A list of any
 /// length has nothing removed, so that taking it in costs no search.
 struct WatchBatch {
-  Generation revision;  ///< Go on from here.
+  Generation revision;       ///< Go on from here.
+  bool is_complete = false;  ///< `servers` lists all there are, also where changes were asked for.
   std::vector<model::Configuration> configurations;
   std::vector<model::ServerEntry> servers;
   std::vector<EndpointId> removed_servers;
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -77,8 +77,10 @@
 void WatchLoop::onWatch(const Result<WatchBatch>& answer) {
   if (!answer) return onFailed(answer.error());
   noteAnswer(*answer);
+  // What everything together replaces must not be older than what is held.
+  const bool is_stale = answer->is_complete && answer->revision < revision_;
   revision_ = std::max(revision_, answer->revision);
-  on_batch_(*answer, false);
+  if (!is_stale) on_batch_(*answer, answer->is_complete);
   const bool is_due =
       settings_.relist > Duration(0) && environment_.now() - last_list_ >= settings_.relist;
   if (is_due) return list();
--- a/tests/node/settings_watch_test.cpp
+++ b/tests/node/settings_watch_test.cpp
@@ -93,8 +93,10 @@
   for (const runtime::SettingChange& change : changes) {
     (change.needs_restart ? waiting : applied).push_back(change.key);
   }
-  CHECK(applied ==
-        std::vector<std::string>{"promises.leaving_ms", "watch.gather_ms", "log.lines_per_second"});
+  CHECK(applied == std::vector<std::string>{"promises.leaving_ms", "watch.gather_ms",
+                                            "relay.source_wait_ms", "relay.source_slack_ms",
+                                            "relay.peer_wait_ms", "relay.peer_slack_ms",
+                                            "log.lines_per_second"});
   CHECK(waiting == std::vector<std::string>{"node.zone"});
   runtime::Settings held = before;
   takeOver(held, after);
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -24,13 +24,17 @@
   source::WatchLoop watch{settings, client, environment, [](const source::WatchBatch&, bool) {},
                           [](const Error&) {}};
   class NoPeers final : public source::PeerStateClient {
-    void read(const std::string&, Generation, Duration, source::PeerStateCallback) override {}
+    void read(const std::string&, const source::PeerQuestion&, Duration,
+              source::PeerStateCallback) override {}
   };
   NoPeers no_peers;
-  source::PeerReader peers{{}, no_peers, environment, [](const source::SharedState&) {}};
+  source::HeldState held;
+  source::RelaySettings relay_settings;
+  source::RelayClient relay{relay_settings, client, no_peers, held, environment};
+  source::PeerReader peers{{}, no_peers, held, environment, [](const source::StateUpdate&) {}};
   RequestHistograms histograms;
   runtime::MetricTable table() {
-    return makeTwoHopMetrics({egress, ingress, watch, peers, histograms});
+    return makeTwoHopMetrics({egress, ingress, watch, relay, peers, histograms});
   }
 };
 
--- a/tests/runtime/promises_test.cpp
+++ b/tests/runtime/promises_test.cpp
@@ -38,6 +38,11 @@
     CHECK(watch.patient_timeout + watch.backoff_limit < promises.settled);
     CHECK(watch.gather <= promises.in_force / 4);
     CHECK(watch.gather + settings.egress.lapse_hold < promises.leaving);
+    // A reader whose source went silent, a second one that is silent too, then the source itself.
+    const source::RelaySettings& relay = settings.relay;
+    const Duration shorter = std::min(promises.leaving, promises.in_force);
+    CHECK(relay.source_wait + relay.source_slack + relay.peer_slack + watch.gather < shorter);
+    CHECK(relay.peer_wait + relay.peer_slack + relay.peer_slack + watch.gather < shorter);
     const NodeSettings& node = settings.node;
     CHECK(node.stop_timeout > Duration(0));
     CHECK(node.stop_delay + node.stop_linger + node.stop_grace + node.stop_timeout < promises.stop);
--- /dev/null
+++ b/tests/source/relay_client_test.cpp
@@ -0,0 +1,246 @@
+#include "source/relay_client.h"
+
+#include <doctest/doctest.h>
+
+#include "support/virtual_environment.h"
+
+namespace coursepond::source {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct SourceRead {
+  bool is_list = false;
+  Generation after;
+  Duration wait{};
+  Duration timeout{};
+  WatchCallback callback;
+};
+
+class HeldSource final : public WatchClient {
+ public:
+  void list(Duration timeout, WatchCallback callback) override {
+    reads.push_back({true, Generation(), Duration(0), timeout, std::move(callback)});
+  }
+  void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) override {
+    reads.push_back({false, after, wait, timeout, std::move(callback)});
+  }
+  void answer(const Result<WatchBatch>& answer) {
+    const WatchCallback callback = reads.back().callback;
+    callback(answer);
+  }
+  void fail(ErrorKind kind) { answer(Error{kind, "", ""}); }
+  std::vector<SourceRead> reads;
+};
+
+struct PeerRead {
+  std::string host;
+  PeerQuestion question;
+  Duration timeout{};
+  PeerStateCallback callback;
+};
+
+class HeldPeers final : public PeerStateClient {
+ public:
+  void read(const std::string& host, const PeerQuestion& question, Duration timeout,
+            PeerStateCallback callback) override {
+    reads.push_back({host, question, timeout, std::move(callback)});
+  }
+  void answer(const Result<std::optional<StateUpdate>>& answer) {
+    const PeerStateCallback callback = reads.back().callback;
+    callback(answer);
+  }
+  void fail(ErrorKind kind) { answer(Error{kind, "", ""}); }
+  std::vector<PeerRead> reads;
+};
+
+model::Configuration makeConfiguration(std::uint64_t version) {
+  model::Configuration configuration;
+  configuration.version = Version(version);
+  return configuration;
+}
+
+WatchBatch makeBatch(std::uint64_t revision, std::uint64_t version = 0) {
+  WatchBatch batch;
+  batch.revision = Generation(revision);
+  if (version > 0) batch.configurations = {makeConfiguration(version)};
+  return batch;
+}
+
+/// A node that listed the source: revision 10, version 7. Its readers are "r1" and "r2".
+class RelayFixture {
+ public:
+  explicit RelayFixture(bool is_reader) : client(settings, source, peers, held, environment) {
+    client.onFreshnessLost([this] { ++freshness_lost; });
+    client.list(seconds(1), [this](Result<WatchBatch> answer) { take(std::move(answer)); });
+    source.answer(makeBatch(10, 7));
+    client.setReaders({"r1", "r2"}, is_reader);
+    // A list right after a version; then the source has nothing newer.
+    if (is_reader) {
+      watch();
+      source.answer(makeBatch(10, 7));
+    }
+    source.reads.clear();
+    answers.clear();
+  }
+
+  void watch(Duration wait = seconds(2)) {
+    client.watch(held.revision(), wait, wait + milliseconds(700),
+                 [this](Result<WatchBatch> answer) { take(std::move(answer)); });
+  }
+  void take(Result<WatchBatch> answer) {
+    if (answer) held.update(*answer, answer->is_complete);
+    answers.push_back(std::move(answer));
+  }
+
+  proxy::VirtualEnvironment environment;
+  RelaySettings settings;
+  HeldSource source;
+  HeldPeers peers;
+  HeldState held;
+  RelayClient client;
+  std::vector<Result<WatchBatch>> answers;
+  int freshness_lost = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a node that is no reader waits at its first reader, and never at the source") {
+  RelayFixture fixture(false);
+  fixture.watch();
+  REQUIRE(fixture.peers.reads.size() == 1);
+  CHECK(fixture.source.reads.empty());
+  const PeerRead& read = fixture.peers.reads[0];
+  CHECK(read.host == "r1");
+  CHECK(read.question.after == Generation(10));
+  CHECK(read.question.version == Version(7));
+  CHECK(read.question.only_fresh);
+  CHECK(read.question.wait == fixture.settings.peer_wait);
+  CHECK(read.timeout == fixture.settings.peer_wait + fixture.settings.peer_slack);
+  fixture.peers.answer(std::optional<StateUpdate>());
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0]->revision == Generation(10));
+  CHECK_FALSE(fixture.client.isFresh());
+}
+
+TEST_CASE("a reader that fails is left: the next, then the source, each asked without waiting") {
+  RelayFixture fixture(false);
+  fixture.watch();
+  fixture.peers.fail(ErrorKind::kTimeout);
+  REQUIRE(fixture.peers.reads.size() == 2);
+  CHECK(fixture.peers.reads[1].host == "r2");
+  CHECK(fixture.peers.reads[1].question.wait == Duration(0));
+  fixture.peers.fail(ErrorKind::kOverloaded);
+  REQUIRE(fixture.source.reads.size() == 1);
+  CHECK(fixture.source.reads[0].wait == Duration(0));
+  fixture.source.answer(makeBatch(11));
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0]->revision == Generation(11));
+  // What reads the source may tell others.
+  CHECK(fixture.client.isFresh());
+
+  // The one that does not read the source now is asked again soon, the silent one later.
+  fixture.environment.advance(fixture.settings.avoid_unfit);
+  fixture.watch();
+  CHECK(fixture.peers.reads.back().host == "r2");
+  // Once after the list that it began with, and now again.
+  CHECK(fixture.freshness_lost == 2);
+  fixture.peers.answer(std::optional<StateUpdate>());
+  fixture.environment.advance(fixture.settings.avoid_silent);
+  fixture.watch();
+  CHECK(fixture.peers.reads.back().host == "r1");
+}
+
+TEST_CASE("a reader waits at the source for less than others wait for it") {
+  RelayFixture fixture(true);
+  fixture.watch();
+  REQUIRE(fixture.source.reads.size() == 1);
+  const SourceRead& read = fixture.source.reads[0];
+  CHECK_FALSE(read.is_list);
+  CHECK(read.wait == fixture.settings.source_wait);
+  CHECK(read.timeout == fixture.settings.source_wait + fixture.settings.source_slack);
+  fixture.source.answer(makeBatch(11));
+  CHECK(fixture.client.isFresh());
+  fixture.environment.advance(seconds(5));
+  // It did not get to read for long, as after a freeze.
+  CHECK_FALSE(fixture.client.isFresh());
+}
+
+TEST_CASE("a reader that the source turns away hands its role on and asks the others") {
+  RelayFixture fixture(true);
+  fixture.watch();
+  fixture.source.fail(ErrorKind::kUnavailable);
+  CHECK(fixture.freshness_lost == 1);
+  CHECK_FALSE(fixture.client.isFresh());
+  REQUIRE(fixture.peers.reads.size() == 1);
+  CHECK(fixture.peers.reads[0].host == "r1");
+  fixture.peers.answer(std::optional<StateUpdate>());
+  CHECK(fixture.answers.back().has_value());
+  fixture.watch();
+  CHECK(fixture.peers.reads.size() == 2);
+  fixture.peers.answer(std::optional<StateUpdate>());
+  fixture.environment.advance(fixture.settings.avoid_source);
+  fixture.watch();
+  CHECK(fixture.source.reads.size() == 2);
+}
+
+TEST_CASE("when every path fails, the caller is told once") {
+  RelayFixture fixture(false);
+  fixture.watch();
+  fixture.peers.fail(ErrorKind::kTimeout);
+  fixture.peers.fail(ErrorKind::kTimeout);
+  fixture.source.fail(ErrorKind::kUnavailable);
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0].error().kind == ErrorKind::kUnavailable);
+  CHECK(fixture.peers.reads.size() == 2);
+  CHECK(fixture.source.reads.size() == 1);
+}
+
+TEST_CASE("a source that forgot what changed is told to the caller, who lists") {
+  RelayFixture fixture(true);
+  fixture.watch();
+  fixture.source.fail(ErrorKind::kBaseMismatch);
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0].error().kind == ErrorKind::kBaseMismatch);
+  CHECK(fixture.peers.reads.empty());
+}
+
+TEST_CASE("after a new version a reader reads the newest state, not each version of a storm") {
+  RelayFixture fixture(true);
+  fixture.watch();
+  fixture.source.answer(makeBatch(12, 8));
+  fixture.watch();
+  CHECK(fixture.source.reads.back().is_list);
+  fixture.source.answer(makeBatch(20, 15));
+  CHECK(fixture.answers.back()->is_complete);
+  fixture.watch();
+  CHECK(fixture.source.reads.back().is_list);
+  // Nothing newer: from now on it waits again.
+  fixture.source.answer(makeBatch(20, 15));
+  fixture.watch();
+  CHECK_FALSE(fixture.source.reads.back().is_list);
+}
+
+TEST_CASE("a delta is applied to what is held; one that does not fit is replaced by the whole") {
+  RelayFixture fixture(false);
+  fixture.watch();
+  StateUpdate update;
+  update.revision = Generation(12);
+  update.delta = model::makeDelta(makeConfiguration(7), makeConfiguration(8));
+  fixture.peers.answer(std::optional<StateUpdate>(update));
+  CHECK(fixture.held.version() == Version(8));
+
+  fixture.watch();
+  model::Configuration other = makeConfiguration(6);
+  other.services[ServiceName("x")].name = ServiceName("x");
+  update.delta = model::makeDelta(other, makeConfiguration(9));
+  fixture.peers.answer(std::optional<StateUpdate>(update));
+  CHECK(fixture.peers.reads.back().question.version == Version());
+  update.delta.reset();
+  update.configuration = std::make_shared<const model::Configuration>(makeConfiguration(9));
+  fixture.peers.answer(std::optional<StateUpdate>(update));
+  CHECK(fixture.held.version() == Version(9));
+}
+
+}  // namespace coursepond::source
