Proxy server: pipelined requests that may run twice run side by side

Change: a connection (CallerConnection: reading, order, writing) and its exchanges (CallerExchange: one request and its answer) are two classes. One that may not run twice waits for its turn and holds those behind it, since a connection that ends makes its caller send again what was not answered. In a planned stop only the last answer that was begun ends the connection. Test first: tests/runtime/pipelining_test.cpp (completion in shuffled orders with fixed seeds, closes, cuts, stops, long answers, bad requests).

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -473,4 +473,12 @@
   return std::make_unique<EgressFlow>(std::move(head), state, environment, io);
 }
 
+bool mayRunTwice(const proxy::RequestHead& head, const EgressState& state) {
+  const std::shared_ptr<const RoutingTable> routing = state.routing();
+  if (!routing) return false;
+  const std::optional<std::size_t> index = routing->table.find(head);
+  if (!index) return false;
+  return proxy::mayRunTwice(routing->snapshot->routes[*index].repeatability, head.method);
+}
+
 }  // namespace coursepond::egress
--- a/src/egress/egress_flow.h
+++ b/src/egress/egress_flow.h
@@ -19,4 +19,7 @@
 std::unique_ptr<proxy::Exchange> makeEgressFlow(proxy::RequestHead head, EgressState& state,
                                                 Environment& environment, proxy::RequestIo& io);
 
+/// Whether the route in force lets this request run more than once. False without a route.
+bool mayRunTwice(const proxy::RequestHead& head, const EgressState& state);
+
 }  // namespace coursepond::egress
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -202,6 +202,9 @@
   };
   source.policy = &egress_;
   source.begin_stop = [] {};
+  source.runs_beside = [this](const proxy::RequestHead& head) {
+    return egress::mayRunTwice(head, egress_);
+  };
   auto server = runtime::ProxyServer::create(context_, egressServerSettings(settings_),
                                              std::move(source), environment_);
   if (!server) return server.error();
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -1,118 +1,80 @@
 #pragma once
 
-/// One caller's connection of the ProxyServer: reads requests one at a time, gives each to a
-/// RequestFlow, carries its attempts out and streams the answer back.
-
+/// One caller's connection of the ProxyServer: reads requests, lets those run side by side that
+/// may, and writes the answers whole and in the order of the requests.
+///
+/// Invariants: one exchange's bytes are written at a time, the front's. A request begins beside
+/// others only when it and all before it may run twice, since a connection that ends takes the
+/// answers behind with it and the caller sends those requests again.
+
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_set>
 
-#include "proxy/request_flow.h"
-#include "runtime/caller_request.h"
+#include "runtime/caller_exchange.h"
 #include "runtime/deadline_watch.h"
-#include "runtime/http_head_writer.h"
-#include "runtime/http_parser.h"
-#include "runtime/proxy_server.h"
+#include "runtime/proxy_server_shared.h"
 #include "runtime/receive_buffer.h"
 #include "runtime/tcp_types.h"
-#include "runtime/upstream_pool.h"
 
 namespace coursepond::runtime {
 
-class CallerConnection;
-
-/// What all connections of one ProxyServer share.
-struct ProxyServerShared {
-  ProxyServerSettings settings;
-  std::unique_ptr<FieldTable> table;
-  ExchangeSource source;
-  Environment& environment;
-  std::shared_ptr<DeadlineWatch> watch;
-  UpstreamPool pool;
-  ProxyServerStatistics statistics;
-  std::unordered_set<CallerConnection*> connections;
-  bool stopping = false;           ///< Every answer ends its connection.
-  std::function<void()> on_empty;  ///< Called when the last connection is gone.
-  RequestIdSource request_ids;
-};
-
 class CallerConnection final : public std::enable_shared_from_this<CallerConnection>,
-                               private proxy::RequestIo,
-                               private UpstreamUser,
-                               private BodySink,
                                private Watched {
  public:
   CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket);
   ~CallerConnection() override;
 
-  void start() { awaitRequest(); }
+  void start();
   /// Ends the connection if no request is on it.
   void closeIfIdle();
-  /// Resets the connection. A request in flight is given up.
+  /// Resets the connection. Requests in flight are given up.
   void cut();
-  bool hasRequest() const { return state_ == State::kExchange; }
+  bool hasRequest() const { return !exchanges_.empty(); }
+
+  // For its exchanges
+  ProxyServerShared& shared() { return *shared_; }
+  boost::asio::any_io_executor executor() { return socket_.get_executor(); }
+  /// Bytes of the last exchange's request, or of requests after it.
+  ReceiveBuffer& received() { return received_; }
+  void read();
+  bool isLast(const CallerExchange& exchange) const { return exchanges_.back().get() == &exchange; }
+  bool isWriting() const { return writing_; }
+  /// Nothing is begun any more: the last exchange's answer says that the connection ends.
+  void beginNothingMore() { is_ending_ = true; }
+  /// Writes what the socket takes at once, when it is the exchange's turn. True when all is
+  /// written.
+  bool writeNow(CallerExchange& exchange);
+  /// Writes the rest of its output as the socket takes it, when it is the exchange's turn.
+  void flush(CallerExchange& exchange);
+  /// The exchange waits for its caller: see CallerExchange::callerTimeout().
+  void awaitCaller(const CallerExchange& exchange);
+  /// Its answer is complete and written.
+  void onDone(CallerExchange& exchange);
 
  private:
   enum class State { kIdle, kHead, kExchange, kLingering, kClosed };
-
-  // proxy::RequestIo
-  void startAttempt(const proxy::AttemptPlan& plan) override;
-  void cancelAttempt(proxy::AttemptId attempt) override;
-  bool bytesSent(proxy::AttemptId attempt) const override;
-  void discardAnswer(proxy::AttemptId attempt) override;
-  void forwardAnswer(proxy::AttemptId attempt) override;
-  void answerLocally(const proxy::LocalAnswer& answer) override;
-
-  // UpstreamUser
-  void onUpstreamReady() override;
-  void onUpstreamWritten() override;
-  void onUpstreamInterim(unsigned status) override;
-  void onUpstreamHead(const MessageHead& head) override;
-  void onUpstreamBody(std::string_view piece) override;
-  void onUpstreamPause() override;
-  void onUpstreamComplete() override;
-  void onUpstreamFailed(UpstreamFailure failure) override;
-
-  void onBody(std::string_view piece) override;  // BodySink: of the request
-  void onDeadline() override;
+  using ExchangePointer = std::shared_ptr<CallerExchange>;
 
   // Reading
-  void read();
   void onRead(const boost::system::error_code& error, std::size_t size);
   void onReadClosed();
-  void awaitRequest();
-  void parseHead();
-  void beginExchange();
+  void advance();
+  bool readHead();
+  void awaitHead();
+  bool mayBegin() const;
+  void beginNext();
   bool hasCallerLeft();
+  ExchangePointer takeExchange();
 
-  // The request towards the server
-  void openUpstream();
-  void sendRequest();
-  void sendBody();
-  bool mustConfirm() const;
-  void confirmThenSend();
-  void sendReceipt();
-  void pumpBody();
-  bool takeBody();
-  void appendBody(std::string_view piece);
-  void failAttemptLater(proxy::AttemptFailure failure);
-  bool requestComplete() const { return parser_.complete(); }
-
-  // The answer towards the caller
-  AnswerContext answerContext();
-  bool isCollectable(const MessageHead& head) const;
-  void stopCollecting();
-  void refuse(RefusalReason reason);
-  void refuseBody(RefusalReason reason);
-  void writeLocal(const proxy::LocalAnswer& answer);
-  void flush();
-  bool writeNow();
+  // Writing
+  bool isTurnOf(const CallerExchange& exchange) const;
   void onWritten(const boost::system::error_code& error);
-  void finishExchange();
 
   // Ends
-  void giveUpFlow();
+  void onDeadline() override;
+  void dropExchanges();
   void closeGracefully();
   void close();
 
@@ -120,37 +82,20 @@
   TcpSocket socket_;
   State state_ = State::kIdle;
   ReceiveBuffer received_;
-  MessageParser parser_;
 
-  // One request at a time
-  /// Keeps this alive during a request, also while no operation on the socket is pending.
-  std::shared_ptr<CallerConnection> exchange_owner_;
-  CallerRequest request_;
-  std::unique_ptr<proxy::Exchange> flow_;
-  std::shared_ptr<UpstreamConnection> upstream_;
-  proxy::AttemptPlan plan_;
-  const MessageHead* answer_head_ = nullptr;  ///< While its event is being handled.
-  std::string collected_;                     ///< The body of an answer that is not whole yet.
-  BodyFraming answer_framing_ = BodyFraming::kNone;
-  std::string replay_;  ///< Body bytes already taken, for a further attempt.
+  /// Keeps this alive while exchanges are, also when no operation on the socket is pending.
+  std::shared_ptr<CallerConnection> owner_;
+  std::deque<ExchangePointer> exchanges_;  ///< Begun and not done, in the caller's order.
+  ExchangePointer next_;                   ///< Its head is being read, or waits for its turn.
+  std::optional<RefusalReason> next_refusal_;
+  bool is_next_read_ = false;  ///< The head of next_ is complete or refused.
+  ExchangePointer spare_;      ///< Done; keeps its memory for the next one.
 
-  std::string output_;   ///< To be written next.
   std::string written_;  ///< Being written now.
-
   bool reading_ = false;
   bool read_closed_ = false;
   bool writing_ = false;
-  bool close_after_ = false;
-  bool replay_lost_ = false;   ///< The body outgrew what is kept: no further attempt.
-  bool request_sent_ = false;  ///< All of the request went to the current attempt.
-  bool awaiting_body_ = false;
-  bool awaiting_confirmation_ = false;  ///< The next hop has the head; the body is held back.
-  bool awaiting_go_ = false;  ///< Confirmed to the hop before; its body is the word to go.
-  bool continue_sent_ = false;
-  bool collecting_ = false;  ///< The answer's head has come; the flow is told when it is whole.
-  bool distrusted_ = false;  ///< The flow gave up the connection that its answer came on.
-  bool forwarding_ = false;
-  bool answer_complete_ = false;  ///< All of the answer is in output_ or written.
+  bool is_ending_ = false;
 };
 
 }  // namespace coursepond::runtime
--- /dev/null
+++ b/src/runtime/caller_exchange.cpp
@@ -0,0 +1,431 @@
+#include "runtime/caller_exchange.h"
+
+#include <boost/asio/post.hpp>
+
+#include "runtime/caller_connection.h"
+
+namespace coursepond::runtime {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long a hop that was told to go on may take to send its body.
+constexpr Duration kGoTimeout = std::chrono::seconds(1);
+constexpr unsigned kContinueStatus = 100;
+
+ParserLimits requestLimits(const ProxyServerShared& shared) {
+  const ProxyServerSettings& settings = shared.settings;
+  ParserLimits limits;
+  limits.table = shared.table.get();
+  limits.head_bytes = settings.head_bytes;
+  if (settings.body_bytes > 0) limits.body_bytes = settings.body_bytes;
+  return limits;
+}
+
+proxy::AttemptFailure attemptFailureOf(UpstreamFailure failure) {
+  switch (failure) {
+    case UpstreamFailure::kConnectFailed:
+      return proxy::AttemptFailure::kConnectFailed;
+    case UpstreamFailure::kClosedUnsent:
+      return proxy::AttemptFailure::kClosedUnsent;
+    case UpstreamFailure::kMalformed:
+      return proxy::AttemptFailure::kMalformedAnswer;
+    case UpstreamFailure::kLost:
+    case UpstreamFailure::kStalled:
+      break;
+  }
+  return proxy::AttemptFailure::kLostAfterSend;
+}
+
+}  // namespace
+
+CallerExchange::CallerExchange(CallerConnection& connection)
+    : connection_(connection),
+      shared_(connection.shared()),
+      parser_(MessageParser::Kind::kRequest, requestLimits(shared_)) {}
+
+// ---- Start
+
+std::optional<RefusalReason> CallerExchange::check() {
+  head_ = proxy::RequestHead();
+  const auto refusal = checkRequest(parser_.head(), shared_.request_ids, request_, head_);
+  if (refusal) return refusal;
+  const auto& may_run_beside = shared_.source.runs_beside;
+  runs_beside_ =
+      may_run_beside && parser_.head().framing == BodyFraming::kNone && may_run_beside(head_);
+  return std::nullopt;
+}
+
+void CallerExchange::begin() {
+  close_after_ = !parser_.head().keep_alive;
+  if (close_after_) connection_.beginNothingMore();
+  flow_ = shared_.source.make(std::move(head_), static_cast<proxy::RequestIo&>(*this));
+  flow_->start();
+  if (shared_.settings.answer_style == AnswerStyle::kIngress) sendReceipt();
+}
+
+/// Tells the hop before that its request is here: silence then means that this node is gone.
+void CallerExchange::sendReceipt() {
+  if (!flow_ || !output_.empty() || connection_.isWriting() || continue_sent_) return;
+  if (answer_complete_ || forwarding_) return;
+  output_.append(kReceiptAnswer);
+  if (!connection_.writeNow(*this)) connection_.flush(*this);
+}
+
+void CallerExchange::onBytes() {
+  if (awaiting_go_) {
+    awaiting_go_ = false;
+    connection_.awaitCaller(*this);
+    openUpstream();
+  } else if (awaiting_body_) {
+    pumpBody();
+  }
+}
+
+Duration CallerExchange::callerTimeout() const {
+  if (awaiting_go_) return kGoTimeout;
+  return awaiting_body_ ? shared_.settings.body_timeout : Duration(0);
+}
+
+// ---- The request towards the server
+
+void CallerExchange::startAttempt(const proxy::AttemptPlan& plan) {
+  plan_ = plan;
+  request_sent_ = false;
+  // Without its first bytes the body cannot be sent again: as good as having no connection.
+  if (replay_lost_) return failAttemptLater(proxy::AttemptFailure::kCannotReplay);
+  if (mustConfirm()) return confirmThenSend();
+  openUpstream();
+}
+
+/// An ingress asks the hop before for the body only when the request is about to run.
+bool CallerExchange::mustConfirm() const {
+  return shared_.settings.answer_style == AnswerStyle::kIngress && request_.expects_continue &&
+         !continue_sent_ && !requestComplete() && connection_.received().empty();
+}
+
+void CallerExchange::confirmThenSend() {
+  continue_sent_ = true;
+  awaiting_go_ = true;
+  output_.append(kContinueAnswer);
+  if (!connection_.writeNow(*this)) connection_.flush(*this);
+  connection_.awaitCaller(*this);
+}
+
+void CallerExchange::openUpstream() {
+  upstream_ = shared_.pool.acquire(plan_.service, plan_.endpoint, *this);
+  if (!upstream_) return failAttemptLater(proxy::AttemptFailure::kNoConnectionFree);
+  if (upstream_->isReady()) sendRequest();
+}
+
+/// Runs `action` in a later event, if the attempt is still the current one by then.
+template <typename Action>
+void CallerExchange::postForAttempt(Action action) {
+  asio::post(connection_.executor(),
+             [self = shared_from_this(), connection = connection_.shared_from_this(),
+              attempt = plan_.id, action = std::move(action)] {
+               const bool is_current = self->flow_ && !self->answer_complete_;
+               if (is_current && self->plan_.id == attempt) action(*self);
+             });
+}
+
+void CallerExchange::failAttemptLater(proxy::AttemptFailure failure) {
+  postForAttempt([failure](CallerExchange& exchange) {
+    exchange.flow_->onAttemptFailed(exchange.plan_.id, failure);
+  });
+}
+
+void CallerExchange::onUpstreamReady() { sendRequest(); }
+
+void CallerExchange::sendRequest() {
+  upstream_->expectAnswerTo(parser_.head().method == "HEAD");
+  appendRequestHead(upstream_->output(), request_, parser_.head(), plan_, shared_.settings.names);
+  const bool has_body = parser_.head().framing != BodyFraming::kNone;
+  awaiting_confirmation_ = plan_.confirm && has_body;
+  if (awaiting_confirmation_) return upstream_->write();
+  sendBody();
+}
+
+void CallerExchange::sendBody() {
+  if (!replay_.empty()) appendBody(replay_);
+  // A broken body is refused from a later event; until then, the head alone goes out.
+  if (!takeBody()) {
+    postForAttempt([](CallerExchange& exchange) {
+      exchange.refuseBody(refusalOf(exchange.parser_.failure()));
+    });
+  }
+  upstream_->write();
+}
+
+/// Moves received body bytes into the upstream's output. False when the body is malformed.
+bool CallerExchange::takeBody() {
+  if (!requestComplete()) {
+    ReceiveBuffer& received = connection_.received();
+    received.consume(parser_.parseBody(received.data(), *this));
+    if (parser_.failure() != ParseFailure::kNone) return false;
+  }
+  if (requestComplete() && !request_sent_) {
+    request_sent_ = true;
+    if (parser_.head().framing == BodyFraming::kChunked) upstream_->output().append(kLastChunk);
+    upstream_->setRequestComplete();
+  }
+  return true;
+}
+
+void CallerExchange::onBody(std::string_view piece) {
+  if (!upstream_) return;  // The answer is made: the rest is only read off.
+  if (!replay_lost_ && replay_.size() + piece.size() <= shared_.settings.replay_bytes) {
+    replay_.append(piece);
+  } else {
+    replay_lost_ = true;
+    replay_.clear();
+  }
+  appendBody(piece);
+}
+
+void CallerExchange::appendBody(std::string_view piece) {
+  if (parser_.head().framing == BodyFraming::kChunked) {
+    appendChunk(upstream_->output(), piece);
+  } else {
+    upstream_->output().append(piece);
+  }
+}
+
+void CallerExchange::onUpstreamWritten() {
+  if (!request_sent_) pumpBody();
+}
+
+/// Sends on what was received of the body, or waits for more.
+void CallerExchange::pumpBody() {
+  awaiting_body_ = false;
+  if (awaiting_confirmation_) return;
+  if (!upstream_ || !upstream_->isReady() || upstream_->isWriting()) return;
+  if (!takeBody()) return refuseBody(refusalOf(parser_.failure()));
+  if (!upstream_->output().empty()) {
+    connection_.awaitCaller(*this);
+    return upstream_->write();
+  }
+  if (request_sent_) return;
+  if (request_.expects_continue && !continue_sent_ && !forwarding_) {
+    continue_sent_ = true;
+    output_.append(kContinueAnswer);
+    connection_.flush(*this);
+  }
+  awaiting_body_ = true;
+  connection_.awaitCaller(*this);
+  connection_.read();
+}
+
+void CallerExchange::cancelAttempt(proxy::AttemptId) {
+  distrusted_ = true;
+  awaiting_go_ = false;
+  if (!upstream_) return;
+  upstream_->abandon();
+  upstream_.reset();
+}
+
+void CallerExchange::discardAnswer(proxy::AttemptId) {
+  if (!upstream_) return;
+  upstream_->discard();
+  upstream_.reset();
+}
+
+bool CallerExchange::bytesSent(proxy::AttemptId) const {
+  return upstream_ && upstream_->sentBytes() && !awaiting_confirmation_;
+}
+
+// ---- The answer
+
+void CallerExchange::onUpstreamInterim(unsigned status) {
+  flow_->onAttemptReceived(plan_.id);
+  if (status != kContinueStatus || !awaiting_confirmation_ || !upstream_) return;
+  awaiting_confirmation_ = false;
+  sendBody();
+}
+
+void CallerExchange::onUpstreamHead(const MessageHead& head) {
+  answer_head_ = &head;
+  collected_.clear();
+  collecting_ = isCollectable(head);
+  if (collecting_) return;
+  flow_->onAnswerHead(plan_.id, summarizeAnswer(head));
+}
+
+bool CallerExchange::isCollectable(const MessageHead& head) const {
+  const std::size_t bound = shared_.settings.whole_answer_bytes;
+  if (bound == 0) return false;
+  return head.framing != BodyFraming::kLength || head.content_length <= bound;
+}
+
+/// The answer is longer than what is held: from here on it is streamed.
+void CallerExchange::stopCollecting() {
+  collecting_ = false;
+  flow_->onAnswerHead(plan_.id, summarizeAnswer(*answer_head_));
+  if (!forwarding_) return;
+  const std::string held = std::move(collected_);
+  collected_.clear();
+  onUpstreamBody(held);
+}
+
+void CallerExchange::forwardAnswer(proxy::AttemptId) {
+  forwarding_ = true;
+  AnswerContext context = answerContext();
+  if (collecting_) {
+    answer_framing_ = BodyFraming::kLength;
+    context.whole_length = collected_.size();
+  } else {
+    upstream_->watchStalls();
+    answer_framing_ = framingTowards(*answer_head_, parser_.head().is_http_1_1);
+    if (answer_framing_ == BodyFraming::kUntilClose) context.close = close_after_ = true;
+  }
+  appendAnswerHead(output_, *answer_head_, context);
+  if (collecting_) output_.append(collected_);
+}
+
+AnswerContext CallerExchange::answerContext() {
+  // What was begun behind this request is still answered: only the last answer may end the
+  // connection.
+  if (shared_.stopping && connection_.isLast(*this)) close_after_ = true;
+  if (close_after_) connection_.beginNothingMore();
+  AnswerContext context;
+  context.names = &shared_.table->names();
+  context.style = shared_.settings.answer_style;
+  context.exact_retry_after = shared_.settings.exact_retry_after;
+  context.request_id = request_.request_id;
+  if (flow_) context.version = flow_->configurationVersion();
+  if (flow_) context.hop_load = flow_->hopLoad();
+  context.caller_is_http_1_1 = parser_.head().is_http_1_1;
+  context.close = close_after_;
+  context.head_request = parser_.headComplete() && parser_.head().method == "HEAD";
+  return context;
+}
+
+void CallerExchange::onUpstreamBody(std::string_view piece) {
+  if (collecting_) {
+    collected_.append(piece);
+    if (collected_.size() > shared_.settings.whole_answer_bytes) stopCollecting();
+    return;
+  }
+  if (!forwarding_) return;
+  if (answer_framing_ == BodyFraming::kChunked) {
+    appendChunk(output_, piece);
+  } else {
+    output_.append(piece);
+  }
+}
+
+/// An answer that waits for its turn is not read on: onWritten() resumes it.
+void CallerExchange::onUpstreamPause() {
+  if (collecting_) return upstream_->resume();
+  if (connection_.writeNow(*this)) return upstream_->resume();
+  connection_.flush(*this);
+}
+
+void CallerExchange::onUpstreamComplete() {
+  const std::shared_ptr<CallerExchange> self = shared_from_this();
+  // The connection owns the answer's head, which is needed below.
+  const std::shared_ptr<UpstreamConnection> upstream = std::move(upstream_);
+  upstream_.reset();
+  if (collecting_) {
+    distrusted_ = false;
+    flow_->onAnswerHead(plan_.id, summarizeAnswer(*answer_head_));
+    collecting_ = false;
+    if (!forwarding_) {  // Tried elsewhere, or answered by the flow itself.
+      if (distrusted_ && upstream->isIdle()) upstream->close();
+      return;
+    }
+  }
+  if (answer_framing_ == BodyFraming::kChunked) output_.append(kLastChunk);
+  answer_complete_ = true;
+  flow_->onAnswerComplete(plan_.id);
+  if (connection_.writeNow(*this)) return connection_.onDone(*this);
+  connection_.flush(*this);
+}
+
+void CallerExchange::onUpstreamFailed(UpstreamFailure failure) {
+  upstream_.reset();
+  collecting_ = false;
+  if (awaiting_confirmation_) {
+    awaiting_confirmation_ = false;
+    return flow_->onAttemptFailed(plan_.id, proxy::AttemptFailure::kConnectFailed);
+  }
+  if (!forwarding_) return flow_->onAttemptFailed(plan_.id, attemptFailureOf(failure));
+  ++shared_.statistics.answers_cut;
+  flow_->onAnswerCut(plan_.id);
+  connection_.cut();
+}
+
+void CallerExchange::answerLocally(const proxy::LocalAnswer& answer) { writeLocal(answer); }
+
+void CallerExchange::writeLocal(const proxy::LocalAnswer& answer) {
+  // The connection can be kept if the rest of the request is already here.
+  if (!requestComplete() && parser_.failure() == ParseFailure::kNone && parser_.headComplete()) {
+    ReceiveBuffer& received = connection_.received();
+    received.consume(parser_.parseBody(received.data(), *this));
+  }
+  if (!requestComplete()) close_after_ = true;
+  awaiting_body_ = false;
+  answer_complete_ = true;
+  appendLocalAnswer(output_, answer, answerContext());
+  connection_.flush(*this);
+}
+
+void CallerExchange::refuse(RefusalReason reason) {
+  ++shared_.statistics.refusals[static_cast<std::size_t>(reason)];
+  close_after_ = true;
+  writeLocal({statusOf(reason), proxy::Outcome::kNotRun, std::string(reasonWord(reason)), {}});
+}
+
+/// Refuses a request whose body turned out wrong or slow while it was being sent on.
+void CallerExchange::refuseBody(RefusalReason reason) {
+  ++shared_.statistics.refusals[static_cast<std::size_t>(reason)];
+  const bool may_have_run = !awaiting_go_ && (plan_.id > 1 || bytesSent(plan_.id));
+  giveUp();
+  close_after_ = true;
+  if (forwarding_) return connection_.cut();
+  const auto outcome = may_have_run ? proxy::Outcome::kUnknown : proxy::Outcome::kNotRun;
+  writeLocal({statusOf(reason), outcome, std::string(reasonWord(reason)), {}});
+}
+
+// ---- Turns and ends
+
+void CallerExchange::onTurn() {
+  const std::shared_ptr<CallerExchange> self = shared_from_this();
+  if (!connection_.writeNow(*this)) return connection_.flush(*this);
+  if (answer_complete_) return connection_.onDone(*this);
+  onWritten();
+}
+
+void CallerExchange::onWritten() {
+  if (forwarding_ && upstream_) upstream_->resume();
+}
+
+void CallerExchange::giveUp() {
+  if (flow_ && !answer_complete_) flow_->onCallerGone();
+  if (upstream_) cancelAttempt(plan_.id);
+}
+
+void CallerExchange::drop() {
+  giveUp();
+  flow_.reset();
+}
+
+void CallerExchange::reset() {
+  parser_.reset();
+  flow_.reset();
+  request_.clear();
+  collected_.clear();
+  replay_.clear();
+  output_.clear();
+  plan_.id = 0;
+  plan_.headers_to_set.clear();
+  answer_framing_ = BodyFraming::kNone;
+  answer_head_ = nullptr;
+  runs_beside_ = close_after_ = false;
+  replay_lost_ = request_sent_ = awaiting_body_ = continue_sent_ = false;
+  awaiting_confirmation_ = awaiting_go_ = false;
+  collecting_ = distrusted_ = forwarding_ = answer_complete_ = false;
+}
+
+}  // namespace coursepond::runtime
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "runtime/caller_connection.h"
+#include "runtime/proxy_server_shared.h"
 #include "runtime/tcp_types.h"
 
 namespace coursepond::runtime {
@@ -225,6 +226,16 @@
   bool stop_begun_ = false;
 };
 
+ExchangeSource directExchanges(proxy::ProxyState& state, Environment& environment) {
+  ExchangeSource source;
+  source.make = [&state, &environment](proxy::RequestHead head, proxy::RequestIo& io) {
+    return std::make_unique<proxy::RequestFlow>(std::move(head), state, environment, io);
+  };
+  source.policy = &state;
+  source.begin_stop = [&state] { state.beginStop(); };
+  return source;
+}
+
 ProxyServer::ProxyServer(std::shared_ptr<Implementation> implementation)
     : implementation_(std::move(implementation)) {}
 
@@ -234,13 +245,7 @@
                                                          const ProxyServerSettings& settings,
                                                          proxy::ProxyState& state,
                                                          Environment& environment) {
-  ExchangeSource source;
-  source.make = [&state, &environment](proxy::RequestHead head, proxy::RequestIo& io) {
-    return std::make_unique<proxy::RequestFlow>(std::move(head), state, environment, io);
-  };
-  source.policy = &state;
-  source.begin_stop = [&state] { state.beginStop(); };
-  return create(context, settings, std::move(source), environment);
+  return create(context, settings, directExchanges(state, environment), environment);
 }
 
 Result<std::unique_ptr<ProxyServer>> ProxyServer::create(asio::io_context& context,
--- a/src/runtime/proxy_server.h
+++ b/src/runtime/proxy_server.h
@@ -46,6 +46,9 @@
   /// An answer up to this long is held until it is whole: one that breaks off is then no answer,
   /// and the request may still be tried elsewhere. Zero: every answer is streamed.
   std::size_t whole_answer_bytes = 0;
+  /// Requests of one connection that run at the same time, where they may: see
+  /// ExchangeSource::runs_beside. More of them wait unread.
+  std::size_t requests_side_by_side = 8;
   /// Told the IP number of each caller that connects. May be empty.
   std::function<void(const std::string& host)> on_caller;
 };
@@ -59,8 +62,14 @@
   ExchangeFactory make;
   proxy::ConnectionPolicy* policy = nullptr;
   std::function<void()> begin_stop;  ///< From now on, new requests are refused.
+  /// Whether a request without a body may begin while earlier ones of its connection still run: its
+  /// caller sends it again when the connection ends early. Empty: none may.
+  std::function<bool(const proxy::RequestHead&)> runs_beside;
 };
 
+/// A node that reaches servers itself. Both must outlive the source.
+ExchangeSource directExchanges(proxy::ProxyState& state, Environment& environment);
+
 /// Counters for /metrics. Never reset.
 struct ProxyServerStatistics {
   std::uint64_t connections_accepted = 0;
--- /dev/null
+++ b/src/runtime/proxy_server_shared.h
@@ -0,0 +1,35 @@
+#pragma once
+
+/// Internal to the ProxyServer: what all its connections share.
+
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+#include "core/environment.h"
+#include "runtime/caller_request.h"
+#include "runtime/deadline_watch.h"
+#include "runtime/http_parser.h"
+#include "runtime/proxy_server.h"
+#include "runtime/upstream_pool.h"
+
+namespace coursepond::runtime {
+
+class CallerConnection;
+
+/// What all connections of one ProxyServer share.
+struct ProxyServerShared {
+  ProxyServerSettings settings;
+  std::unique_ptr<FieldTable> table;
+  ExchangeSource source;
+  Environment& environment;
+  std::shared_ptr<DeadlineWatch> watch;
+  UpstreamPool pool;
+  ProxyServerStatistics statistics;
+  std::unordered_set<CallerConnection*> connections;
+  bool stopping = false;           ///< Every answer ends its connection.
+  std::function<void()> on_empty;  ///< Called when the last connection is gone.
+  RequestIdSource request_ids;
+};
+
+}  // namespace coursepond::runtime
--- /dev/null
+++ b/tests/runtime/pipelining_test.cpp
@@ -0,0 +1,224 @@
+/// Requests that a caller sends behind one another on one connection.
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "proxy_server_fixture.h"
+
+namespace coursepond::runtime {
+namespace {
+
+/// A node whose GET requests may run side by side, except those below "/once". The backend holds
+/// every answer until the test gives it.
+class PipelineFixture : public ProxyServerFixture {
+ public:
+  explicit PipelineFixture(const ProxyServerSettings& settings = {})
+      : ProxyServerFixture(settings, {ServiceName("s")}, [](const proxy::RequestHead& head) {
+          return head.method == "GET" && !head.path.starts_with("/once");
+        }) {
+    startBackend([this](const HttpRequest& request, HttpResponder responder) {
+      order.push_back(request.target);
+      held.insert_or_assign(request.target, std::move(responder));
+    });
+  }
+  ~PipelineFixture() { held.clear(); }
+
+  void awaitHeld(std::size_t count) {
+    runUntil([this, count] { return order.size() >= count; });
+  }
+  void answer(const std::string& target) {
+    held.at(target).respond({200, "text/plain", {}, "<" + target + ">"});
+    held.erase(target);
+  }
+  /// Lets everything that is due happen.
+  void settle() {
+    for (int turn = 0; turn < 20; ++turn) context.run_for(std::chrono::milliseconds(1));
+  }
+
+  std::vector<std::string> order;  ///< As requests reached the backend.
+  std::map<std::string, HttpResponder> held;
+};
+
+std::vector<std::string> answersIn(const std::string& received) {
+  std::vector<std::string> answers;
+  for (std::size_t at = received.find('<'); at != std::string::npos; at = received.find('<', at)) {
+    const std::size_t end = received.find('>', at);
+    if (end == std::string::npos) break;
+    answers.push_back(received.substr(at + 1, end - at - 1));
+    at = end;
+  }
+  return answers;
+}
+
+}  // namespace
+
+TEST_CASE("requests that may run twice run side by side; answers go out in the caller's order") {
+  std::vector<std::string> targets = {"/1", "/2", "/3", "/4", "/5"};
+  for (std::uint32_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    PipelineFixture fixture;
+    RawCaller caller = fixture.caller();
+    std::string bytes;
+    for (const std::string& target : targets) bytes += simpleGet(target);
+    caller.send(bytes);
+    fixture.awaitHeld(targets.size());
+    std::vector<std::string> completion = targets;
+    std::mt19937 random(seed);
+    std::shuffle(completion.begin(), completion.end(), random);
+    for (const std::string& target : completion) fixture.answer(target);
+    REQUIRE(caller.receives("</5>"));
+    CHECK(answersIn(caller.received) == targets);
+  }
+}
+
+TEST_CASE("an answer goes out at its turn, not only when all are there") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/2") + simpleGet("/3"));
+  fixture.awaitHeld(3);
+  fixture.answer("/2");
+  fixture.settle();
+  CHECK(caller.received.empty());
+  fixture.answer("/1");
+  REQUIRE(caller.receives("</2>"));
+  CHECK(answersIn(caller.received) == std::vector<std::string>{"/1", "/2"});
+}
+
+TEST_CASE("a request that may not run twice waits for its turn and holds those behind it") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/once") + simpleGet("/3"));
+  fixture.awaitHeld(1);
+  fixture.settle();
+  CHECK(fixture.order == std::vector<std::string>{"/1"});
+  fixture.answer("/1");
+  fixture.awaitHeld(2);
+  fixture.settle();
+  CHECK(fixture.order == std::vector<std::string>{"/1", "/once"});
+  fixture.answer("/once");
+  fixture.awaitHeld(3);
+  fixture.answer("/3");
+  REQUIRE(caller.receives("</3>"));
+  CHECK(answersIn(caller.received) == std::vector<std::string>{"/1", "/once", "/3"});
+}
+
+TEST_CASE("a body behind a request is never taken for the next request") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  const std::string post =
+      "POST /2 HTTP/1.1\r\nHost: svc\r\nContent-Length: 20\r\n\r\nGET /x HTTP/1.1\r\n\r\n ";
+  caller.send(simpleGet("/1") + post + simpleGet("/3"));
+  fixture.awaitHeld(1);
+  fixture.answer("/1");
+  fixture.awaitHeld(2);
+  fixture.answer("/2");
+  fixture.awaitHeld(3);
+  fixture.answer("/3");
+  REQUIRE(caller.receives("</3>"));
+  CHECK(fixture.order == std::vector<std::string>{"/1", "/2", "/3"});
+}
+
+TEST_CASE("only so many run at the same time") {
+  ProxyServerSettings settings;
+  settings.requests_side_by_side = 2;
+  PipelineFixture fixture(settings);
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/2") + simpleGet("/3"));
+  fixture.awaitHeld(2);
+  fixture.settle();
+  CHECK(fixture.order.size() == 2);
+  fixture.answer("/1");
+  fixture.awaitHeld(3);
+  fixture.answer("/2");
+  fixture.answer("/3");
+  CHECK(caller.receives("</3>"));
+}
+
+TEST_CASE("a caller that leaves cancels all of its requests") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/2") + simpleGet("/3"));
+  fixture.awaitHeld(3);
+  int gone = 0;
+  for (auto& [target, responder] : fixture.held) responder.onCallerGone([&gone] { ++gone; });
+  caller.close();
+  fixture.runUntil([&] { return gone == 3; });
+  CHECK(fixture.server->statistics().callers_gone == 1);
+  fixture.runUntil([&] { return fixture.server->callerConnectionCount() == 0; });
+}
+
+TEST_CASE("an answer that breaks off ends the connection and what is behind it") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/2"));
+  fixture.awaitHeld(2);
+  int gone = 0;
+  fixture.held.at("/2").onCallerGone([&gone] { ++gone; });
+  fixture.held.at("/1").begin({200, "text/plain", {}, ""});
+  fixture.held.at("/1").sendChunk("part");
+  REQUIRE(caller.receives("part"));
+  fixture.held.at("/1").cut();
+  caller.runToEnd();
+  fixture.runUntil([&] { return gone == 1; });
+}
+
+TEST_CASE("a request that ends the connection is the last: what is behind it is not begun") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/2", "Connection: close\r\n") + simpleGet("/3"));
+  fixture.awaitHeld(2);
+  fixture.answer("/2");
+  fixture.answer("/1");
+  caller.runToEnd();
+  CHECK(answersIn(caller.received) == std::vector<std::string>{"/1", "/2"});
+  CHECK(fixture.order.size() == 2);
+  CHECK_FALSE(caller.reset);
+}
+
+TEST_CASE(
+    "a planned stop answers all that was begun, and only the last answer ends the connection") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/2") + simpleGet("/3"));
+  fixture.awaitHeld(3);
+  fixture.server->announceClose();
+  fixture.answer("/3");
+  fixture.answer("/1");
+  REQUIRE(caller.receives("</1>"));
+  CHECK(caller.received.find("Connection: close") == std::string::npos);
+  fixture.answer("/2");
+  caller.runToEnd();
+  CHECK(answersIn(caller.received) == std::vector<std::string>{"/1", "/2", "/3"});
+  CHECK(caller.received.find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("a malformed request behind others is refused at its turn") {
+  PipelineFixture fixture;
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + "nonsense\r\n\r\n");
+  fixture.awaitHeld(1);
+  fixture.settle();
+  CHECK(caller.received.empty());
+  fixture.answer("/1");
+  caller.runToEnd();
+  CHECK(caller.received.find("</1>") < caller.received.find("HTTP/1.1 400 "));
+}
+
+TEST_CASE("an answer longer than what is held waits for its turn and comes whole") {
+  ProxyServerSettings settings;
+  settings.whole_answer_bytes = 1000;
+  PipelineFixture fixture(settings);
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/1") + simpleGet("/2"));
+  fixture.awaitHeld(2);
+  const std::string body(300'000, 'x');
+  fixture.held.at("/2").respond({200, "text/plain", {}, body + "<end>"});
+  fixture.settle();
+  CHECK(caller.received.empty());
+  fixture.answer("/1");
+  REQUIRE(caller.receives("<end>"));
+  CHECK(caller.received.find(body) != std::string::npos);
+}
+
+}  // namespace coursepond::runtime
--- a/tests/runtime/proxy_server_fixture.h
+++ b/tests/runtime/proxy_server_fixture.h
@@ -128,11 +128,15 @@
 
 /// One node's data path with one service "s" and one route to it, on one context.
 struct ProxyServerFixture {
+  /// `runs_beside`: see ExchangeSource.
   explicit ProxyServerFixture(ProxyServerSettings settings_in = {},
-                              model::Service service = {ServiceName("s")})
-      : settings(std::move(settings_in)),
-        state(ZoneId("z"), proxy::Settings{}, environment),
-        server(std::move(ProxyServer::create(context, settings, state, environment).value())) {
+                              model::Service service = {ServiceName("s")},
+                              std::function<bool(const proxy::RequestHead&)> runs_beside = {})
+      : settings(std::move(settings_in)), state(ZoneId("z"), proxy::Settings{}, environment) {
+    ExchangeSource source = directExchanges(state, environment);
+    source.runs_beside = std::move(runs_beside);
+    server =
+        std::move(ProxyServer::create(context, settings, std::move(source), environment).value());
     auto snapshot = std::make_shared<model::Snapshot>();
     snapshot->version = Version(7);
     model::Route route;
