--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
@@ -29,6 +31,8 @@
   std::vector<model::ServerEntry> servers;
   std::uint64_t revision = 1;
   bool is_away = false;
+  std::set<std::string> turned_away;       ///< Machines that it serves no longer.
+  std::map<std::string, int> read_counts;  ///< By machine.
 
   source::WatchBatch whole() const {
     source::WatchBatch batch;
@@ -42,8 +46,8 @@
 /// Reads a FakeSource; a watch is answered after a short time.
 class FakeClient final : public source::WatchClient {
  public:
-  FakeClient(asio::io_context& context, const FakeSource& source)
-      : context_(context), source_(source) {}
+  FakeClient(asio::io_context& context, FakeSource& source, std::string machine)
+      : context_(context), source_(source), machine_(std::move(machine)) {}
 
   void list(Duration, source::WatchCallback callback) override { answerIn(1ms, callback); }
   void watch(Generation, Duration, Duration, source::WatchCallback callback) override {
@@ -55,13 +59,16 @@
     auto timer = std::make_shared<asio::steady_timer>(context_, delay);
     timer->async_wait([this, timer, callback](const boost::system::error_code& error) {
       if (error) return;
-      if (source_.is_away) return callback(Error{ErrorKind::kUnavailable, "away", ""});
+      ++source_.read_counts[machine_];
+      const bool is_refused = source_.is_away || source_.turned_away.contains(machine_);
+      if (is_refused) return callback(Error{ErrorKind::kUnavailable, "away", ""});
       callback(source_.whole());
     });
   }
 
   asio::io_context& context_;
-  const FakeSource& source_;
+  FakeSource& source_;
+  std::string machine_;
 };
 
 /// What a server of the test does with a request.
@@ -142,6 +149,48 @@
 
   Machine& machine(std::size_t index) { return *machines_[index]; }
   FakeSource& source() { return source_; }
+  std::size_t machineCount() const { return machines_.size(); }
+
+  /// More machines, so that some do not read the source themselves.
+  void grow() {
+    for (const char* ip : {"127.0.0.5", "127.0.0.6", "127.0.0.7", "127.0.0.8"}) {
+      addMachine(ip, "stock");
+      machines_.back()->node->start();
+    }
+    ++source_.revision;
+    const auto knowAll = [this] {
+      for (std::size_t index = 0; index < machines_.size(); ++index) {
+        if (statusPage(index).find("servers known: 7") == std::string::npos) return false;
+      }
+      return true;
+    };
+    REQUIRE(runUntil(knowAll));
+  }
+
+  /// Machines that read the source in the next moments.
+  std::set<std::string> readers() {
+    // What was on its way when the roles changed is over by then.
+    context_.run_for(300ms);
+    source_.read_counts.clear();
+    context_.run_for(300ms);
+    std::set<std::string> hosts;
+    for (const auto& [host, count] : source_.read_counts) hosts.insert(host);
+    return hosts;
+  }
+
+  /// Publishes the next version and waits until every machine has it in force.
+  void publish() {
+    const std::uint64_t version = source_.configuration.version.value() + 1;
+    source_.configuration.version = Version(version);
+    ++source_.revision;
+    const std::string line = "version in force: " + std::to_string(version) + "\n";
+    REQUIRE(runUntil([this, &line] {
+      for (std::size_t index = 0; index < machines_.size(); ++index) {
+        if (statusPage(index).find(line) == std::string::npos) return false;
+      }
+      return true;
+    }));
+  }
   std::uint16_t ingressPort() const { return ingress_port_; }
 
   /// Puts all servers into another zone than the nodes'.
@@ -188,8 +237,8 @@
     listServer(ip, service, raw->server->address());
 
     Extensions extensions;
-    extensions.watch_client = [this](asio::io_context& context, const Address&) {
-      return std::make_unique<FakeClient>(context, source_);
+    extensions.watch_client = [this, ip](asio::io_context& context, const Address&) {
+      return std::make_unique<FakeClient>(context, source_, ip);
     };
     auto node = TwoHopNode::create(context_, makeSettings(ip, service, *raw), extensions);
     REQUIRE(node.has_value());
@@ -323,6 +372,24 @@
   CHECK(mesh.machine(1).received.empty());
 }
 
+TEST_CASE("three machines read the source; a version reaches all the others through them") {
+  Fixture mesh;
+  mesh.grow();
+  CHECK(mesh.readers().size() == 3);
+  mesh.publish();
+  mesh.publish();
+  CHECK(mesh.readers().size() == 3);
+}
+
+TEST_CASE("versions also reach the machines that the source turns away") {
+  Fixture mesh;
+  mesh.grow();
+  SUBCASE("one of the readers") { mesh.source().turned_away = {*mesh.readers().begin()}; }
+  SUBCASE("all of the readers") { mesh.source().turned_away = mesh.readers(); }
+  mesh.publish();
+  mesh.publish();
+}
+
 TEST_CASE("a caller that leaves cancels the work at the server") {
   Fixture mesh;
   bool cancelled = false;
