Egress and relay: a slow moment of the whole fleet no longer feeds itself

Ruled out: links (270 KB lists go to four readers only) and the store (answers in time until then). Change: deltas between nodes name their base by version, since one source numbers all (digests stay for the mesh form); readers remember six versions, followers one; a request that two ingresses were silent on is answered as not run, or waited for; what may have arrived is repeated only within the allowance; the time to acknowledge is 250 ms or four times the usual, up to half of the target. Tests first for each.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -102,8 +102,9 @@
   std::vector<EndpointId> tried_;
   Phase phase_ = Phase::kNew;
   AttemptId attempt_ = 0;
-  std::uint32_t arrivals_ = 0;        ///< Servers that may have seen the request.
-  std::uint32_t full_ingresses_ = 0;  ///< That refused it for want of room.
+  std::uint32_t arrivals_ = 0;          ///< Servers that may have seen the request.
+  std::uint32_t full_ingresses_ = 0;    ///< That refused it for want of room.
+  std::uint32_t silent_ingresses_ = 0;  ///< That did not say that they have it.
   std::uint32_t max_attempts_ = 1;
   bool is_repeatable_ = false;
   bool may_have_run_ = false;
@@ -183,7 +184,7 @@
   ++state_.statistics().attempts;
   was_received_ = false;
   arrival_noted_ = false;
-  state_.deadlines().arm(*this, std::min(deadline_, now + state_.settings().receipt_timeout));
+  state_.deadlines().arm(*this, std::min(deadline_, now + state_.receiptTimeout(target())));
   if (arrivals_ == 0 && attempt_ == 1) state_.use(service_).allowance.onFirstAttempt();
   io_.startAttempt(makePlan(now));
 }
@@ -259,6 +260,7 @@
 
 void EgressFlow::onAttemptReceived(AttemptId attempt) {
   if (!isCurrent(attempt, Phase::kAttempting)) return;
+  if (!was_received_) state_.onReceipt(environment_.now() - attempt_started_);
   was_received_ = true;
   state_.deadlines().arm(*this, deadline_);
 }
@@ -269,12 +271,23 @@
 void EgressFlow::onSilent(TimePoint now) {
   note(proxy::DecisionKind::kAttemptEnded, "silent", 0);
   ++state_.statistics().hop_silences;
+  state_.onReceipt(now - attempt_started_);
   state_.onUnreachable(*server_, now);
   was_received_ = true;
   const bool surely_not_run = !io_.bytesSent(attempt_);
   if (!surely_not_run) noteArrival();
-  const bool may_go_on = surely_not_run || (is_repeatable_ && arrivals_ < max_attempts_);
-  if (!may_go_on || !state_.pick(service_, tried_, now)) {
+  const bool is_last = ++silent_ingresses_ >= state_.settings().most_silent_ingresses;
+  if (is_last && surely_not_run) {
+    io_.cancelAttempt(attempt_);
+    return conclude(Reason::kNoServer);
+  }
+  if (is_last) {
+    state_.deadlines().arm(*this, deadline_);
+    return;
+  }
+  const bool has_other = state_.pick(service_, tried_, now) != nullptr;
+  const bool may_go_on = has_other && (surely_not_run || mayRepeat(now));
+  if (!may_go_on) {
     state_.deadlines().arm(*this, deadline_);
     return;
   }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -18,6 +18,8 @@
 constexpr double kCostTolerance = 0.02;
 constexpr double kLowestSlowness = 0.4;
 constexpr double kHighestSlowness = 6.0;
+/// An ingress is silent when it takes this many times the usual time to say that it has a request.
+constexpr double kReceiptsWaited = 4.0;
 
 double toMillisecondsExact(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
@@ -131,6 +133,16 @@
   server.slowness_at = now;
 }
 
+void EgressState::onReceipt(Duration latency) {
+  receipt_ms_ += settings_.slowness_weight * (toMillisecondsExact(latency) - receipt_ms_);
+}
+
+Duration EgressState::receiptTimeout(Duration target) const {
+  const Duration usual(static_cast<Duration::rep>(receipt_ms_ * kReceiptsWaited * 1000.0));
+  const Duration longest = std::max(settings_.receipt_timeout, target / 2);
+  return std::clamp(usual, settings_.receipt_timeout, longest);
+}
+
 std::uint32_t EgressState::connectionBudget(const ServiceName&, const EndpointId&) const {
   return kConnectionsPerIngress;
 }
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -84,6 +84,11 @@
   void onLoad(Server& server, const proxy::HopLoad& load, TimePoint now);
   void onLatency(Server& server, ServiceUse& use, Duration latency, TimePoint now);
 
+  /// An ingress said after this time that it has a request, or was given up after it.
+  void onReceipt(Duration latency);
+  /// How long to wait for that, for a request of this target: longer while all are slow.
+  Duration receiptTimeout(Duration target) const;
+
   ServiceUse& use(const ServiceName& service);
   TrafficSplit& split() { return split_; }
   proxy::DeadlineQueue& deadlines() { return deadlines_; }
@@ -122,6 +127,7 @@
   Statistics statistics_;
   proxy::DecisionLog* log_ = nullptr;
   std::size_t in_flight_ = 0;
+  double receipt_ms_ = 0;  ///< Moving average.
   std::optional<TimePoint> stop_end_;
 };
 
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -45,7 +45,11 @@
   /// second choice is worth its message; measured, further ones only load a fleet that is full.
   std::uint32_t most_full_ingresses = 2;
 
-  /// An ingress that has not said within this that it has a request counts as silent.
+  /// Ingresses that may stay silent on one request before it is given up, or waited for where it
+  /// may run. Silence of several is a fleet that is slow, which more messages make slower.
+  std::uint32_t most_silent_ingresses = 2;
+  /// An ingress that has not said within this that it has a request counts as silent. Longer while
+  /// all ingresses are slow: see EgressState::receiptTimeout().
   Duration receipt_timeout = std::chrono::milliseconds(250);
   /// Pause after a server's ingress could not be reached; doubles up to the longest.
   Duration avoid = std::chrono::milliseconds(150);
--- a/src/model/delta.h
+++ b/src/model/delta.h
@@ -45,11 +45,18 @@
   friend bool operator==(const Delta&, const Delta&) = default;
 };
 
-Delta makeDelta(const Configuration& base, const Configuration& target);
+/// How a delta names its base and target. Digests hold whoever numbered the versions; a digest of
+/// 800 routes takes 6 ms of a processor. Versions are enough where one source numbers them all and
+/// never gives a number twice.
+enum class DeltaCheck { kDigests, kVersions };
+
+Delta makeDelta(const Configuration& base, const Configuration& target,
+                DeltaCheck check = DeltaCheck::kDigests);
 
 /// The target configuration, or kBaseMismatch (base is another) or kDigestMismatch (the outcome is
 /// not what the delta promised). `base` is never changed.
-Result<Configuration> applyDelta(const Configuration& base, const Delta& delta);
+Result<Configuration> applyDelta(const Configuration& base, const Delta& delta,
+                                 DeltaCheck check = DeltaCheck::kDigests);
 
 /// The delta as JSON text, and back (kMalformed with the place).
 std::string deltaToText(const Delta& delta);
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -34,6 +34,8 @@
 /// How often a stopping node looks whether it has nothing left to do.
 constexpr Duration kQuietPoll = std::chrono::milliseconds(10);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
+/// A follower that is slow, or comes from another reader, may be some versions of a storm behind.
+constexpr std::size_t kVersionsOfReader = 6;
 
 runtime::ProxyServerSettings commonServerSettings(const runtime::Settings& settings) {
   runtime::ProxyServerSettings server;
@@ -376,6 +378,7 @@
              {{"readers", std::to_string(readers.size())}});
   }
   relay_.setReaders(source::askingOrder(own, readers), is_reader);
+  held_.rememberVersions(is_reader ? kVersionsOfReader : 1);
 }
 
 // ---- What others may ask
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -381,6 +381,9 @@
                            "Ingresses that may refuse one request for want of room before it is "
                            "given up.",
                            FIELD(egress.most_full_ingresses)));
+  keys.push_back(numberKey(section, "most_silent_ingresses", {1, 1000}, "",
+                           "Ingresses that may stay silent on one request before it is given up.",
+                           FIELD(egress.most_silent_ingresses)));
   keys.push_back(percentKey(section, "patience_percent", {0, 100},
                             "How long a request waits for a server to appear, of its target "
                             "latency.",
--- a/src/source/held_state.cpp
+++ b/src/source/held_state.cpp
@@ -8,9 +8,6 @@
 
 /// Removals remembered: more than a whole zone that goes at once.
 constexpr std::size_t kMostRemovals = 512;
-/// Versions that a delta can start from. A peer takes in at least every second version of a storm;
-/// one that is further behind gets the whole configuration.
-constexpr std::size_t kMostConfigurations = 3;
 
 }  // namespace
 
@@ -65,10 +62,19 @@
 bool HeldState::hold(const model::Configuration& configuration) {
   if (configuration.version <= version()) return false;
   configurations_.push_back(std::make_shared<const model::Configuration>(configuration));
-  if (configurations_.size() > kMostConfigurations) configurations_.pop_front();
+  forgetVersions();
   return true;
 }
 
+void HeldState::rememberVersions(std::size_t count) {
+  remembered_versions_ = std::max<std::size_t>(count, 1);
+  forgetVersions();
+}
+
+void HeldState::forgetVersions() {
+  while (configurations_.size() > remembered_versions_) configurations_.pop_front();
+}
+
 ConfigurationPointer HeldState::find(Version version) const {
   for (const ConfigurationPointer& configuration : configurations_) {
     if (configuration->version == version) return configuration;
@@ -95,7 +101,7 @@
   }
   if (this->version() <= version) return update;
   if (const ConfigurationPointer base = find(version)) {
-    update.delta = model::makeDelta(*base, *newest());
+    update.delta = model::makeDelta(*base, *newest(), model::DeltaCheck::kVersions);
   } else {
     update.configuration = newest();
   }
--- a/src/source/held_state.h
+++ b/src/source/held_state.h
@@ -22,6 +22,10 @@
   /// configuration changed by it.
   bool update(const WatchBatch& batch, bool is_complete);
 
+  /// How many versions deltas can start from, the newest included. Whoever holds an older one is
+  /// told the whole configuration.
+  void rememberVersions(std::size_t count);
+
   /// What a node that holds everything up to `after`, and configuration `version`, does not know.
   /// Complete when the removals after that revision are no longer remembered.
   StateUpdate since(Generation after, Version version) const;
@@ -46,6 +50,7 @@
   bool remove(const EndpointId& id, Generation revision);
   bool removeUnlisted(const std::vector<model::ServerEntry>& listed, Generation revision);
   bool hold(const model::Configuration& configuration);
+  void forgetVersions();
   ConfigurationPointer find(Version version) const;
 
   Generation revision_;
@@ -54,6 +59,7 @@
   std::map<EndpointId, model::ServerEntry> servers_;
   std::deque<Removal> removals_;                     ///< Oldest first.
   std::deque<ConfigurationPointer> configurations_;  ///< Oldest first.
+  std::size_t remembered_versions_ = 1;
 };
 
 }  // namespace coursepond::source
--- a/src/source/state_update.cpp
+++ b/src/source/state_update.cpp
@@ -115,7 +115,8 @@
       return Error{ErrorKind::kBaseMismatch, "a peer sent a delta, but no configuration is held",
                    "ask for the whole configuration"};
     }
-    Result<model::Configuration> target = model::applyDelta(*held, *update.delta);
+    Result<model::Configuration> target =
+        model::applyDelta(*held, *update.delta, model::DeltaCheck::kVersions);
     if (!target) return target.error();
     batch.configurations.push_back(std::move(*target));
   }
--- a/src/source/state_update.h
+++ b/src/source/state_update.h
@@ -34,7 +34,7 @@
 Result<StateUpdate> decodeStateUpdate(std::string_view bytes);
 
 /// The update as a read of the source would have told it. `held` is the configuration that the
-/// asker named (null: none). kBaseMismatch or kDigestMismatch when the delta does not fit it.
+/// asker named (null: none). kBaseMismatch when the delta starts from another version.
 Result<WatchBatch> toBatch(StateUpdate update, const model::Configuration* held);
 
 }  // namespace coursepond::source
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -371,10 +371,46 @@
   CHECK(confirmed->io.forwarded.size() == 1);
 }
 
-TEST_CASE("a repeatable request leaves a silent ingress within its route's attempts") {
+TEST_CASE("two silent ingresses end a request that surely has not run, at once and as not run") {
+  EgressFixture egress(0);
+  egress.begin(9);
+  const auto seat = egress.send("/seat");
+  seat->io.bytes_sent = false;
+  egress.environment.advance(milliseconds(260));
+  CHECK(seat->isOpen());
+  egress.environment.advance(milliseconds(260));
+  CHECK(seat->io.plans.size() == 2);
+  CHECK(seat->io.cancelled.size() == 2);
+  checkAnswered(*seat, 503, proxy::Outcome::kNotRun);
+  CHECK(seat->io.answers[0].retry_after.has_value());
+}
+
+TEST_CASE("while all ingresses are slow to take requests, they are waited for longer") {
+  EgressFixture egress;
+  egress.begin(3);
+  CHECK(egress.state.receiptTimeout(milliseconds(1000)) == milliseconds(250));
+  for (int number = 0; number < 100; ++number) egress.state.onReceipt(milliseconds(90));
+  const Duration longer = egress.state.receiptTimeout(milliseconds(1000));
+  CHECK(longer > milliseconds(300));
+  CHECK(longer <= milliseconds(360));
+  CHECK(egress.state.receiptTimeout(milliseconds(400)) == milliseconds(250));
+  for (int number = 0; number < 100; ++number) egress.state.onReceipt(milliseconds(2));
+  CHECK(egress.state.receiptTimeout(milliseconds(1000)) == milliseconds(250));
+}
+
+TEST_CASE("a repeatable request waits for a silent ingress when no repeat is allowed") {
   EgressFixture egress(0);
   egress.begin(3);
   const auto stock = egress.send("/stock");
+  egress.environment.advance(milliseconds(260));
+  CHECK(stock->io.plans.size() == 1);
+  CHECK(stock->isOpen());
+}
+
+TEST_CASE("a repeatable request leaves a silent ingress within its route's attempts") {
+  EgressFixture egress;
+  egress.begin(3);
+  const auto stock = egress.send("/stock");
   CHECK_FALSE(stock->plan().confirm);
   egress.environment.advance(milliseconds(260));
   CHECK(stock->io.plans.size() == 2);
