Ingress: short waits for a slot, long ones only for calls of running work

Change: a request waits for a quarter of its target at most and is then refused as not run (its caller can still be in time with another try); a call, told by its coming from the machine's own server, goes before all others and waits for 0.6 of its deadline.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -30,6 +30,7 @@
 /// Whether an ingress refused since its server is busy, not since it is leaving or another's.
 bool isForWantOfRoom(const AnswerHead& answer) {
   return answer.node_reason == reasonWord(Reason::kQueueFull) ||
+         answer.node_reason == reasonWord(Reason::kQueueTimeout) ||
          answer.node_reason == reasonWord(Reason::kDeadlineTooShort);
 }
 
@@ -86,6 +87,12 @@
   void conclude(Reason reason);
   proxy::LocalAnswer makeAnswer(Reason reason) const;
 
+  /// Whether this machine's server sent it, for a request that it runs.
+  bool isCall() const {
+    const std::string& own = state_.settings().own_server_host;
+    return !own.empty() && head_.caller_host == own;
+  }
+
   Duration target() const {
     const Duration target = route_ != nullptr ? route_->target_latency : Duration(0);
     return target > Duration(0) ? target : state_.settings().default_target;
@@ -199,7 +206,8 @@
   plan.target_instance = server_->entry.id.value();
   plan.confirm = !is_repeatable_;
   plan.caller_service = state_.settings().own_service;
-  plan.hop_class = proxy::HopClass{service_.value(), route_->rank, target(), is_repeatable_};
+  plan.hop_class =
+      proxy::HopClass{service_.value(), route_->rank, target(), is_repeatable_, isCall()};
   return plan;
 }
 
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -4,6 +4,7 @@
 /// to the ingress beside the server that is to run it.
 
 #include <cstdint>
+#include <string>
 
 #include "core/ids.h"
 #include "core/time.h"
@@ -13,6 +14,7 @@
 struct Settings {
   ZoneId own_zone;
   ServiceName own_service;         ///< Told to servers as the caller.
+  std::string own_server_host;     ///< Whoever sends from here is this machine's server.
   std::uint16_t ingress_port = 0;  ///< The same on every machine.
 
   /// Whether a success without a server's signature is no answer.
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -20,6 +20,10 @@
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
 const ServiceName kOwnServer("own");
 
+Duration part(Duration whole, double share) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
+}
+
 class IngressFlow final : public proxy::Exchange, private Waiter, private proxy::DeadlineEntry {
  public:
   IngressFlow(proxy::RequestHead head, IngressState& state, Environment& environment,
@@ -48,6 +52,7 @@
   // DeadlineEntry
   void onDeadline(TimePoint now) override;
 
+  WaitBounds waitBounds(TimePoint now) const;
   void attempt(TimePoint now);
   bool isCurrent(AttemptId attempt, Phase phase) const {
     return phase_ == phase && attempt == attempt_;
@@ -92,12 +97,18 @@
   const proxy::HopClass hop = head_.hop_class.value_or(proxy::HopClass{});
   target = hop.target_latency > Duration(0) ? hop.target_latency : settings.default_target;
   rank = hop.rank;
+  is_call = hop.is_call;
   due = now + target;
-  const auto stretched =
-      static_cast<Duration::rep>(settings.target_stretch * static_cast<double>(target.count()));
-  const TimePoint latest = std::min(deadline_, now + Duration(stretched));
-  if (const auto refusal = state_.admit(*this, latest, now)) return conclude(*refusal, now);
-  if (phase_ == Phase::kWaiting) state_.deadlines().arm(*this, deadline_);
+  const WaitBounds bounds = waitBounds(now);
+  if (const auto refusal = state_.admit(*this, bounds, now)) return conclude(*refusal, now);
+  if (phase_ == Phase::kWaiting) state_.deadlines().arm(*this, std::min(bounds.slot, deadline_));
+}
+
+WaitBounds IngressFlow::waitBounds(TimePoint now) const {
+  const Settings& settings = state_.settings();
+  if (is_call) return {now + part(deadline_ - now, settings.call_wait_share), deadline_};
+  return {now + part(target, settings.wait_share),
+          std::min(deadline_, now + part(target, settings.target_stretch))};
 }
 
 void IngressFlow::onSlot(TimePoint now) {
@@ -187,7 +198,8 @@
     if (io_.bytesSent(attempt_)) may_have_run_ = true;
     io_.cancelAttempt(attempt_);
   }
-  conclude(Reason::kDeadline, now);
+  const bool has_time = phase_ == Phase::kWaiting && now < deadline_;
+  conclude(has_time ? Reason::kQueueTimeout : Reason::kDeadline, now);
 }
 
 void IngressFlow::onAnswerComplete(AttemptId attempt) {
@@ -250,6 +262,7 @@
   Statistics& statistics = state_.statistics();
   switch (reason) {
     case Reason::kQueueFull:
+    case Reason::kQueueTimeout:
     case Reason::kDeadlineTooShort:
       ++statistics.refused_full;
       return;
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -56,16 +56,15 @@
   return running_ < slots() && now >= paused_until_;
 }
 
-std::optional<Reason> IngressState::admit(Waiter& waiter, TimePoint latest, TimePoint now) {
+std::optional<Reason> IngressState::admit(Waiter& waiter, const WaitBounds& bounds, TimePoint now) {
   if (queue_.empty() && hasFreeSlot(now)) {
     ++running_;
     waiter.onSlot(now);
     return std::nullopt;
   }
-  const std::size_t ahead = queue_.ahead(waiter.rank, waiter.due);
-  const Duration service_time = expectedService(waiter.target);
-  const TimePoint expected = now + expectedWait(ahead + 1) + service_time;
-  if (expected > latest) return Reason::kDeadlineTooShort;
+  const TimePoint slot = now + expectedWait(queue_.ahead(waiter) + 1);
+  const bool is_late = slot > bounds.slot || slot + expectedService(waiter.target) > bounds.answer;
+  if (is_late) return Reason::kDeadlineTooShort;
   const auto room = static_cast<std::size_t>(settings_.queue_per_slot * slots());
   if (queue_.size() >= room) {
     if (!queue_.goesBeforeLast(waiter)) return Reason::kQueueFull;
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -38,6 +38,12 @@
   std::uint64_t caller_gone = 0;
 };
 
+/// How long a request may wait for a slot.
+struct WaitBounds {
+  TimePoint slot;    ///< It has its slot by then,
+  TimePoint answer;  ///< and its answer is expected by then.
+};
+
 class IngressState final : public proxy::ConnectionPolicy {
  public:
   IngressState(const Settings& settings, Environment& environment);
@@ -67,8 +73,9 @@
   model::Endpoint endpoint(const std::string& instance) const;
   void setAddress(Address address) { address_ = std::move(address); }
 
-  /// Gives the waiter a slot now or later, or tells why not.
-  std::optional<proxy::Reason> admit(Waiter& waiter, TimePoint latest, TimePoint now);
+  /// Gives the waiter a slot now, or when its turn comes if that is expected to be in time, or
+  /// tells why not.
+  std::optional<proxy::Reason> admit(Waiter& waiter, const WaitBounds& bounds, TimePoint now);
   void leave(Waiter& waiter) { queue_.remove(waiter); }
   /// Gives the slot back and serves who waits.
   void release(TimePoint now);
--- a/src/ingress/settings.h
+++ b/src/ingress/settings.h
@@ -21,8 +21,14 @@
   std::uint32_t unknown_slots = 4;
   /// Requests that may wait, as a multiple of the server's slots.
   double queue_per_slot = 1.5;
-  /// A request may wait while its expected answer comes within this multiple of its target latency.
-  double target_stretch = 0.7;
+  /// A request may wait while its expected answer comes within this multiple of its target latency,
+  double target_stretch = 0.8;
+  /// and for this part of its target at most: refused by then, its caller can still be in time with
+  /// another try.
+  double wait_share = 0.25;
+  /// A call made by a server for a request that it runs may wait for this part of its deadline:
+  /// when it fails, so does that request, and the work on it is lost.
+  double call_wait_share = 0.6;
   /// Weight of one sample in the moving average of the service time.
   double sample_weight = 0.05;
   Duration first_service_time = std::chrono::milliseconds(100);
--- a/src/ingress/work_queue.cpp
+++ b/src/ingress/work_queue.cpp
@@ -5,9 +5,20 @@
 
 namespace coursepond::ingress {
 
+namespace {
+
+/// The order of those that wait, but for the order of their arrival.
+auto urgency(const Waiter& waiter) {
+  return std::make_tuple(!waiter.is_call, waiter.rank, waiter.due);
+}
+
+}  // namespace
+
 bool WorkQueue::Order::operator()(const Waiter* left, const Waiter* right) const {
-  return std::tie(left->rank, left->due, left->number_) <
-         std::tie(right->rank, right->due, right->number_);
+  const auto left_urgency = urgency(*left);
+  const auto right_urgency = urgency(*right);
+  if (left_urgency != right_urgency) return left_urgency < right_urgency;
+  return left->number_ < right->number_;
 }
 
 void WorkQueue::add(Waiter& waiter) {
@@ -21,17 +32,15 @@
   waiter.number_ = 0;
 }
 
-std::size_t WorkQueue::ahead(std::uint32_t rank, TimePoint due) const {
+std::size_t WorkQueue::ahead(const Waiter& waiter) const {
   return static_cast<std::size_t>(
-      std::count_if(waiters_.begin(), waiters_.end(), [&](const Waiter* waiter) {
-        return std::tie(waiter->rank, waiter->due) <= std::tie(rank, due);
-      }));
+      std::count_if(waiters_.begin(), waiters_.end(),
+                    [&](const Waiter* each) { return urgency(*each) <= urgency(waiter); }));
 }
 
 bool WorkQueue::goesBeforeLast(const Waiter& waiter) const {
   const Waiter* const last_waiter = last();
-  if (last_waiter == nullptr) return false;
-  return std::tie(waiter.rank, waiter.due) < std::tie(last_waiter->rank, last_waiter->due);
+  return last_waiter != nullptr && urgency(waiter) < urgency(*last_waiter);
 }
 
 }  // namespace coursepond::ingress
--- a/src/ingress/work_queue.h
+++ b/src/ingress/work_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// The requests that wait for a slot of the ingress's server: lowest rank first, and within a rank
-/// the one whose target comes first.
+/// The requests that wait for a slot of the ingress's server: calls of running work first, then the
+/// lowest rank, and within a rank the one whose target comes first.
 
 #include <cstdint>
 #include <set>
@@ -20,6 +20,7 @@
   /// No longer waiting and without a slot.
   virtual void onDisplaced(proxy::Reason reason, TimePoint now) = 0;
 
+  bool is_call = false;  ///< Made for a request that holds a slot elsewhere: goes first.
   std::uint32_t rank = 0;
   Duration target{};  ///< Its target latency.
   TimePoint due;      ///< When its answer should be there.
@@ -38,8 +39,8 @@
   Waiter* last() const { return waiters_.empty() ? nullptr : *waiters_.rbegin(); }
   bool empty() const { return waiters_.empty(); }
   std::size_t size() const { return waiters_.size(); }
-  /// How many of those that wait would go before a request of this rank and time.
-  std::size_t ahead(std::uint32_t rank, TimePoint due) const;
+  /// How many of those that wait would go before `waiter`.
+  std::size_t ahead(const Waiter& waiter) const;
   /// Whether `waiter` would go before the last of those that wait.
   bool goesBeforeLast(const Waiter& waiter) const;
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -34,6 +34,8 @@
   std::uint32_t rank = 0;     ///< The lowest goes first.
   Duration target_latency{};  ///< Zero: not known.
   bool is_repeatable = false;
+  /// Made by a server for a request that it runs: while it waits, that one holds its slot.
+  bool is_call = false;
 };
 
 /// What an ingress tells egresses of its server, with every answer.
@@ -56,6 +58,7 @@
   std::optional<model::Priority> priority;
   std::optional<HopClass> hop_class;  ///< From an egress.
   std::string target_instance;        ///< The only instance that may run it; empty: any.
+  std::string caller_host;            ///< IP number the connection comes from; empty: not known.
 };
 
 using AttemptId = std::uint32_t;
--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -23,6 +23,8 @@
       shared_(std::move(shared)),
       socket_(std::move(socket)),
       received_(std::max(shared_->settings.buffer_bytes, shared_->settings.head_bytes)) {
+  error_code ignored;  // A caller that is gone already is noticed by the first read.
+  caller_host_ = socket_.remote_endpoint(ignored).address().to_string();
   shared_->connections.insert(this);
 }
 
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -35,6 +35,8 @@
 
   // For its exchanges
   ProxyServerShared& shared() { return *shared_; }
+  /// IP number of the caller.
+  const std::string& callerHost() const { return caller_host_; }
   boost::asio::any_io_executor executor() { return socket_.get_executor(); }
   /// Bytes of the last exchange's request, or of requests after it.
   ReceiveBuffer& received() { return received_; }
@@ -80,6 +82,7 @@
 
   std::shared_ptr<ProxyServerShared> shared_;
   TcpSocket socket_;
+  std::string caller_host_;
   State state_ = State::kIdle;
   ReceiveBuffer received_;
 
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -127,9 +127,10 @@
   const auto rank = parseNumber<std::uint32_t>(takeItem(text));
   const auto target_ms = parseNumber<std::uint32_t>(takeItem(text));
   const std::string_view repeatable = takeItem(text);
+  const std::string_view call = takeItem(text);
   if (!rank || !target_ms) return std::nullopt;
   return proxy::HopClass{std::string(service), *rank, std::chrono::milliseconds(*target_ms),
-                         repeatable == "1"};
+                         repeatable == "1", call == "1"};
 }
 
 std::optional<proxy::HopLoad> parseHopLoad(std::string_view text) {
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -132,7 +132,8 @@
   appendNumber(out, hop.rank);
   out.append(",");
   appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(hop.target_latency)));
-  out.append(hop.is_repeatable ? ",1\r\n" : ",0\r\n");
+  out.append(hop.is_repeatable ? ",1" : ",0");
+  out.append(hop.is_call ? ",1\r\n" : ",0\r\n");
 }
 
 void appendContext(std::string& out, const AnswerContext& context) {
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -399,6 +399,13 @@
                             "A request may wait while its answer is expected within this part of "
                             "its target latency.",
                             FIELD(ingress.target_stretch)));
+  keys.push_back(percentKey(section, "wait_share_percent", {0, 100},
+                            "For how much of its target latency a request may wait.",
+                            FIELD(ingress.wait_share)));
+  keys.push_back(percentKey(section, "call_wait_share_percent", {0, 100},
+                            "For how much of its deadline a call of the machine's own server may "
+                            "wait.",
+                            FIELD(ingress.call_wait_share)));
   keys.push_back(numberKey(section, "spare_connections", {0, 100'000}, "",
                            "Connections kept back from the server's limit.",
                            FIELD(ingress.spare_connections)));
