Egress: adaptive throttling, times to come back that spread, and folded log lines

Change: per service and rank, an egress refuses itself what exceeds 1.5 times the requests accepted lately (halved every 350 ms; six refusals are forgiven); calls of running work always pass. A request that found no room is told to come back after 0.2 to 0.33, at random, of the time its caller has left. Ten log lines a second for decisions of one side, kind and reason; the rest are told as a count.

--- /dev/null
+++ b/src/egress/admission_throttle.cpp
@@ -0,0 +1,42 @@
+#include "egress/admission_throttle.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coursepond::egress {
+namespace {
+
+/// Steps of a random number between 0 and 1.
+constexpr std::uint64_t kRandomSteps = 1U << 20U;
+
+}  // namespace
+
+bool AdmissionThrottle::passes(const ThrottleSettings& settings, TimePoint now,
+                               Environment& environment) {
+  forget(settings, now);
+  const double excess = asked_ - settings.pass_ratio * accepted_ - settings.forgiven;
+  if (excess <= 0) return true;
+  const double refused_part = excess / asked_;
+  const auto step = static_cast<double>(environment.random(kRandomSteps));
+  if (step >= refused_part * static_cast<double>(kRandomSteps)) return true;
+  asked_ += 1;
+  return false;
+}
+
+void AdmissionThrottle::onOutcome(const ThrottleSettings& settings, TimePoint now,
+                                  bool is_accepted) {
+  forget(settings, now);
+  asked_ += 1;
+  if (is_accepted) accepted_ += 1;
+}
+
+void AdmissionThrottle::forget(const ThrottleSettings& settings, TimePoint now) {
+  const double half_lives = static_cast<double>((now - counted_at_).count()) /
+                            static_cast<double>(settings.half_life.count());
+  const double kept = std::exp2(-std::max(0.0, half_lives));
+  asked_ *= kept;
+  accepted_ *= kept;
+  counted_at_ = now;
+}
+
+}  // namespace coursepond::egress
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -21,6 +21,8 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kLowestServerError = 500;
+/// Steps of a random time to come back.
+constexpr std::uint64_t kReturnSteps = 1000;
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
 /// A request with less than this left is not begun again.
 constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
@@ -62,6 +64,8 @@
 
   void route(TimePoint now);
   void waitForConfiguration(TimePoint now);
+  bool isHeldBack(TimePoint now);
+  void noteOutcome(bool is_accepted, TimePoint now);
   void sendOrWait(TimePoint now);
   void send(ServerPointer server, TimePoint now);
   proxy::AttemptPlan makePlan(TimePoint now) const;
@@ -86,6 +90,7 @@
   void finish();
   void conclude(Reason reason);
   proxy::LocalAnswer makeAnswer(Reason reason) const;
+  Duration retryAfter(Reason reason) const;
 
   /// Whether this machine's server sent it, for a request that it runs.
   bool isCall() const {
@@ -117,6 +122,7 @@
   bool may_have_run_ = false;
   bool was_received_ = false;   ///< The current attempt, by its ingress.
   bool arrival_noted_ = false;  ///< Of the current attempt.
+  bool outcome_noted_ = false;  ///< For the throttle.
   bool was_refused_ = false;
   bool is_late_ = false;  ///< The deadline ended it.
   std::optional<Duration> retry_after_;
@@ -164,9 +170,26 @@
                                                    static_cast<double>(target().count()));
   patient_until_ = std::min(deadline_, now + Duration(patience));
   service_ = state_.split().next(*route_);
+  if (isHeldBack(now)) return conclude(Reason::kQueueFull);
   sendOrWait(now);
 }
 
+/// Whether the service is so full that an ingress would most likely refuse the request. Calls are
+/// never held back: their parent's work would be lost.
+bool EgressFlow::isHeldBack(TimePoint now) {
+  if (isCall()) return false;
+  AdmissionThrottle& throttle = state_.use(service_).throttles[route_->rank];
+  if (throttle.passes(state_.settings().throttle, now, environment_)) return false;
+  ++state_.statistics().throttled;
+  return true;
+}
+
+void EgressFlow::noteOutcome(bool is_accepted, TimePoint now) {
+  if (isCall() || std::exchange(outcome_noted_, true)) return;
+  AdmissionThrottle& throttle = state_.use(service_).throttles[route_->rank];
+  throttle.onOutcome(state_.settings().throttle, now, is_accepted);
+}
+
 // ---- Attempts
 
 void EgressFlow::sendOrWait(TimePoint now) {
@@ -268,7 +291,9 @@
 
 void EgressFlow::onAttemptReceived(AttemptId attempt) {
   if (!isCurrent(attempt, Phase::kAttempting)) return;
-  if (!was_received_) state_.onReceipt(environment_.now() - attempt_started_);
+  const TimePoint now = environment_.now();
+  if (!was_received_) state_.onReceipt(now - attempt_started_);
+  noteOutcome(true, now);
   was_received_ = true;
   state_.deadlines().arm(*this, deadline_);
 }
@@ -321,6 +346,7 @@
     io_.discardAnswer(attempt_);
     return onNotRun(answer, now);
   }
+  noteOutcome(true, now);
   const bool from_ingress = !answer.node_outcome.empty();
   if (from_ingress) {
     note(proxy::DecisionKind::kAttemptEnded, answer.node_reason, 0);
@@ -365,6 +391,7 @@
     if (now >= deadline_) return conclude(Reason::kDeadline);
     if (isForWantOfRoom(answer)) ++full_ingresses_;
     if (full_ingresses_ >= state_.settings().most_full_ingresses) {
+      noteOutcome(false, now);
       return conclude(Reason::kQueueFull);
     }
     return sendOrWait(now);
@@ -481,12 +508,26 @@
     answer.outcome = proxy::Outcome::kUnknown;
   } else {
     answer.status = kServiceUnavailable;
-    answer.retry_after = std::max(retry_after_.value_or(state_.settings().default_retry_after),
-                                  state_.settings().shortest_retry_after);
+    answer.retry_after = retryAfter(reason);
   }
   return answer;
 }
 
+/// What the ingresses said, and no less than a part of the time the caller has left when the
+/// service is full: who comes back at once is most likely refused again.
+Duration EgressFlow::retryAfter(Reason reason) const {
+  const Settings& settings = state_.settings();
+  const Duration told =
+      std::max(retry_after_.value_or(settings.default_retry_after), settings.shortest_retry_after);
+  const bool is_full = full_ingresses_ > 0 || attempt_ == 0;
+  if (reason != Reason::kQueueFull || !is_full) return told;
+  const auto left = static_cast<double>((deadline_ - environment_.now()).count());
+  const double spread = settings.latest_return - settings.earliest_return;
+  const auto step = static_cast<double>(environment_.random(kReturnSteps)) / kReturnSteps;
+  const double part = settings.earliest_return + spread * step;
+  return std::max(told, Duration(static_cast<Duration::rep>(left * part)));
+}
+
 }  // namespace
 
 std::unique_ptr<proxy::Exchange> makeEgressFlow(proxy::RequestHead head, EgressState& state,
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -35,6 +35,7 @@
   std::uint64_t hop_silences = 0;     ///< Ingresses that did not say that they have a request.
   std::uint64_t bad_answers = 0;      ///< Not this request's, unsigned, or not whole.
   std::uint64_t refused = 0;          ///< 503: not run.
+  std::uint64_t throttled = 0;        ///< Of these, without asking an ingress: the service is full.
   std::uint64_t unknown = 0;          ///< 502 and 504.
   std::uint64_t no_route = 0;
   std::uint64_t caller_gone = 0;
@@ -53,6 +54,7 @@
 struct ServiceUse {
   explicit ServiceUse(double retry_ratio) : allowance(retry_ratio) {}
   RetryAllowance allowance;
+  std::map<std::uint32_t, AdmissionThrottle> throttles;  ///< By rank.
   double average_latency_ms = 0;  ///< Moving average over all its servers; zero: none yet.
 };
 
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -30,6 +30,8 @@
        {"egress_bad_answers_total", "Answers that were not the request's own, or unsigned.",
         &S::bad_answers},
        {"egress_refused_total", "Requests answered as not run.", &S::refused},
+       {"egress_throttled_total", "Of these, refused at the egress since the service is full.",
+        &S::throttled},
        {"egress_unknown_total", "Requests that may have run and have no answer.", &S::unknown},
        {"egress_no_route_total", "Requests without a route.", &S::no_route},
        {"egress_callers_gone_total", "Callers that left before their answer.", &S::caller_gone}},
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -9,6 +9,7 @@
 #include "ingress/ingress_flow.h"
 #include "model/snapshot.h"
 #include "node/admin_server.h"
+#include "node/decision_fold.h"
 #include "node/peer_state_exchange.h"
 #include "node/two_hop_metrics.h"
 #include "runtime/asio_environment.h"
@@ -34,6 +35,7 @@
 /// How often a stopping node looks whether it has nothing left to do.
 constexpr Duration kQuietPoll = std::chrono::milliseconds(10);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
+constexpr Duration kFoldInterval = std::chrono::seconds(1);
 /// A follower that is slow, or comes from another reader, may be some versions of a storm behind.
 constexpr std::size_t kVersionsOfReader = 6;
 
@@ -103,6 +105,7 @@
         settings_(std::move(settings)),
         environment_(context),
         log_(settings_.log.lines_per_second),
+        fold_(settings_.log.equal_decisions_per_second),
         egress_(egressSettings(settings_), environment_),
         ingress_(ingressSettings(settings_), environment_),
         client_(std::move(client)),
@@ -136,6 +139,7 @@
  private:
   void onDecision(const proxy::Decision& decision) override;
   void onServerChange(proxy::ServerChange change, const EndpointId& server) override;
+  void tellFoldedDecisions();
 
   Result<void> openEgress();
   Result<void> openIngress();
@@ -165,6 +169,7 @@
   runtime::Settings settings_;
   runtime::AsioEnvironment environment_;
   runtime::StateLog log_;
+  DecisionFold fold_;
   egress::EgressState egress_;
   ingress::IngressState ingress_;
   std::unique_ptr<source::WatchClient> client_;
@@ -258,6 +263,7 @@
             {"gather_ms", std::to_string(toMilliseconds(settings_.watch.gather))},
             {"lapse_hold_ms", std::to_string(toMilliseconds(settings_.egress.lapse_hold))},
             {"stop_timeout_ms", std::to_string(toMilliseconds(settings_.node.stop_timeout))}});
+  environment_.schedule(kFoldInterval, [this] { tellFoldedDecisions(); });
   watch_.start();
 }
 
@@ -413,6 +419,7 @@
   if (lines == runtime::DecisionLines::kNone) return;
   const bool is_failure = decision.kind != proxy::DecisionKind::kForwarded;
   if (!is_failure && lines != runtime::DecisionLines::kAll) return;
+  if (lines != runtime::DecisionLines::kAll && !fold_.takes(decision)) return;
   const proxy::DecisionInputs& inputs = decision.inputs;
   std::vector<runtime::LogField> fields = {
       {"side", std::string(decision.side)},
@@ -434,6 +441,18 @@
   writeLog(runtime::LogLevel::kInfo, decisionWord(decision.kind), std::move(fields));
 }
 
+/// Every second; see DecisionFold.
+void Implementation::tellFoldedDecisions() {
+  for (const FoldedDecisions& folded : fold_.nextSecond()) {
+    writeLog(runtime::LogLevel::kInfo, "decisions_folded",
+             {{"decision", std::string(decisionWord(folded.kind))},
+              {"side", folded.side},
+              {"reason", folded.reason},
+              {"count", std::to_string(folded.count)}});
+  }
+  environment_.schedule(kFoldInterval, [this] { tellFoldedDecisions(); });
+}
+
 void Implementation::onServerChange(proxy::ServerChange change, const EndpointId& server) {
   if (settings_.log.decisions == runtime::DecisionLines::kNone) return;
   writeLog(runtime::LogLevel::kInfo, changeWord(change), {{"server", server.value()}});
@@ -451,6 +470,7 @@
   egress_.changeSettings(egressSettings(settings_));
   ingress_.changeSettings(ingressSettings(settings_));
   log_.setLimit(settings_.log.lines_per_second);
+  fold_.setLimit(settings_.log.equal_decisions_per_second);
   runtime::setLogLevel(settings_.log.level);
 }
 
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -109,6 +109,8 @@
   LogLevel level = LogLevel::kInfo;
   std::uint32_t lines_per_second = 20;
   DecisionLines decisions = DecisionLines::kFailures;
+  /// Lines for decisions of one kind and reason; further ones are told as a count.
+  std::uint32_t equal_decisions_per_second = 10;
 };
 
 /// What is in force. Parts that bring their own settings are held as they define them, so that
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -384,6 +384,15 @@
   keys.push_back(numberKey(section, "most_silent_ingresses", {1, 1000}, "",
                            "Ingresses that may stay silent on one request before it is given up.",
                            FIELD(egress.most_silent_ingresses)));
+  keys.push_back(percentKey(section, "throttle_pass_percent", {100, 100'000},
+                            "Requests sent to a full service, of those it accepted lately.",
+                            FIELD(egress.throttle.pass_ratio)));
+  keys.push_back(percentKey(section, "earliest_return_percent", {0, 100},
+                            "When a request that found no room should come back at the soonest, of "
+                            "the time its caller has left.",
+                            FIELD(egress.earliest_return)));
+  keys.push_back(percentKey(section, "latest_return_percent", {0, 100}, "The same at the latest.",
+                            FIELD(egress.latest_return)));
   keys.push_back(percentKey(section, "patience_percent", {0, 100},
                             "How long a request waits for a server to appear, of its target "
                             "latency.",
@@ -469,6 +478,11 @@
   keys.push_back(numberKey(section, "lines_per_second", {1, 100'000}, "",
                            "Lines beyond it are counted and left out.",
                            FIELD(log.lines_per_second)));
+  keys.push_back(
+      numberKey(section, "equal_decisions_per_second", {1, 100'000}, "",
+                "Lines for decisions of one side, kind and reason; further ones are told "
+                "as a count each second.",
+                FIELD(log.equal_decisions_per_second)));
 }
 
 #undef FIELD
