Egress: servers are chosen by what their ingresses report, believed less the older it is

Change: the ingress's moving average of service times, as a part of its service's average, is a server's slowness unless this node saw worse; reported load drifts to the service's average, half in one service time.

--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -21,6 +21,15 @@
 /// An ingress is silent when it takes this many times the usual time to say that it has a request.
 constexpr double kReceiptsWaited = 4.0;
 
+/// Weight of one report in its service's averages: about the last twenty.
+constexpr double kReportWeight = 0.05;
+constexpr Duration kShortestLoadHalfLife = std::chrono::milliseconds(50);
+
+/// What is left after `age` of something that halves in each `half_life`.
+double remaining(Duration age, Duration half_life) {
+  return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
+}
+
 double toMillisecondsExact(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
 }
@@ -81,10 +90,7 @@
   const double slots = server.load.slots > 0    ? server.load.slots
                        : server.entry.slots > 0 ? server.entry.slots
                                                 : kUnknownSlots;
-  // What was reported, less what was this node's own then, plus what is its own now.
-  const double reported = server.load.running + server.load.waiting;
-  const double others = std::max(0.0, reported - server.in_flight_at_report);
-  const double used = (others + server.in_flight + 1) / slots;
+  const double used = (usedByOthers(server, slots, now) + server.in_flight + 1) / slots;
   double cost = 1.0;
   if (used > settings_.busy_from) {
     const double part = std::min(1.0, (used - settings_.busy_from) / (1 - settings_.busy_from));
@@ -98,6 +104,17 @@
   return cost;
 }
 
+double EgressState::usedByOthers(const Server& server, double slots, TimePoint now) const {
+  const auto use = uses_.find(server.entry.service);
+  const double usual = use == uses_.end() ? 0 : use->second.average_used * slots;
+  if (server.load.slots == 0) return usual;
+  const double reported = server.load.running + server.load.waiting;
+  const double others = std::max(0.0, reported - server.in_flight_at_report);
+  // Within about one service time, what ran then has ended and others have come.
+  const Duration half_life = std::max(server.load.service_time, kShortestLoadHalfLife);
+  return usual + (others - usual) * remaining(now - server.load_at, half_life);
+}
+
 void EgressState::onReached(Server& server) {
   if (std::exchange(server.failures, 0) > 0) note(proxy::ServerChange::kReached, server.entry.id);
 }
@@ -112,13 +129,33 @@
 void EgressState::onLoad(Server& server, const proxy::HopLoad& load, TimePoint now) {
   server.load = load;
   server.in_flight_at_report = server.in_flight;
+  server.load_at = now;
+  if (load.slots > 0) learnFromReport(server, load);
   if (load.draining) server.leaving_until = now + settings_.avoid_draining;
 }
 
+/// An ingress sees all requests of its server, this node only its own: the report tells sooner that
+/// a server is slow.
+void EgressState::learnFromReport(Server& server, const proxy::HopLoad& load) {
+  ServiceUse& use = this->use(server.entry.service);
+  const double service_ms = toMillisecondsExact(load.service_time);
+  const double used = static_cast<double>(load.running + load.waiting) / load.slots;
+  if (use.average_service_ms <= 0) {
+    use.average_service_ms = service_ms;
+    use.average_used = used;
+  }
+  use.average_service_ms += kReportWeight * (service_ms - use.average_service_ms);
+  use.average_used += kReportWeight * (used - use.average_used);
+  server.load_slowness = std::clamp(service_ms / std::max(use.average_service_ms, 1.0),
+                                    kLowestSlowness, kHighestSlowness);
+}
+
 double EgressState::slowness(const Server& server, TimePoint now) const {
-  const double half_lives = static_cast<double>((now - server.slowness_at).count()) /
-                            static_cast<double>(settings_.slowness_half_life.count());
-  return 1.0 + (server.slowness - 1.0) * std::exp2(-half_lives);
+  const Duration half_life = settings_.slowness_half_life;
+  const double observed = (server.slowness - 1.0) * remaining(now - server.slowness_at, half_life);
+  const double reported = (server.load_slowness - 1.0) * remaining(now - server.load_at, half_life);
+  // The path to a server may be slow while the server is not.
+  return 1.0 + (observed > std::max(reported, 0.0) ? observed : reported);
 }
 
 void EgressState::onLatency(Server& server, ServiceUse& use, Duration latency, TimePoint now) {
@@ -127,7 +164,8 @@
   if (use.average_latency_ms <= 0) use.average_latency_ms = latency_ms;
   use.average_latency_ms += weight * (latency_ms - use.average_latency_ms);
   const double sample = latency_ms / std::max(use.average_latency_ms, 1.0);
-  const double before = slowness(server, now);
+  const double before = 1.0 + (server.slowness - 1.0) *
+                                  remaining(now - server.slowness_at, settings_.slowness_half_life);
   server.slowness =
       before + weight * (std::clamp(sample, kLowestSlowness, kHighestSlowness) - before);
   server.slowness_at = now;
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -55,7 +55,10 @@
   explicit ServiceUse(double retry_ratio) : allowance(retry_ratio) {}
   RetryAllowance allowance;
   std::map<std::uint32_t, AdmissionThrottle> throttles;  ///< By rank.
-  double average_latency_ms = 0;  ///< Moving average over all its servers; zero: none yet.
+  // Moving averages over all its servers; zero: none yet.
+  double average_latency_ms = 0;
+  double average_service_ms = 0;  ///< As ingresses report.
+  double average_used = 0;        ///< Requests that run or wait, by slot, as ingresses report.
 };
 
 class EgressState final : public proxy::ConnectionPolicy {
@@ -80,6 +83,9 @@
   double cost(const Server& server, TimePoint now) const;
   /// The server's slowness now: one that was slow once is tried again.
   double slowness(const Server& server, TimePoint now) const;
+  /// Requests of others that run or wait there now: what was reported, closer to the service's
+  /// average the older it is.
+  double usedByOthers(const Server& server, double slots, TimePoint now) const;
 
   void onReached(Server& server);
   void onUnreachable(Server& server, TimePoint now);
@@ -119,6 +125,8 @@
   std::vector<proxy::WarmServer> warmServers() const override { return {}; }
 
  private:
+  void learnFromReport(Server& server, const proxy::HopLoad& load);
+
   Settings settings_;
   Environment& environment_;
   ServerDirectory directory_;
--- a/src/egress/server_directory.h
+++ b/src/egress/server_directory.h
@@ -26,6 +26,8 @@
   std::uint32_t in_flight = 0;
   std::uint32_t in_flight_at_report = 0;
   proxy::HopLoad load;         ///< As last reported; slots zero: never.
+  TimePoint load_at;           ///< When it was.
+  double load_slowness = 1.0;  ///< The reported service time as a part of its service's average.
   double slowness = 1.0;       ///< Its latency as a part of its service's average, as of
   TimePoint slowness_at;       ///< this time; from then on it drifts back to 1.
   std::uint32_t failures = 0;  ///< To reach it, in a row.
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -501,6 +501,42 @@
   CHECK(egress.state.slowness(slow, egress.environment.now()) < 1.01);
 }
 
+TEST_CASE("a server whose ingress reports that it is slow gets work last, and is tried again") {
+  EgressFixture egress;
+  egress.begin(3);
+  const auto& servers = egress.state.directory().usable(ServiceName("stock"));
+  const TimePoint now = egress.environment.now();
+  for (int round = 0; round < 40; ++round) {
+    egress.state.onLoad(*servers[0], {1, 0, 4, milliseconds(500), false}, now);
+    egress.state.onLoad(*servers[1], {1, 0, 4, milliseconds(100), false}, now);
+    egress.state.onLoad(*servers[2], {1, 0, 4, milliseconds(100), false}, now);
+  }
+  CHECK(egress.state.slowness(*servers[0], now) > 1.8);
+  CHECK(egress.state.slowness(*servers[1], now) < 0.9);
+  std::vector<std::unique_ptr<TestExchange>> held;
+  for (int number = 0; number < 6; ++number) {
+    held.push_back(egress.send("/stock"));
+    CHECK(held.back()->server() != "s1");
+  }
+  egress.environment.advance(seconds(20));
+  CHECK(egress.state.slowness(*servers[0], egress.environment.now()) < 1.01);
+}
+
+TEST_CASE("a report of load is believed less the older it is") {
+  EgressFixture egress;
+  egress.begin(2);
+  const auto& servers = egress.state.directory().usable(ServiceName("stock"));
+  const TimePoint then = egress.environment.now();
+  for (int round = 0; round < 100; ++round) {
+    egress.state.onLoad(*servers[1], {1, 0, 4, milliseconds(100), false}, then);
+  }
+  egress.state.onLoad(*servers[0], {4, 4, 4, milliseconds(100), false}, then);
+  CHECK(egress.state.usedByOthers(*servers[0], 4, then) == doctest::Approx(8));
+  CHECK(egress.state.usedByOthers(*servers[0], 4, then + milliseconds(100)) < 5);
+  const double later = egress.state.usedByOthers(*servers[0], 4, then + seconds(2));
+  CHECK(later == doctest::Approx(egress.state.usedByOthers(*servers[1], 4, then + seconds(2))));
+}
+
 TEST_CASE("a server whose entry went is the last resort for a moment, then forgotten") {
   EgressFixture egress;
   egress.begin(2);
