--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -21,8 +21,6 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr int kLowestServerError = 500;
-/// Steps of a random time to come back.
-constexpr std::uint64_t kReturnSteps = 1000;
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
 /// A request with less than this left is not begun again.
 constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
@@ -90,7 +88,6 @@
   void finish();
   void conclude(Reason reason);
   proxy::LocalAnswer makeAnswer(Reason reason) const;
-  Duration retryAfter(Reason reason) const;
 
   /// Whether this machine's server sent it, for a request that it runs.
   bool isCall() const {
@@ -508,26 +505,12 @@
     answer.outcome = proxy::Outcome::kUnknown;
   } else {
     answer.status = kServiceUnavailable;
-    answer.retry_after = retryAfter(reason);
+    answer.retry_after = std::max(retry_after_.value_or(state_.settings().default_retry_after),
+                                  state_.settings().shortest_retry_after);
   }
   return answer;
 }
 
-/// What the ingresses said, and no less than a part of the time the caller has left when the
-/// service is full: who comes back at once is most likely refused again.
-Duration EgressFlow::retryAfter(Reason reason) const {
-  const Settings& settings = state_.settings();
-  const Duration told =
-      std::max(retry_after_.value_or(settings.default_retry_after), settings.shortest_retry_after);
-  const bool is_full = full_ingresses_ > 0 || attempt_ == 0;
-  if (reason != Reason::kQueueFull || !is_full) return told;
-  const auto left = static_cast<double>((deadline_ - environment_.now()).count());
-  const double spread = settings.latest_return - settings.earliest_return;
-  const auto step = static_cast<double>(environment_.random(kReturnSteps)) / kReturnSteps;
-  const double part = settings.earliest_return + spread * step;
-  return std::max(told, Duration(static_cast<Duration::rep>(left * part)));
-}
-
 }  // namespace
 
 std::unique_ptr<proxy::Exchange> makeEgressFlow(proxy::RequestHead head, EgressState& state,
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -50,11 +50,6 @@
 
   /// Per service and rank.
   ThrottleSettings throttle;
-  /// When a request that found no room should come back, as parts of the time its caller has left:
-  /// at random between the two, so that those refused together do not come back together, and with
-  /// time left for another try.
-  double earliest_return = 0.2;
-  double latest_return = 0.33;
   /// Ingresses that may stay silent on one request before it is given up, or waited for where it
   /// may run. Silence of several is a fleet that is slow, which more messages make slower.
   std::uint32_t most_silent_ingresses = 2;
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -387,12 +387,6 @@
   keys.push_back(percentKey(section, "throttle_pass_percent", {100, 100'000},
                             "Requests sent to a full service, of those it accepted lately.",
                             FIELD(egress.throttle.pass_ratio)));
-  keys.push_back(percentKey(section, "earliest_return_percent", {0, 100},
-                            "When a request that found no room should come back at the soonest, of "
-                            "the time its caller has left.",
-                            FIELD(egress.earliest_return)));
-  keys.push_back(percentKey(section, "latest_return_percent", {0, 100}, "The same at the latest.",
-                            FIELD(egress.latest_return)));
   keys.push_back(percentKey(section, "patience_percent", {0, 100},
                             "How long a request waits for a server to appear, of its target "
                             "latency.",
