--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -10,12 +10,10 @@
 constexpr std::uint32_t kConnectionsPerIngress = 256;
 constexpr std::uint32_t kLargestAvoidShift = 4;
 constexpr std::uint32_t kUnknownSlots = 8;
-/// An ingress that is leaving still serves for a moment: dearer than any other.
-constexpr double kLeavingCost = 1000;
 /// Cost factor of a server that is still cold.
 constexpr double kColdFactor = 1.6;
-/// Two costs that differ by less are equal: the choice is then random.
-constexpr double kCostTolerance = 0.02;
+/// Two costs that differ by less are equal: the one drawn first is taken.
+constexpr double kCostTolerance = 0.05;
 constexpr double kLowestSlowness = 0.4;
 constexpr double kHighestSlowness = 6.0;
 /// An ingress is silent when it takes this many times the usual time to say that it has a request.
@@ -68,20 +66,25 @@
 
 ServerPointer EgressState::pick(const ServiceName& service, const std::vector<EndpointId>& tried,
                                 TimePoint now) const {
-  ServerPointer best;
-  double best_cost = std::numeric_limits<double>::max();
-  std::uint64_t equals = 0;
+  std::vector<const ServerPointer*> candidates;
+  std::vector<const ServerPointer*> leaving;
   for (const ServerPointer& server : directory_.usable(service)) {
     if (server->avoided(now)) continue;
     if (std::find(tried.begin(), tried.end(), server->entry.id) != tried.end()) continue;
+    (server->leaving(now) ? leaving : candidates).push_back(&server);
+  }
+  if (candidates.empty()) candidates.swap(leaving);
+  const std::size_t compared = std::min(candidates.size(), settings_.servers_compared);
+  ServerPointer best;
+  double best_cost = std::numeric_limits<double>::max();
+  for (std::size_t index = 0; index < compared; ++index) {
+    std::swap(candidates[index],
+              candidates[index + environment_.random(candidates.size() - index)]);
+    const ServerPointer& server = *candidates[index];
     const double server_cost = cost(*server, now);
-    if (server_cost < best_cost - kCostTolerance) {
-      best = server;
-      best_cost = server_cost;
-      equals = 1;
-    } else if (server_cost < best_cost + kCostTolerance && environment_.random(++equals) == 0) {
-      best = server;
-    }
+    if (server_cost > best_cost - kCostTolerance) continue;
+    best = server;
+    best_cost = server_cost;
   }
   return best;
 }
@@ -98,7 +101,6 @@
   }
   if (used > 1) cost += settings_.waiting_cost * (used - 1);
   cost *= slowness(server, now);
-  if (server.leaving(now)) cost += kLeavingCost;
   if (now < server.cold_until) cost *= kColdFactor;
   if (server.entry.zone != settings_.own_zone) cost += settings_.remote_zone_cost;
   return cost;
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -76,7 +76,8 @@
   /// Call after the directory changed.
   void onDirectoryChanged();
 
-  /// The cheapest server of `service` outside `tried` that is not avoided, or null.
+  /// The cheapest of a few servers of `service`, drawn at random from those outside `tried` that
+  /// are not avoided; one that is leaving only when there is no other. Null when there is none.
   ServerPointer pick(const ServiceName& service, const std::vector<EndpointId>& tried,
                      TimePoint now) const;
   /// How dear it is to send the next request there; 1 is an idle server of this zone.
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include "support/exchange_io.h"
 #include "support/virtual_environment.h"
 
@@ -516,6 +518,26 @@
   CHECK(egress.state.slowness(*servers[0], egress.environment.now()) < 1.01);
 }
 
+TEST_CASE("requests spread over servers whose reports differ, and do not herd on the best one") {
+  EgressFixture egress;
+  egress.begin(9);
+  const auto& servers = egress.state.directory().usable(ServiceName("stock"));
+  std::map<std::string, int> counts;
+  for (int number = 0; number < 900; ++number) {
+    for (const ServerPointer& server : servers) {
+      const bool is_best = server->entry.id == EndpointId("s1");
+      const milliseconds service_time(is_best ? 60 : 100);
+      egress.state.onLoad(*server, {1, 0, 4, service_time, false}, egress.environment.now());
+    }
+    const auto exchange = egress.send("/stock");
+    ++counts[exchange->server()];
+    exchange->answerWhole();
+  }
+  CHECK(counts["s1"] > 200);
+  CHECK(counts["s1"] < 400);
+  CHECK(counts.size() >= 8);
+}
+
 TEST_CASE("a report of load is believed less the older it is") {
   EgressFixture egress;
   egress.begin(2);
