Egress: requests under way are answered before a planned stop ends

Only requests that began during the stop were bounded. Change: announceStop() brings the deadlines of all requests forward to 50 ms before the end.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -24,8 +24,6 @@
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
 /// A request with less than this left is not begun again.
 constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
-/// Kept back from the end of a planned stop, so that the last answers still go out.
-constexpr Duration kStopReserve = std::chrono::milliseconds(50);
 
 /// Whether an ingress refused since its server is busy, not since it is leaving or another's.
 bool isForWantOfRoom(const AnswerHead& answer) {
@@ -89,6 +87,9 @@
   void conclude(Reason reason);
   proxy::LocalAnswer makeAnswer(Reason reason) const;
 
+  /// By when it is answered: its deadline, or the end of a planned stop that began since.
+  TimePoint latest() const { return std::min(deadline_, state_.latestAnswer()); }
+
   /// Whether this machine's server sent it, for a request that it runs.
   bool isCall() const {
     const std::string& own = state_.settings().own_server_host;
@@ -160,7 +161,7 @@
   Duration allowed =
       std::min(head_.deadline.value_or(route_->timeout), state_.settings().longest_deadline);
   if (is_held) allowed = std::min(allowed, route_->longest_hold);
-  if (state_.stopEnd()) allowed = std::min(allowed, *state_.stopEnd() - kStopReserve - started_);
+  if (state_.latestAnswer() - started_ < allowed) allowed = state_.latestAnswer() - started_;
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
   deadline_ = started_ + allowed;
   const auto patience = static_cast<Duration::rep>(state_.settings().patience *
@@ -211,7 +212,7 @@
   ++state_.statistics().attempts;
   was_received_ = false;
   arrival_noted_ = false;
-  state_.deadlines().arm(*this, std::min(deadline_, now + state_.receiptTimeout(target())));
+  state_.deadlines().arm(*this, std::min(latest(), now + state_.receiptTimeout(target())));
   if (arrivals_ == 0 && attempt_ == 1) state_.use(service_).allowance.onFirstAttempt();
   io_.startAttempt(makePlan(now));
 }
@@ -292,7 +293,7 @@
   if (!was_received_) state_.onReceipt(now - attempt_started_);
   noteOutcome(true, now);
   was_received_ = true;
-  state_.deadlines().arm(*this, deadline_);
+  state_.deadlines().arm(*this, latest());
 }
 
 /// The ingress did not say that it has the request: it is frozen, cut off or far too slow. What was
@@ -312,13 +313,13 @@
     return conclude(Reason::kNoServer);
   }
   if (is_last) {
-    state_.deadlines().arm(*this, deadline_);
+    state_.deadlines().arm(*this, latest());
     return;
   }
   const bool has_other = state_.pick(service_, tried_, now) != nullptr;
   const bool may_go_on = has_other && (surely_not_run || mayRepeat(now));
   if (!may_go_on) {
-    state_.deadlines().arm(*this, deadline_);
+    state_.deadlines().arm(*this, latest());
     return;
   }
   if (!surely_not_run) may_have_run_ = true;
@@ -426,7 +427,7 @@
 // ---- Ends
 
 void EgressFlow::onDeadline(TimePoint now) {
-  if (phase_ == Phase::kAttempting && now < deadline_ && !was_received_) return onSilent(now);
+  if (phase_ == Phase::kAttempting && now < latest() && !was_received_) return onSilent(now);
   if (phase_ == Phase::kAttempting) {
     if (io_.bytesSent(attempt_)) may_have_run_ = true;
     io_.cancelAttempt(attempt_);
@@ -434,7 +435,7 @@
     return conclude(Reason::kDeadline);
   }
   if (!routing_) return route(now);
-  if (now >= deadline_) return conclude(Reason::kDeadline);
+  if (now >= latest()) return conclude(Reason::kDeadline);
   sendOrWait(now);
 }
 
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -7,6 +7,8 @@
 namespace coursepond::egress {
 namespace {
 
+/// Kept back from the end of a planned stop, so that the last answers still go out.
+constexpr Duration kStopReserve = std::chrono::milliseconds(50);
 constexpr std::uint32_t kConnectionsPerIngress = 256;
 constexpr std::uint32_t kLargestAvoidShift = 4;
 constexpr std::uint32_t kUnknownSlots = 8;
@@ -173,6 +175,11 @@
   server.slowness_at = now;
 }
 
+void EgressState::announceStop(TimePoint end) {
+  latest_answer_ = end - kStopReserve;
+  deadlines_.bringForward(latest_answer_);
+}
+
 void EgressState::onReceipt(Duration latency) {
   receipt_ms_ += settings_.slowness_weight * (toMillisecondsExact(latency) - receipt_ms_);
 }
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -113,10 +113,11 @@
   void note(proxy::ServerChange change, const EndpointId& server) const {
     if (log_ != nullptr) log_->onServerChange(change, server);
   }
-  /// A planned stop of this node began: requests that begin from now on are answered before `end`,
-  /// when the process goes and would cut them.
-  void announceStop(TimePoint end) { stop_end_ = end; }
-  const std::optional<TimePoint>& stopEnd() const { return stop_end_; }
+  /// A planned stop of this node began: requests are answered before `end`, when the process goes
+  /// and would cut them.
+  void announceStop(TimePoint end);
+  /// By when every request is answered; the end of time without a stop.
+  TimePoint latestAnswer() const { return latest_answer_; }
   std::size_t& inFlight() { return in_flight_; }
   std::size_t inFlight() const { return in_flight_; }
 
@@ -139,7 +140,7 @@
   proxy::DecisionLog* log_ = nullptr;
   std::size_t in_flight_ = 0;
   double receipt_ms_ = 0;  ///< Moving average.
-  std::optional<TimePoint> stop_end_;
+  TimePoint latest_answer_ = TimePoint::max();
 };
 
 }  // namespace coursepond::egress
--- a/src/proxy/deadline_queue.cpp
+++ b/src/proxy/deadline_queue.cpp
@@ -15,6 +15,16 @@
   coverEarliest();
 }
 
+void DeadlineQueue::bringForward(TimePoint latest) {
+  while (!entries_.empty() && entries_.rbegin()->due_ > latest) {
+    DeadlineEntry& entry = *entries_.rbegin();
+    disarm(entry);
+    entry.due_ = latest;
+    entries_.insert(entry);
+  }
+  coverEarliest();
+}
+
 void DeadlineQueue::disarm(DeadlineEntry& entry) {
   if (entry.is_linked()) entry.unlink();
 }
--- a/src/proxy/deadline_queue.h
+++ b/src/proxy/deadline_queue.h
@@ -41,6 +41,8 @@
 
   /// Calls entry.onDeadline() once at or after `due`. An armed entry moves.
   void arm(DeadlineEntry& entry, TimePoint due);
+  /// No entry that is armed now is called later than `latest`.
+  void bringForward(TimePoint latest);
   /// The entry will not be called. Does nothing when it isn't armed.
   void disarm(DeadlineEntry& entry);
 
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -377,6 +377,23 @@
   checkAnswered(*exchange, 504, proxy::Outcome::kUnknown);
 }
 
+TEST_CASE("a request that is under way when a planned stop begins is answered before it ends") {
+  EgressFixture egress;
+  egress.begin(2);
+  const auto running = egress.send("/stock");
+  running->flow->onAttemptReceived(running->plan().id);
+  const auto sent = egress.send("/seat");
+  sent->io.bytes_sent = false;
+  egress.environment.advance(milliseconds(100));
+  egress.state.announceStop(egress.environment.now() + milliseconds(800));
+  sent->flow->onAttemptReceived(sent->plan().id);
+  egress.environment.advance(milliseconds(700));
+  CHECK(running->isOpen());
+  egress.environment.advance(milliseconds(60));
+  checkAnswered(*running, 504, proxy::Outcome::kUnknown);
+  checkAnswered(*sent, 503, proxy::Outcome::kNotRun);
+}
+
 TEST_CASE("an ingress that stays silent is left: what was not confirmed has not run") {
   EgressFixture egress(0);
   egress.begin(3);
