Egress: servers of the own zone are among those compared

Change: two of the own zone and two of the others are drawn; the cost of another zone decides as before.

--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -68,25 +68,34 @@
 
 ServerPointer EgressState::pick(const ServiceName& service, const std::vector<EndpointId>& tried,
                                 TimePoint now) const {
-  std::vector<const ServerPointer*> candidates;
-  std::vector<const ServerPointer*> leaving;
+  Candidates near;
+  Candidates far;
+  Candidates leaving;
   for (const ServerPointer& server : directory_.usable(service)) {
     if (server->avoided(now)) continue;
     if (std::find(tried.begin(), tried.end(), server->entry.id) != tried.end()) continue;
-    (server->leaving(now) ? leaving : candidates).push_back(&server);
+    const bool is_near = server->entry.zone == settings_.own_zone;
+    (server->leaving(now) ? leaving : is_near ? near : far).push_back(&server);
   }
-  if (candidates.empty()) candidates.swap(leaving);
-  const std::size_t compared = std::min(candidates.size(), settings_.servers_compared);
+  if (near.empty() && far.empty()) return cheapestOfDrawn({&leaving}, now);
+  return cheapestOfDrawn({&near, &far}, now);
+}
+
+ServerPointer EgressState::cheapestOfDrawn(std::initializer_list<Candidates*> groups,
+                                           TimePoint now) const {
   ServerPointer best;
   double best_cost = std::numeric_limits<double>::max();
-  for (std::size_t index = 0; index < compared; ++index) {
-    std::swap(candidates[index],
-              candidates[index + environment_.random(candidates.size() - index)]);
-    const ServerPointer& server = *candidates[index];
-    const double server_cost = cost(*server, now);
-    if (server_cost > best_cost - kCostTolerance) continue;
-    best = server;
-    best_cost = server_cost;
+  for (Candidates* const group : groups) {
+    const std::size_t compared = std::min(group->size(), settings_.servers_compared);
+    for (std::size_t index = 0; index < compared; ++index) {
+      const std::size_t drawn = index + environment_.random(group->size() - index);
+      std::swap((*group)[index], (*group)[drawn]);
+      const ServerPointer& server = *(*group)[index];
+      const double server_cost = cost(*server, now);
+      if (server_cost > best_cost - kCostTolerance) continue;
+      best = server;
+      best_cost = server_cost;
+    }
   }
   return best;
 }
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -3,6 +3,7 @@
 /// What all requests of one egress share: the configuration in force, the servers, the budgets.
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -77,7 +78,8 @@
   void onDirectoryChanged();
 
   /// The cheapest of a few servers of `service`, drawn at random from those outside `tried` that
-  /// are not avoided; one that is leaving only when there is no other. Null when there is none.
+  /// are not avoided: some of the own zone, some of the others. One that is leaving only when there
+  /// is no other. Null when there is none.
   ServerPointer pick(const ServiceName& service, const std::vector<EndpointId>& tried,
                      TimePoint now) const;
   /// How dear it is to send the next request there; 1 is an idle server of this zone.
@@ -127,6 +129,9 @@
   std::vector<proxy::WarmServer> warmServers() const override { return {}; }
 
  private:
+  using Candidates = std::vector<const ServerPointer*>;
+  /// Draws servers_compared of each group.
+  ServerPointer cheapestOfDrawn(std::initializer_list<Candidates*> groups, TimePoint now) const;
   void learnFromReport(Server& server, const proxy::HopLoad& load);
 
   Settings settings_;
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -26,9 +26,10 @@
   /// Target latency of routes that name none.
   Duration default_target = std::chrono::seconds(1);
 
-  /// Servers, drawn at random, of which a request takes the cheapest. All nodes that compared all
-  /// would send to the same few at once, on reports that are older than a service time.
-  std::size_t servers_compared = 3;
+  /// Servers of the own zone, and as many of the others, drawn at random, of which a request takes
+  /// the cheapest. Nodes that compared all would send to the same few at once, on reports that are
+  /// older than a service time.
+  std::size_t servers_compared = 2;
   /// Added to a server's cost for another zone: bytes between zones are dear.
   double remote_zone_cost = 0.8;
   /// From this part of its slots on, a server's cost rises.
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -364,9 +364,11 @@
   keys.push_back(numberKey(section, "retry_burst", {0, 100'000}, "",
                            "Repeats that all nodes together may add at once.",
                            FIELD(egress.retry_burst)));
-  keys.push_back(numberKey(section, "servers_compared", {1, 10'000}, "",
-                           "Servers, drawn at random, of which a request takes the cheapest.",
-                           FIELD(egress.servers_compared)));
+  keys.push_back(
+      numberKey(section, "servers_compared", {1, 10'000}, "",
+                "Servers of the own zone, and as many of the others, drawn at random, of "
+                "which a request takes the cheapest.",
+                FIELD(egress.servers_compared)));
   keys.push_back(percentKey(section, "remote_zone_cost_percent", {0, 10'000},
                             "How much dearer a server of another zone is; 100: as much as one "
                             "whole idle server.",
