One copy each of a part of a time span and of halving with age; one look at a caller's address

No change of behaviour. part() stood in promises and the ingress flow, and inline in the egress flow and the concurrency limit; exponential forgetting stood in DecayingAverage, the throttle and the choice of servers: both now in core/time_arithmetic.h. The address of each accepted connection was asked for twice where a node notes its callers; the server asks once and hands it to the connection. A second read() right after advance(), which ends with one, is gone. The throttle of a request's service and rank is looked up in one place.

--- a/src/egress/admission_throttle.cpp
+++ b/src/egress/admission_throttle.cpp
@@ -1,7 +1,8 @@
 #include "egress/admission_throttle.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "core/time_arithmetic.h"
 
 namespace coursepond::egress {
 namespace {
@@ -31,9 +32,7 @@
 }
 
 void AdmissionThrottle::forget(const ThrottleSettings& settings, TimePoint now) {
-  const double half_lives = static_cast<double>((now - counted_at_).count()) /
-                            static_cast<double>(settings.half_life.count());
-  const double kept = std::exp2(-std::max(0.0, half_lives));
+  const double kept = leftAfter(std::max(now - counted_at_, Duration(0)), settings.half_life);
   asked_ *= kept;
   accepted_ *= kept;
   counted_at_ = now;
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/time_arithmetic.h"
 #include "proxy/answer_check.h"
 #include "proxy/deadline_queue.h"
 #include "proxy/reason.h"
@@ -90,6 +91,8 @@
   /// By when it is answered: its deadline, or the end of a planned stop that began since.
   TimePoint latest() const { return std::min(deadline_, state_.latestAnswer()); }
 
+  AdmissionThrottle& throttle() { return state_.use(service_).throttles[route_->rank]; }
+
   /// Whether this machine's server sent it, for a request that it runs.
   bool isCall() const {
     const std::string& own = state_.settings().own_server_host;
@@ -164,9 +167,7 @@
   if (state_.latestAnswer() - started_ < allowed) allowed = state_.latestAnswer() - started_;
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
   deadline_ = started_ + allowed;
-  const auto patience = static_cast<Duration::rep>(state_.settings().patience *
-                                                   static_cast<double>(target().count()));
-  patient_until_ = std::min(deadline_, now + Duration(patience));
+  patient_until_ = std::min(deadline_, now + part(target(), state_.settings().patience));
   service_ = state_.split().next(*route_);
   if (isHeldBack(now)) return conclude(Reason::kQueueFull);
   sendOrWait(now);
@@ -176,16 +177,14 @@
 /// never held back: their parent's work would be lost.
 bool EgressFlow::isHeldBack(TimePoint now) {
   if (isCall()) return false;
-  AdmissionThrottle& throttle = state_.use(service_).throttles[route_->rank];
-  if (throttle.passes(state_.settings().throttle, now, environment_)) return false;
+  if (throttle().passes(state_.settings().throttle, now, environment_)) return false;
   ++state_.statistics().throttled;
   return true;
 }
 
 void EgressFlow::noteOutcome(bool is_accepted, TimePoint now) {
   if (isCall() || std::exchange(outcome_noted_, true)) return;
-  AdmissionThrottle& throttle = state_.use(service_).throttles[route_->rank];
-  throttle.onOutcome(state_.settings().throttle, now, is_accepted);
+  throttle().onOutcome(state_.settings().throttle, now, is_accepted);
 }
 
 // ---- Attempts
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -1,9 +1,10 @@
 #include "egress/egress_state.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
+#include "core/time_arithmetic.h"
+
 namespace coursepond::egress {
 namespace {
 
@@ -25,11 +26,6 @@
 constexpr double kReportWeight = 0.05;
 constexpr Duration kShortestLoadHalfLife = std::chrono::milliseconds(50);
 
-/// What is left after `age` of something that halves in each `half_life`.
-double remaining(Duration age, Duration half_life) {
-  return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
-}
-
 double toMillisecondsExact(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
 }
@@ -125,7 +121,7 @@
   const double others = std::max(0.0, reported - server.in_flight_at_report);
   // Within about one service time, what ran then has ended and others have come.
   const Duration half_life = std::max(server.load.service_time, kShortestLoadHalfLife);
-  return usual + (others - usual) * remaining(now - server.load_at, half_life);
+  return usual + (others - usual) * leftAfter(now - server.load_at, half_life);
 }
 
 void EgressState::onReached(Server& server) {
@@ -165,8 +161,8 @@
 
 double EgressState::slowness(const Server& server, TimePoint now) const {
   const Duration half_life = settings_.slowness_half_life;
-  const double observed = (server.slowness - 1.0) * remaining(now - server.slowness_at, half_life);
-  const double reported = (server.load_slowness - 1.0) * remaining(now - server.load_at, half_life);
+  const double observed = (server.slowness - 1.0) * leftAfter(now - server.slowness_at, half_life);
+  const double reported = (server.load_slowness - 1.0) * leftAfter(now - server.load_at, half_life);
   // The path to a server may be slow while the server is not.
   return 1.0 + (observed > std::max(reported, 0.0) ? observed : reported);
 }
@@ -178,7 +174,7 @@
   use.average_latency_ms += weight * (latency_ms - use.average_latency_ms);
   const double sample = latency_ms / std::max(use.average_latency_ms, 1.0);
   const double before = 1.0 + (server.slowness - 1.0) *
-                                  remaining(now - server.slowness_at, settings_.slowness_half_life);
+                                  leftAfter(now - server.slowness_at, settings_.slowness_half_life);
   server.slowness =
       before + weight * (std::clamp(sample, kLowestSlowness, kHighestSlowness) - before);
   server.slowness_at = now;
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/time_arithmetic.h"
 #include "proxy/answer_check.h"
 #include "proxy/reason.h"
 
@@ -20,10 +21,6 @@
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
 const ServiceName kOwnServer("own");
 
-Duration part(Duration whole, double share) {
-  return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
-}
-
 class IngressFlow final : public proxy::Exchange, private Waiter, private proxy::DeadlineEntry {
  public:
   IngressFlow(proxy::RequestHead head, IngressState& state, Environment& environment,
--- a/src/proxy/concurrency_limit.cpp
+++ b/src/proxy/concurrency_limit.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/time_arithmetic.h"
+
 namespace coursepond::proxy {
 namespace {
 
@@ -47,7 +49,7 @@
 Duration ConcurrencyLimit::pause(Duration service_time) const {
   if (limit_ >= 1.0) return Duration(0);
   const double pauses = 1.0 / limit_ - 1.0;
-  return Duration(static_cast<Duration::rep>(static_cast<double>(service_time.count()) * pauses));
+  return part(service_time, pauses);
 }
 
 }  // namespace coursepond::proxy
--- a/src/proxy/decaying_average.cpp
+++ b/src/proxy/decaying_average.cpp
@@ -1,6 +1,6 @@
 #include "proxy/decaying_average.h"
 
-#include <cmath>
+#include "core/time_arithmetic.h"
 
 namespace coursepond::proxy {
 
@@ -18,10 +18,7 @@
 
 double DecayingAverage::value(TimePoint now, double baseline, Duration half_life) const {
   if (empty_ || value_ == baseline) return baseline;
-  const Duration age = now - last_sample_;
-  const double half_lives =
-      static_cast<double>(age.count()) / static_cast<double>(half_life.count());
-  return baseline + (value_ - baseline) * std::exp2(-half_lives);
+  return baseline + (value_ - baseline) * leftAfter(now - last_sample_, half_life);
 }
 
 }  // namespace coursepond::proxy
--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -18,13 +18,13 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket)
+CallerConnection::CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket,
+                                   std::string caller_host)
     : Watched(shared->watch),
       shared_(std::move(shared)),
       socket_(std::move(socket)),
+      caller_host_(std::move(caller_host)),
       received_(std::max(shared_->settings.buffer_bytes, shared_->settings.head_bytes)) {
-  error_code ignored;  // A caller that is gone already is noticed by the first read.
-  caller_host_ = socket_.remote_endpoint(ignored).address().to_string();
   shared_->connections.insert(this);
 }
 
@@ -66,7 +66,6 @@
     last->onBytes();
   }
   advance();
-  read();  // Also notices the caller leaving.
 }
 
 void CallerConnection::onReadClosed() {
@@ -89,7 +88,7 @@
   }
   if (state_ == State::kClosed) return;
   if (exchanges_.empty()) awaitHead();
-  read();
+  read();  // Also notices the caller leaving.
 }
 
 /// Reads the head of the next request. False while bytes are missing, or belong to a body.
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -23,7 +23,9 @@
 class CallerConnection final : public std::enable_shared_from_this<CallerConnection>,
                                private Watched {
  public:
-  CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket);
+  /// `caller_host`: IP number of the caller.
+  CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket,
+                   std::string caller_host);
   ~CallerConnection() override;
 
   void start();
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/time_arithmetic.h"
 #include "runtime/settings.h"
 
 namespace coursepond::runtime {
@@ -24,10 +25,6 @@
 /// Of the stop that is left after readiness is noticed, the part spent waiting for a quiet moment.
 constexpr double kLingerPart = 0.2254;
 
-Duration part(Duration whole, double share) {
-  return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
-}
-
 void deriveRepair(Duration settled, source::WatchSettings& watch) {
   watch.answer_timeout = std::min(kLongestAnswerTimeout, settled / 4);
   watch.patient_timeout = std::min(kLongestPatientTimeout, settled * 2 / 5);
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -160,11 +160,11 @@
     }
     ++shared_->statistics.connections_accepted;
     error_code ignored;
-    const auto& on_caller = shared_->settings.on_caller;
-    if (on_caller) on_caller(socket.remote_endpoint(ignored).address().to_string());
+    std::string host = socket.remote_endpoint(ignored).address().to_string();
+    if (shared_->settings.on_caller) shared_->settings.on_caller(host);
     socket.set_option(Tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    std::make_shared<CallerConnection>(shared_, std::move(socket))->start();
+    std::make_shared<CallerConnection>(shared_, std::move(socket), std::move(host))->start();
   }
 
   void maintain() {
