--- a/src/egress/server_directory.cpp
+++ b/src/egress/server_directory.cpp
@@ -1,7 +1,8 @@
 #include "egress/server_directory.h"
 
 #include <algorithm>
-#include <unordered_set>
+
+#include "model/unlisted.h"
 
 namespace coursepond::egress {
 
@@ -23,13 +24,7 @@
 }
 
 void ServerDirectory::replaceAll(const std::vector<model::ServerEntry>& entries, TimePoint now) {
-  std::unordered_set<EndpointId> listed;
-  for (const model::ServerEntry& entry : entries) listed.insert(entry.id);
-  std::vector<EndpointId> gone;
-  for (const auto& [id, server] : servers_) {
-    if (!listed.contains(id)) gone.push_back(id);
-  }
-  update(entries, gone, now);
+  update(entries, model::unlistedIds(servers_, entries), now);
 }
 
 std::optional<TimePoint> ServerDirectory::forgetLapsed(TimePoint now) {
--- a/src/source/held_state.cpp
+++ b/src/source/held_state.cpp
@@ -1,7 +1,8 @@
 #include "source/held_state.h"
 
 #include <algorithm>
-#include <set>
+
+#include "model/unlisted.h"
 
 namespace coursepond::source {
 namespace {
@@ -49,12 +50,7 @@
 }
 
 bool HeldState::removeUnlisted(const std::vector<model::ServerEntry>& listed, Generation revision) {
-  std::set<EndpointId> ids;
-  for (const model::ServerEntry& entry : listed) ids.insert(entry.id);
-  std::vector<EndpointId> gone;
-  for (const auto& [id, entry] : servers_) {
-    if (!ids.contains(id)) gone.push_back(id);
-  }
+  const std::vector<EndpointId> gone = model::unlistedIds(servers_, listed);
   for (const EndpointId& id : gone) remove(id, revision);
   return !gone.empty();
 }
