Sight: repeats by service and reason, and how many runs of a server are repeats

An egress tells the ingress with each attempt how likely it is that the run counts as a repeat (X-Hop-Class, a sixth item); the node counts, per service, first attempts, repeats by reason, denials and the calls of repeated runs, as metrics and as a line each five seconds in which something was repeated. The allowance moves from the egress to what both sides of a node share; what it allows is unchanged.

--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -32,7 +32,8 @@
 inline constexpr char kCallerService[] = "X-Caller-Service";
 /// From a back end: its instance.
 inline constexpr char kInstance[] = "X-Instance-Id";
-/// From an egress to an ingress: "service,rank,target latency in ms,repeatable 0|1".
+/// From an egress to an ingress: "service,rank,target latency in ms,repeatable 0|1,
+/// call 0|1,share of a repeat in thousandths".
 inline constexpr char kHopClass[] = "X-Hop-Class";
 /// From an ingress to an egress: "running,waiting,slots,mean service time in ms,draining 0|1".
 inline constexpr char kHopLoad[] = "X-Hop-Load";
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -16,6 +16,7 @@
 using proxy::AttemptFailure;
 using proxy::AttemptId;
 using proxy::Reason;
+using proxy::RepeatReason;
 
 constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
@@ -80,7 +81,7 @@
   void onLostUnread(TimePoint now);
   void onSilent(TimePoint now);
   void noteArrival();
-  bool mayRepeat(TimePoint now);
+  bool mayRepeat(RepeatReason reason, TimePoint now);
   void releaseServer();
 
   void note(proxy::DecisionKind kind, std::string_view reason, int status) const;
@@ -99,6 +100,12 @@
     return !own.empty() && head_.caller_host == own;
   }
 
+  /// How likely it is that the attempt that begins counts as a repeat.
+  double repeatShare() const {
+    if (may_have_arrived_) return 1;
+    return isCall() ? state_.retries().repeatShareOfCalls() : 0;
+  }
+
   Duration target() const {
     const Duration target = route_ != nullptr ? route_->target_latency : Duration(0);
     return target > Duration(0) ? target : state_.settings().default_target;
@@ -121,9 +128,10 @@
   std::uint32_t max_attempts_ = 1;
   bool is_repeatable_ = false;
   bool may_have_run_ = false;
-  bool was_received_ = false;   ///< The current attempt, by its ingress.
-  bool arrival_noted_ = false;  ///< Of the current attempt.
-  bool outcome_noted_ = false;  ///< For the throttle.
+  bool may_have_arrived_ = false;  ///< At a server, in an attempt before this one.
+  bool was_received_ = false;      ///< The current attempt, by its ingress.
+  bool arrival_noted_ = false;     ///< Of the current attempt.
+  bool outcome_noted_ = false;     ///< For the throttle.
   bool was_refused_ = false;
   bool is_late_ = false;  ///< The deadline ended it.
   std::optional<Duration> retry_after_;
@@ -214,7 +222,8 @@
   was_received_ = false;
   arrival_noted_ = false;
   state_.deadlines().arm(*this, std::min(latest(), now + state_.receiptTimeout(target())));
-  if (arrivals_ == 0 && attempt_ == 1) state_.use(service_).allowance.onFirstAttempt();
+  if (attempt_ == 1) state_.retries().onFirstAttempt(service_);
+  if (attempt_ == 1 && isCall()) state_.retries().onCall(service_);
   io_.startAttempt(makePlan(now));
 }
 
@@ -228,8 +237,8 @@
   plan.target_instance = server_->entry.id.value();
   plan.confirm = !is_repeatable_;
   plan.caller_service = state_.settings().own_service;
-  plan.hop_class =
-      proxy::HopClass{service_.value(), route_->rank, target(), is_repeatable_, isCall()};
+  plan.hop_class = proxy::HopClass{service_.value(), route_->rank, target(),
+                                   is_repeatable_,   isCall(),     repeatShare()};
   return plan;
 }
 
@@ -242,6 +251,7 @@
 void EgressFlow::noteArrival() {
   if (std::exchange(arrival_noted_, true)) return;
   ++arrivals_;
+  may_have_arrived_ = true;
   tried_.push_back(server_->entry.id);
 }
 
@@ -282,6 +292,8 @@
 /// No server can be told to have seen it, so that neither allowance nor attempts are charged.
 void EgressFlow::onLostUnread(TimePoint now) {
   may_have_run_ = true;
+  may_have_arrived_ = true;
+  ++state_.statistics().lost_unread;
   tried_.push_back(server_->entry.id);
   releaseServer();
   if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
@@ -318,7 +330,9 @@
     return;
   }
   const bool has_other = state_.pick(service_, tried_, now) != nullptr;
-  const bool may_go_on = has_other && (surely_not_run || (is_repeatable_ && mayRepeat(now)));
+  const bool may_go_on =
+      has_other &&
+      (surely_not_run || (is_repeatable_ && mayRepeat(RepeatReason::kIngressSilent, now)));
   if (!may_go_on) {
     state_.deadlines().arm(*this, latest());
     return;
@@ -374,7 +388,7 @@
   noteArrival();
   may_have_run_ = true;
   if (!state_.pick(service_, tried_, now)) return false;
-  return mayRepeat(now);
+  return mayRepeat(RepeatReason::kServerFailed, now);
 }
 
 void EgressFlow::onNotRun(const AnswerHead& answer, TimePoint now) {
@@ -398,7 +412,7 @@
   ++state_.statistics().server_refusals;
   noteArrival();
   releaseServer();
-  if (!mayRepeat(now)) return conclude(Reason::kServerRefused);
+  if (!mayRepeat(RepeatReason::kServerRefused, now)) return conclude(Reason::kServerRefused);
   sendOrWait(now);
 }
 
@@ -408,16 +422,17 @@
   noteArrival();
   releaseServer();
   if (reason == Reason::kDeadline) is_late_ = true;
-  if (!is_repeatable_ || reason == Reason::kDeadline || !mayRepeat(now)) return conclude(reason);
+  if (!is_repeatable_ || reason == Reason::kDeadline) return conclude(reason);
+  if (!mayRepeat(RepeatReason::kAnswerLost, now)) return conclude(reason);
   if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
   conclude(reason);
 }
 
 /// Whether one more server may see the request. Takes it from the allowance.
-bool EgressFlow::mayRepeat(TimePoint now) {
+bool EgressFlow::mayRepeat(RepeatReason reason, TimePoint now) {
   if (may_have_run_ && !is_repeatable_) return false;
   if (arrivals_ >= max_attempts_ || deadline_ - now < kLeastForRepeat) return false;
-  if (!state_.use(service_).allowance.take()) {
+  if (!state_.retries().takeRepeat(service_, reason)) {
     ++state_.statistics().repeats_denied;
     return false;
   }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -32,8 +32,9 @@
 
 }  // namespace
 
-EgressState::EgressState(Settings settings, Environment& environment)
+EgressState::EgressState(Settings settings, proxy::RetryAccounts& retries, Environment& environment)
     : settings_(std::move(settings)),
+      retries_(retries),
       environment_(environment),
       directory_(settings_, [this](proxy::ServerChange change,
                                    const EndpointId& server) { note(change, server); }),
@@ -54,19 +55,7 @@
   return certain > Duration(0) && environment_.now() - configuration_confirmed_ > certain;
 }
 
-void EgressState::onDirectoryChanged() {
-  for (auto& [name, service] : uses_) {
-    service.allowance.setBurst(settings_.retry_burst, directory_.all().size());
-  }
-}
-
-ServiceUse& EgressState::use(const ServiceName& service) {
-  const auto found = uses_.find(service);
-  if (found != uses_.end()) return found->second;
-  ServiceUse& made = uses_.emplace(service, ServiceUse(settings_.retry_ratio)).first->second;
-  made.allowance.setBurst(settings_.retry_burst, directory_.all().size());
-  return made;
-}
+void EgressState::onDirectoryChanged() { retries_.setNodes(directory_.all().size()); }
 
 ServerPointer EgressState::pick(const ServiceName& service, const std::vector<EndpointId>& tried,
                                 TimePoint now) const {
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "core/environment.h"
-#include "egress/retry_allowance.h"
 #include "egress/server_directory.h"
 #include "egress/settings.h"
 #include "egress/traffic_split.h"
@@ -18,6 +17,7 @@
 #include "proxy/connection_policy.h"
 #include "proxy/deadline_queue.h"
 #include "proxy/decision_log.h"
+#include "proxy/retry_accounts.h"
 #include "proxy/route_table.h"
 
 namespace coursepond::egress {
@@ -29,6 +29,7 @@
   std::uint64_t answers_cut = 0;
   std::uint64_t attempts = 0;
   std::uint64_t repeats = 0;          ///< Attempts that a second server saw.
+  std::uint64_t lost_unread = 0;      ///< Sent on, since an ingress ended before its receipt.
   std::uint64_t repeats_denied = 0;   ///< For want of allowance.
   std::uint64_t hop_refusals = 0;     ///< By ingresses: no server saw the request.
   std::uint64_t server_refusals = 0;  ///< By servers, which did not run it.
@@ -53,8 +54,6 @@
 
 /// One service's state on this node.
 struct ServiceUse {
-  explicit ServiceUse(double retry_ratio) : allowance(retry_ratio) {}
-  RetryAllowance allowance;
   std::map<std::uint32_t, AdmissionThrottle> throttles;  ///< By rank.
   // Moving averages over all its servers; zero: none yet.
   double average_latency_ms = 0;
@@ -64,7 +63,8 @@
 
 class EgressState final : public proxy::ConnectionPolicy {
  public:
-  EgressState(Settings settings, Environment& environment);
+  /// `retries` and `environment` must outlive the state.
+  EgressState(Settings settings, proxy::RetryAccounts& retries, Environment& environment);
 
   /// Puts a snapshot in force for requests that start from now on. A lower version than the one in
   /// force is refused (returns false).
@@ -100,7 +100,8 @@
   /// How long to wait for that, for a request of this target: longer while all are slow.
   Duration receiptTimeout(Duration target) const;
 
-  ServiceUse& use(const ServiceName& service);
+  ServiceUse& use(const ServiceName& service) { return uses_[service]; }
+  proxy::RetryAccounts& retries() { return retries_; }
   TrafficSplit& split() { return split_; }
   proxy::DeadlineQueue& deadlines() { return deadlines_; }
   const Settings& settings() const { return settings_; }
@@ -140,6 +141,7 @@
   void learnFromReport(Server& server, const proxy::HopLoad& load);
 
   Settings settings_;
+  proxy::RetryAccounts& retries_;
   Environment& environment_;
   ServerDirectory directory_;
   std::shared_ptr<const RoutingTable> routing_;
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -43,11 +43,6 @@
   /// Without samples, a server's slowness halves its distance to the average in this time.
   Duration slowness_half_life = std::chrono::seconds(2);
 
-  /// Repeats allowed to one node, of its first attempts at a service,
-  double retry_ratio = 0.15;
-  /// and in a burst: this many divided by the number of nodes.
-  double retry_burst = 45;
-
   /// Ingresses that may refuse one request for want of room before it gets its final answer. The
   /// second choice is worth its message; measured, further ones only load a fleet that is full.
   std::uint32_t most_full_ingresses = 2;
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -49,6 +49,7 @@
   // DeadlineEntry
   void onDeadline(TimePoint now) override;
 
+  double repeatShare() const { return head_.hop_class ? head_.hop_class->repeat_share : 0; }
   WaitBounds waitBounds(TimePoint now) const;
   void attempt(TimePoint now);
   bool isCurrent(AttemptId attempt, Phase phase) const {
@@ -110,6 +111,7 @@
 
 void IngressFlow::onSlot(TimePoint now) {
   has_slot_ = true;
+  state_.retries().onRunStarted(repeatShare());
   if (now >= deadline_) return conclude(Reason::kDeadline, now);
   state_.deadlines().arm(*this, deadline_);
   attempt(now);
@@ -117,6 +119,7 @@
 
 void IngressFlow::attempt(TimePoint now) {
   phase_ = Phase::kAttempting;
+  if (attempt_ == 0 && repeatShare() >= 1) ++state_.statistics().repeated_runs;
   ++attempt_;
   attempt_started_ = now;
   proxy::AttemptPlan plan;
@@ -184,6 +187,7 @@
       answer.status == kMisdirected && !answer.instance.empty() && answer.instance != instance_;
   if (was_started_anew && attempt_ < state_.settings().local_tries && now < deadline_) {
     state_.learnInstance(answer.instance);
+    ++state_.statistics().other_instance;
     return attempt(now);
   }
   if (answer.status != kMisdirected) state_.pause(state_.settings().refused_pause, now);
@@ -244,6 +248,7 @@
   state_.leave(*this);
   if (!has_slot_) return;
   has_slot_ = false;
+  state_.retries().onRunEnded(repeatShare());
   state_.release(now);
 }
 
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -13,8 +13,10 @@
 
 }  // namespace
 
-IngressState::IngressState(const Settings& settings, Environment& environment)
+IngressState::IngressState(const Settings& settings, proxy::RetryAccounts& retries,
+                           Environment& environment)
     : settings_(settings),
+      retries_(retries),
       environment_(environment),
       service_time_us_(static_cast<double>(settings.first_service_time.count())),
       deadlines_(environment) {}
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -17,6 +17,7 @@
 #include "proxy/deadline_queue.h"
 #include "proxy/decision_log.h"
 #include "proxy/request_flow.h"
+#include "proxy/retry_accounts.h"
 
 namespace coursepond::ingress {
 
@@ -31,6 +32,8 @@
   std::uint64_t refused_instance = 0;  ///< Meant for another start of the server.
   std::uint64_t displaced = 0;         ///< Made room for a more urgent request.
   std::uint64_t expired = 0;           ///< The deadline passed while waiting.
+  std::uint64_t repeated_runs = 0;     ///< Given to the server though another may have seen them.
+  std::uint64_t other_instance = 0;    ///< Sent again, since another start of the server answered.
   std::uint64_t server_refusals = 0;
   std::uint64_t server_unreachable = 0;
   std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
@@ -46,7 +49,8 @@
 
 class IngressState final : public proxy::ConnectionPolicy {
  public:
-  IngressState(const Settings& settings, Environment& environment);
+  /// `retries` and `environment` must outlive the state.
+  IngressState(const Settings& settings, proxy::RetryAccounts& retries, Environment& environment);
 
   /// What the server on this machine lists of itself; nothing when it is not listed.
   void setServer(const std::optional<model::ServerEntry>& entry);
@@ -93,6 +97,7 @@
   /// For requests that begin from now on.
   void changeSettings(const Settings& settings) { settings_ = settings; }
   Statistics& statistics() { return statistics_; }
+  proxy::RetryAccounts& retries() { return retries_; }
   /// `log` may be null.
   void setDecisionLog(proxy::DecisionLog* log) { log_ = log; }
   void note(const proxy::Decision& decision) const {
@@ -117,6 +122,7 @@
   void wakeAfterPause(TimePoint now);
 
   Settings settings_;
+  proxy::RetryAccounts& retries_;
   Environment& environment_;
   Address address_;
   std::optional<model::ServerEntry> server_;
--- /dev/null
+++ b/src/node/retry_report.cpp
@@ -0,0 +1,52 @@
+#include "node/retry_report.h"
+
+#include <array>
+#include <cstdio>
+
+namespace coursepond::node {
+namespace {
+
+std::string oneDecimal(double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.1f", value);
+  return text.data();
+}
+
+/// "server_failed=3 answer_lost=1".
+std::string repeatsSince(const proxy::RetryStatistics& told, const proxy::RetryStatistics& now) {
+  std::string text;
+  for (std::size_t index = 0; index < proxy::kRepeatReasons; ++index) {
+    const std::uint64_t count = now.repeats[index] - told.repeats[index];
+    if (count == 0) continue;
+    if (!text.empty()) text += " ";
+    text += std::string(proxy::repeatWord(static_cast<proxy::RepeatReason>(index))) + "=" +
+            std::to_string(count);
+  }
+  return text;
+}
+
+}  // namespace
+
+std::vector<std::vector<runtime::LogField>> RetryReport::next(const proxy::RetryAccounts& retries) {
+  std::vector<std::vector<runtime::LogField>> lines;
+  for (const auto& [service, account] : retries.all()) {
+    proxy::RetryStatistics& told = told_[service];
+    const proxy::RetryStatistics& now = account.statistics;
+    const std::string repeats = repeatsSince(told, now);
+    const std::uint64_t denied = now.denied - told.denied;
+    const double calls = now.calls_of_repeats - told.calls_of_repeats;
+    const bool is_quiet = repeats.empty() && denied == 0 && calls == 0;
+    if (!is_quiet) {
+      lines.push_back({{"service", service.value()},
+                       {"first_attempts", std::to_string(now.first_attempts - told.first_attempts)},
+                       {"repeats", repeats},
+                       {"calls_of_repeats", oneDecimal(calls)},
+                       {"denied", std::to_string(denied)},
+                       {"left", oneDecimal(account.allowance.left())}});
+    }
+    told = now;
+  }
+  return lines;
+}
+
+}  // namespace coursepond::node
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -18,6 +18,9 @@
        {"egress_answers_total", "Server answers passed on whole.", &S::answers_forwarded},
        {"egress_attempts_total", "Requests sent to an ingress.", &S::attempts},
        {"egress_repeats_total", "Requests sent to a further server.", &S::repeats},
+       {"egress_lost_unread_total",
+        "Requests sent on since an ingress ended before it said that it has them.",
+        &S::lost_unread},
        {"egress_repeats_denied_total", "Repeats left out for want of allowance.",
         &S::repeats_denied},
        {"egress_hop_refusals_total", "Refusals by ingresses; no server saw the request.",
@@ -53,6 +56,11 @@
         &S::refused_draining},
        {"ingress_displaced_total", "Waiting requests that made room.", &S::displaced},
        {"ingress_expired_total", "Requests whose deadline passed.", &S::expired},
+       {"ingress_repeated_runs_total", "Requests that another server may have seen before.",
+        &S::repeated_runs},
+       {"ingress_other_instance_total",
+        "Requests sent again to the server, since another start of it answered.",
+        &S::other_instance},
        {"ingress_server_refusals_total", "Refusals by the server.", &S::server_refusals},
        {"ingress_server_unreachable_total", "Connections the server did not take.",
         &S::server_unreachable},
@@ -66,6 +74,54 @@
                  [&state] { return static_cast<double>(state.waiting()); });
 }
 
+std::vector<runtime::MetricSample> samplesByService(
+    const proxy::RetryAccounts& retries,
+    const std::function<double(const proxy::RetryAccount&)>& value) {
+  std::vector<runtime::MetricSample> samples;
+  for (const auto& [service, account] : retries.all()) {
+    samples.push_back({{{"service", service.value()}}, value(account)});
+  }
+  return samples;
+}
+
+std::vector<runtime::MetricSample> repeatsByReason(const proxy::RetryAccounts& retries) {
+  std::vector<runtime::MetricSample> samples;
+  for (const auto& [service, account] : retries.all()) {
+    for (std::size_t index = 0; index < proxy::kRepeatReasons; ++index) {
+      const auto reason = static_cast<proxy::RepeatReason>(index);
+      samples.push_back(
+          {{{"service", service.value()}, {"reason", std::string(proxy::repeatWord(reason))}},
+           static_cast<double>(account.statistics.repeats[index])});
+    }
+  }
+  return samples;
+}
+
+/// What this node adds to the arrivals at each service, and what it may still add.
+void addRetries(MetricTable& table, const proxy::RetryAccounts& retries) {
+  using runtime::MetricType;
+  const auto add = [&](const char* name, MetricType type, const char* meaning,
+                       std::function<double(const proxy::RetryAccount&)> value) {
+    table.add({name, type, meaning, {"service"}, [&retries, value = std::move(value)] {
+                 return samplesByService(retries, value);
+               }});
+  };
+  add("retry_first_attempts_total", MetricType::kCounter, "Requests sent to the service.",
+      [](const auto& account) { return static_cast<double>(account.statistics.first_attempts); });
+  table.add({"retry_repeats_total",
+             MetricType::kCounter,
+             "Requests that a further server may see.",
+             {"service", "reason"},
+             [&retries] { return repeatsByReason(retries); }});
+  add("retry_denied_total", MetricType::kCounter, "Repeats left out for want of allowance.",
+      [](const auto& account) { return static_cast<double>(account.statistics.denied); });
+  add("retry_calls_of_repeats_total", MetricType::kCounter,
+      "Calls of this machine's server by runs that are repeats, as expected.",
+      [](const auto& account) { return account.statistics.calls_of_repeats; });
+  add("retry_allowance_left", MetricType::kGauge, "Repeats that may be made now.",
+      [](const auto& account) { return account.allowance.left(); });
+}
+
 /// Both topics together.
 void addWatch(MetricTable& table, const source::WatchLoop& servers,
               const source::WatchLoop& configuration) {
@@ -112,6 +168,7 @@
   MetricTable table;
   addEgress(table, sources.egress);
   addIngress(table, sources.ingress);
+  addRetries(table, sources.egress.retries());
   addWatch(table, sources.servers.watch, sources.configuration.watch);
   addRelay(table, sources.servers.relay, sources.configuration.relay);
   const source::PeerReader& peers = sources.peers;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -11,6 +11,7 @@
 #include "node/admin_server.h"
 #include "node/decision_fold.h"
 #include "node/peer_state_exchange.h"
+#include "node/retry_report.h"
 #include "node/two_hop_metrics.h"
 #include "runtime/asio_environment.h"
 #include "runtime/logging.h"
@@ -36,6 +37,8 @@
 constexpr Duration kQuietPoll = std::chrono::milliseconds(10);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
 constexpr Duration kFoldInterval = std::chrono::seconds(1);
+/// A few lines in the span over which operators bound repeats.
+constexpr Duration kRetryReportInterval = std::chrono::seconds(5);
 /// A follower that is slow, or comes from another reader, may be some versions of a storm behind.
 constexpr std::size_t kVersionsOfReader = 6;
 
@@ -106,8 +109,9 @@
         environment_(context),
         log_(settings_.log.lines_per_second),
         fold_(settings_.log.equal_decisions_per_second),
-        egress_(egressSettings(settings_), environment_),
-        ingress_(ingressSettings(settings_), environment_),
+        retries_(settings_.retries),
+        egress_(egressSettings(settings_), retries_, environment_),
+        ingress_(ingressSettings(settings_), retries_, environment_),
         peer_client_(context, settings_.node.peer_listen.port, settings_.relay),
         servers_(makeReading(source::Topic::kServers, extensions)),
         configuration_(makeReading(source::Topic::kConfiguration, extensions)),
@@ -133,6 +137,7 @@
   void onDecision(const proxy::Decision& decision) override;
   void onServerChange(proxy::ServerChange change, const EndpointId& server) override;
   void tellFoldedDecisions();
+  void tellRetries();
 
   Result<void> openEgress();
   Result<void> openIngress();
@@ -176,6 +181,8 @@
   runtime::AsioEnvironment environment_;
   runtime::StateLog log_;
   DecisionFold fold_;
+  proxy::RetryAccounts retries_;
+  RetryReport retry_report_;
   egress::EgressState egress_;
   ingress::IngressState ingress_;
   source::HeldState held_;
@@ -274,6 +281,7 @@
             {"lapse_hold_ms", std::to_string(toMilliseconds(settings_.egress.lapse_hold))},
             {"stop_timeout_ms", std::to_string(toMilliseconds(settings_.node.stop_timeout))}});
   environment_.schedule(kFoldInterval, [this] { tellFoldedDecisions(); });
+  environment_.schedule(kRetryReportInterval, [this] { tellRetries(); });
   // The configuration follows when it is known who else could tell it.
   servers_.watch->start();
 }
@@ -517,6 +525,14 @@
   environment_.schedule(kFoldInterval, [this] { tellFoldedDecisions(); });
 }
 
+/// See RetryReport.
+void Implementation::tellRetries() {
+  for (std::vector<runtime::LogField>& fields : retry_report_.next(retries_)) {
+    writeLog(runtime::LogLevel::kInfo, "retry_budget", std::move(fields));
+  }
+  environment_.schedule(kRetryReportInterval, [this] { tellRetries(); });
+}
+
 void Implementation::onServerChange(proxy::ServerChange change, const EndpointId& server) {
   if (settings_.log.decisions == runtime::DecisionLines::kNone) return;
   writeLog(runtime::LogLevel::kInfo, changeWord(change), {{"server", server.value()}});
--- /dev/null
+++ b/src/proxy/call_profile.cpp
@@ -0,0 +1,41 @@
+#include "proxy/call_profile.h"
+
+#include <algorithm>
+
+namespace coursepond::proxy {
+namespace {
+
+/// What of the older runs is left with each new one: the average is over about the last 200, a few
+/// seconds of a busy server.
+constexpr double kFade = 1.0 - 1.0 / 200;
+
+}  // namespace
+
+void CallProfile::onRunStarted(double repeat_share) {
+  ++running_;
+  repeats_running_ += repeat_share;
+  runs_ = runs_ * kFade + 1;
+  for (auto& [service, calls] : calls_) calls *= kFade;
+}
+
+void CallProfile::onRunEnded(double repeat_share) {
+  --running_;
+  // Sums of fractions drift; with no run there is no repeat.
+  repeats_running_ = running_ == 0 ? 0 : std::max(0.0, repeats_running_ - repeat_share);
+}
+
+void CallProfile::onCall(const ServiceName& service) { calls_[service] += 1; }
+
+double CallProfile::repeatShare() const {
+  if (running_ == 0) return 0;
+  return std::min(1.0, repeats_running_ / static_cast<double>(running_));
+}
+
+std::map<ServiceName, double> CallProfile::callsPerRun() const {
+  std::map<ServiceName, double> per_run;
+  if (runs_ <= 0) return per_run;
+  for (const auto& [service, calls] : calls_) per_run[service] = calls / runs_;
+  return per_run;
+}
+
+}  // namespace coursepond::proxy
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -28,6 +28,9 @@
   std::string value;
 };
 
+/// Units of HopClass::repeat_share on the wire: thousandths.
+inline constexpr double kRepeatShareUnits = 1000.0;
+
 /// What an egress tells an ingress of a request, so that the ingress can order its queue.
 struct HopClass {
   std::string service;        ///< That is to run it.
@@ -36,6 +39,9 @@
   bool is_repeatable = false;
   /// Made by a server for a request that it runs: while it waits, that one holds its slot.
   bool is_call = false;
+  /// From 0 to 1: how likely it is that this run counts as a repeat. 1 when a server may have seen
+  /// the request before; for a call, the part of the calling server's runs that are repeats.
+  double repeat_share = 0;
 };
 
 /// What an ingress tells egresses of its server, with every answer.
--- a/src/egress/retry_allowance.h
+++ b/src/proxy/retry_allowance.h
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 
-namespace coursepond::egress {
+namespace coursepond::proxy {
 
 class RetryAllowance {
  public:
@@ -31,6 +31,9 @@
     return true;
   }
 
+  /// Repeats that may be made now; a part of one is saved up.
+  double left() const { return tokens_; }
+
  private:
   double ratio_;
   double burst_ = 0;
@@ -38,4 +41,4 @@
   bool is_new_ = true;
 };
 
-}  // namespace coursepond::egress
+}  // namespace coursepond::proxy
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -128,9 +128,17 @@
   const auto target_ms = parseNumber<std::uint32_t>(takeItem(text));
   const std::string_view repeatable = takeItem(text);
   const std::string_view call = takeItem(text);
+  const auto repeat_units = parseNumber<std::uint32_t>(takeItem(text));
   if (!rank || !target_ms) return std::nullopt;
-  return proxy::HopClass{std::string(service), *rank, std::chrono::milliseconds(*target_ms),
-                         repeatable == "1", call == "1"};
+  proxy::HopClass hop;
+  hop.service = service;
+  hop.rank = *rank;
+  hop.target_latency = std::chrono::milliseconds(*target_ms);
+  hop.is_repeatable = repeatable == "1";
+  hop.is_call = call == "1";
+  // A node of an earlier release does not tell it.
+  hop.repeat_share = std::min(1.0, repeat_units.value_or(0) / proxy::kRepeatShareUnits);
+  return hop;
 }
 
 std::optional<proxy::HopLoad> parseHopLoad(std::string_view text) {
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "core/http_headers.h"
 
@@ -133,7 +134,10 @@
   out.append(",");
   appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(hop.target_latency)));
   out.append(hop.is_repeatable ? ",1" : ",0");
-  out.append(hop.is_call ? ",1\r\n" : ",0\r\n");
+  out.append(hop.is_call ? ",1," : ",0,");
+  appendNumber(
+      out, static_cast<std::uint64_t>(std::lround(hop.repeat_share * proxy::kRepeatShareUnits)));
+  out.append(kLineEnd);
 }
 
 void appendContext(std::string& out, const AnswerContext& context) {
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -15,6 +15,7 @@
 #include "core/time.h"
 #include "egress/settings.h"
 #include "ingress/settings.h"
+#include "proxy/retry_accounts.h"
 #include "proxy/settings.h"
 #include "runtime/header_names.h"
 #include "runtime/promises.h"
@@ -126,6 +127,7 @@
   proxy::Settings data_path;
   TwoHopSettings two_hop;
   egress::Settings egress;
+  proxy::RetryAllowanceSettings retries;
   ingress::Settings ingress;
   source::WatchSettings watch;
   source::RelaySettings relay;
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -373,10 +373,10 @@
                       FIELD(egress.configuration_certain_for)));
   keys.push_back(percentKey(section, "retry_ratio_percent", {0, 100},
                             "Repeats that one node may add to a service, of its first attempts.",
-                            FIELD(egress.retry_ratio)));
+                            FIELD(retries.ratio)));
   keys.push_back(numberKey(section, "retry_burst", {0, 100'000}, "",
                            "Repeats that all nodes together may add at once.",
-                           FIELD(egress.retry_burst)));
+                           FIELD(retries.burst)));
   keys.push_back(
       numberKey(section, "servers_compared", {1, 10'000}, "",
                 "Servers of the own zone, and as many of the others, drawn at random, of "
--- a/tests/egress/decision_log_test.cpp
+++ b/tests/egress/decision_log_test.cpp
@@ -38,7 +38,8 @@
 
   proxy::VirtualEnvironment environment;
   RecordingLog log;
-  EgressState state{Settings(), environment};
+  proxy::RetryAccounts retries;
+  EgressState state{Settings(), retries, environment};
 };
 
 }  // namespace
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -23,16 +23,15 @@
 class EgressFixture {
  public:
   explicit EgressFixture(double retry_burst = 100)
-      : state(makeSettings(retry_burst), environment) {}
+      : retries({.burst = retry_burst}), state(makeSettings(), retries, environment) {}
 
-  static Settings makeSettings(double retry_burst) {
+  static Settings makeSettings() {
     Settings settings;
     settings.own_zone = ZoneId("a");
     settings.own_service = ServiceName("shop");
     settings.own_server_host = "10.0.0.99";
     settings.ingress_port = kIngressPort;
     settings.expects_signature = true;
-    settings.retry_burst = retry_burst;
     return settings;
   }
 
@@ -99,6 +98,7 @@
   }
 
   proxy::VirtualEnvironment environment;
+  proxy::RetryAccounts retries;
   EgressState state;
 
  private:
@@ -156,7 +156,7 @@
 
 TEST_CASE("a node that may have missed a version does not say that there is no route") {
   EgressFixture egress;
-  Settings settings = EgressFixture::makeSettings(100);
+  Settings settings = EgressFixture::makeSettings();
   settings.configuration_certain_for = seconds(2);
   egress.state.changeSettings(settings);
   egress.begin(1);
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -17,7 +17,7 @@
 /// An ingress whose server "i-1" of service "stock" has two slots.
 class IngressFixture {
  public:
-  IngressFixture() : state(makeSettings(), environment) {
+  IngressFixture() : state(makeSettings(), retries, environment) {
     state.setAddress({"127.0.0.1", 9000});
     listServer("i-1");
   }
@@ -58,6 +58,7 @@
   }
 
   proxy::VirtualEnvironment environment;
+  proxy::RetryAccounts retries;
   IngressState state;
 };
 
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -19,8 +19,9 @@
   proxy::VirtualEnvironment environment;
   NoSource client;
   source::WatchSettings settings;
-  egress::EgressState egress{egress::Settings(), environment};
-  ingress::IngressState ingress{ingress::Settings(), environment};
+  proxy::RetryAccounts retries;
+  egress::EgressState egress{egress::Settings(), retries, environment};
+  ingress::IngressState ingress{ingress::Settings(), retries, environment};
   source::WatchLoop servers_watch{settings, client, environment,
                                   [](const source::WatchBatch&, bool) {}, [](const Error&) {}};
   source::WatchLoop configuration_watch{
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -284,7 +284,7 @@
     settings.two_hop.service = ServiceName(service);
     settings.headers.signature = kSignature;
     settings.admin.readiness_path = "/ready";
-    settings.egress.retry_burst = 100;
+    settings.retries.burst = 100;
     return settings;
   }
 
