--- /dev/null
+++ b/tests/support/arrival_ledger.h
@@ -0,0 +1,99 @@
+#pragma once
+
+/// What servers saw, held against the operator's bound on repeats: within every window, the
+/// arrivals at a service beyond the first of each request, and those of calls that a repeated run
+/// makes, stay within a ratio of the requests for it plus a burst.
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+
+namespace coursepond::testing {
+
+/// The bound on repeats, as operators state it.
+struct RepeatBound {
+  double ratio = 0.2;
+  double burst = 62;
+  Duration window = std::chrono::seconds(10);
+};
+
+/// The window that came closest to its bound, or went furthest beyond it.
+struct WorstWindow {
+  std::size_t repeats = 0;
+  double allowed = 0;
+  TimePoint begins;
+};
+
+class ArrivalLedger {
+ public:
+  /// A caller or a server wants `service`, whether the request arrives or not.
+  void noteRequest(const std::string& service, TimePoint now) {
+    services_[service].requests.push_back(now);
+  }
+
+  /// Returns whether it counts as a repeat.
+  bool noteArrival(const std::string& service, const std::string& request, bool parent_is_repeat,
+                   TimePoint now) {
+    Service& seen = services_[service];
+    const bool is_first = seen.arrived.insert(request).second;
+    const bool is_repeat = !is_first || parent_is_repeat;
+    if (is_repeat) seen.repeats.push_back(now);
+    return is_repeat;
+  }
+
+  std::size_t repeats(const std::string& service) { return services_[service].repeats.size(); }
+  std::size_t requests(const std::string& service) { return services_[service].requests.size(); }
+
+  /// Over all windows that end with a repeat.
+  WorstWindow worst(const std::string& service, const RepeatBound& bound) {
+    const Service& seen = services_[service];
+    WorstWindow worst;
+    double worst_excess = 0;
+    for (const TimePoint end : seen.repeats) {
+      const TimePoint begin = end - bound.window;
+      WorstWindow window;
+      window.begins = begin;
+      window.repeats = countBetween(seen.repeats, begin, end);
+      window.allowed = bound.ratio * mostRequests(seen, begin, bound.window) + bound.burst;
+      const double excess = static_cast<double>(window.repeats) - window.allowed;
+      if (worst.allowed != 0 && excess <= worst_excess) continue;
+      worst = window;
+      worst_excess = excess;
+    }
+    return worst;
+  }
+
+ private:
+  struct Service {
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> repeats;
+    std::set<std::string> arrived;
+  };
+
+  /// After `begin`, up to `end`; `times` rise.
+  static std::size_t countBetween(const std::vector<TimePoint>& times, TimePoint begin,
+                                  TimePoint end) {
+    const auto first = std::upper_bound(times.begin(), times.end(), begin);
+    const auto last = std::upper_bound(times.begin(), times.end(), end);
+    return static_cast<std::size_t>(last - first);
+  }
+
+  /// In the window, in the one before it, or half a window before it, whichever holds most.
+  static double mostRequests(const Service& seen, TimePoint begin, Duration window) {
+    std::size_t most = 0;
+    for (const Duration back : {Duration(0), window / 2, window}) {
+      const TimePoint from = begin - back;
+      most = std::max(most, countBetween(seen.requests, from, from + window));
+    }
+    return static_cast<double>(most);
+  }
+
+  std::map<std::string, Service> services_;
+};
+
+}  // namespace coursepond::testing
--- /dev/null
+++ b/tests/support/simulated_mesh.h
@@ -0,0 +1,396 @@
+#pragma once
+
+/// A mesh of two-hop nodes in virtual time: each has the egress and the ingress of the product and
+/// a model of the server beside it, which makes calls of its own through its node. No sockets: what
+/// one side sends arrives at the other after a fixed delay.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "egress/egress_flow.h"
+#include "egress/egress_state.h"
+#include "ingress/ingress_flow.h"
+#include "ingress/ingress_state.h"
+#include "support/arrival_ledger.h"
+#include "support/virtual_environment.h"
+
+namespace coursepond::testing {
+
+/// How the servers of one service behave.
+struct ServiceModel {
+  std::string name;
+  int servers = 1;
+  Duration work = std::chrono::milliseconds(40);
+  /// Called by a run, all at once; the run fails when one of them does.
+  std::string calls = {};
+  int calls_per_run = 0;
+  /// The part of the requests whose runs make calls: the same ones each time they run.
+  double calling_share = 1;
+  /// The part of the runs whose answer is lost with the connection.
+  double answers_lost = 0;
+};
+
+class SimulatedMesh {
+ public:
+  static constexpr Duration kHopDelay = std::chrono::milliseconds(1);
+  static constexpr std::uint32_t kSlots = 24;
+  static constexpr std::uint32_t kMaxAttempts = 3;
+  static constexpr Duration kCallDeadline = std::chrono::milliseconds(400);
+
+  /// `child_ids`: a call's id is its parent's, a dot and a part of its own.
+  SimulatedMesh(const std::vector<ServiceModel>& services, std::uint64_t seed,
+                bool child_ids = true)
+      : environment_(seed), random_(seed), has_child_ids_(child_ids) {
+    for (const ServiceModel& service : services) {
+      models_[service.name] = service;
+      for (int number = 0; number < service.servers; ++number) addNode(service.name);
+    }
+    for (const auto& node : nodes_) begin(*node);
+  }
+
+  ServiceModel& model(const std::string& service) { return models_[service]; }
+  ArrivalLedger& ledger() { return ledger_; }
+  proxy::VirtualEnvironment& environment() { return environment_; }
+  std::size_t nodes() const { return nodes_.size(); }
+  /// Requests of callers (not calls) that got this status.
+  int answered(int status) { return answered_[status]; }
+
+  /// Callers send `per_second` requests for `service`, evenly spaced, by turns at all nodes.
+  void load(const std::string& service, int per_second) {
+    const Duration gap = Duration(std::chrono::seconds(1)) / per_second;
+    environment_.schedule(gap, [this, service, per_second] {
+      Node& node = *nodes_[next_node_++ % nodes_.size()];
+      const std::string id = "r" + std::to_string(++last_id_);
+      request(node, service, id, "client", std::chrono::milliseconds(1500),
+              [this](int status) { ++answered_[status]; });
+      load(service, per_second);
+    });
+  }
+
+  void run(Duration span) { environment_.advance(span); }
+
+  /// The node's process ends and starts again; what it did is lost.
+  void restart(std::size_t index) {
+    Node& old = *nodes_[index];
+    auto fresh = std::make_unique<Node>(old.service, old.entry, environment_);
+    fresh->life = ++last_life_;
+    retired_.push_back(std::move(nodes_[index]));
+    nodes_[index] = std::move(fresh);
+    begin(*nodes_[index]);
+  }
+
+  /// Only these first nodes are listed from now on.
+  void listOnly(std::size_t count) {
+    for (const auto& node : nodes_) list(*node, count);
+  }
+
+  proxy::RetryAccounts& retries(std::size_t index) { return nodes_[index]->retries; }
+
+ private:
+  static constexpr std::uint16_t kIngressPort = 8300;
+
+  struct Node {
+    Node(std::string its_service, model::ServerEntry its_entry, Environment& environment)
+        : service(std::move(its_service)),
+          entry(std::move(its_entry)),
+          egress(egressSettings(entry), retries, environment),
+          ingress(ingressSettings(service), retries, environment) {}
+
+    static egress::Settings egressSettings(const model::ServerEntry& entry) {
+      egress::Settings settings;
+      settings.own_zone = entry.zone;
+      settings.own_service = entry.service;
+      settings.own_server_host = entry.address.host;
+      settings.ingress_port = kIngressPort;
+      return settings;
+    }
+
+    static ingress::Settings ingressSettings(const std::string& service) {
+      ingress::Settings settings;
+      settings.own_service = ServiceName(service);
+      return settings;
+    }
+
+    std::string service;
+    model::ServerEntry entry;
+    proxy::RetryAccounts retries;
+    egress::EgressState egress;
+    ingress::IngressState ingress;
+    std::uint64_t life = 0;
+  };
+
+  class Hop;
+
+  /// A request at the egress of the node where it begins.
+  class Begun final : public proxy::RequestIo {
+   public:
+    Begun(SimulatedMesh& mesh, Node& node, std::string service, std::string id,
+          std::function<void(int)> done, bool parent_is_repeat)
+        : mesh_(mesh),
+          node_(node),
+          service_(std::move(service)),
+          id_(std::move(id)),
+          done_(std::move(done)),
+          parent_is_repeat_(parent_is_repeat) {}
+
+    void start(const std::string& caller_host, Duration deadline) {
+      proxy::RequestHead head;
+      head.request_id = id_;
+      head.method = "GET";
+      head.host = "mesh";
+      head.path = "/" + service_ + "/1";
+      head.deadline = deadline;
+      head.caller_host = caller_host;
+      flow_ = egress::makeEgressFlow(std::move(head), node_.egress, mesh_.environment_, *this);
+      flow_->start();
+    }
+
+    void startAttempt(const proxy::AttemptPlan& plan) override;
+    void cancelAttempt(proxy::AttemptId attempt) override;
+    void discardAnswer(proxy::AttemptId) override {}
+    void forwardAnswer(proxy::AttemptId attempt) override {
+      mesh_.environment_.schedule(Duration(0), [this, attempt] {
+        flow_->onAnswerComplete(attempt);
+        finish(status_);
+      });
+    }
+    void answerLocally(const proxy::LocalAnswer& answer) override {
+      mesh_.environment_.schedule(Duration(0), [this, status = answer.status] { finish(status); });
+    }
+
+    void onReceived(proxy::AttemptId attempt) { flow_->onAttemptReceived(attempt); }
+    void onHead(proxy::AttemptId attempt, const proxy::AnswerHead& head) {
+      status_ = head.status;
+      flow_->onAnswerHead(attempt, head);
+    }
+
+   private:
+    void finish(int status) {
+      if (done_) std::exchange(done_, nullptr)(status);
+    }
+
+    SimulatedMesh& mesh_;
+    Node& node_;
+    std::string service_;
+    std::string id_;
+    std::function<void(int)> done_;
+    bool parent_is_repeat_;
+    int status_ = 0;
+    std::unique_ptr<proxy::Exchange> flow_;
+    std::map<proxy::AttemptId, Hop*> hops_;
+  };
+
+  /// One attempt at the ingress of another node, and its run at the server there.
+  class Hop final : public proxy::RequestIo {
+   public:
+    Hop(SimulatedMesh& mesh, Node& node, Begun& origin, proxy::AttemptPlan plan, std::string id,
+        bool parent_is_repeat)
+        : mesh_(mesh),
+          node_(node),
+          origin_(origin),
+          plan_(std::move(plan)),
+          id_(std::move(id)),
+          parent_is_repeat_(parent_is_repeat) {}
+
+    void arrive() {
+      if (is_cancelled_) return;
+      proxy::RequestHead head;
+      head.request_id = id_;
+      head.method = "GET";
+      head.deadline = plan_.remaining;
+      head.hop_class = plan_.hop_class;
+      head.target_instance = plan_.target_instance;
+      flow_ = ingress::makeIngressFlow(std::move(head), node_.ingress, mesh_.environment_, *this);
+      flow_->start();
+      toOrigin([this] { origin_.onReceived(plan_.id); });
+    }
+
+    void cancel() {
+      is_cancelled_ = true;
+      if (flow_) flow_->onCallerGone();
+    }
+
+    void startAttempt(const proxy::AttemptPlan& plan) override {
+      run_ = plan.id;
+      const std::string& service = node_.service;
+      is_repeat_ = mesh_.ledger_.noteArrival(service, id_, parent_is_repeat_, mesh_.now());
+      const ServiceModel& model = mesh_.models_[service];
+      mesh_.environment_.schedule(model.work, [this, run = plan.id] { afterWork(run); });
+    }
+    void cancelAttempt(proxy::AttemptId) override { run_ = 0; }
+    void forwardAnswer(proxy::AttemptId attempt) override {
+      proxy::AnswerHead head = answerHead(status_);
+      head.is_signed = true;
+      toOrigin([this, head] { origin_.onHead(plan_.id, head); });
+      mesh_.environment_.schedule(Duration(0),
+                                  [this, attempt] { flow_->onAnswerComplete(attempt); });
+    }
+    void answerLocally(const proxy::LocalAnswer& answer) override {
+      proxy::AnswerHead head = answerHead(answer.status);
+      head.not_run = answer.outcome == proxy::Outcome::kNotRun;
+      head.node_outcome = head.not_run ? "not-run" : "unknown";
+      reason_ = answer.reason;
+      head.node_reason = reason_;
+      head.retry_after = answer.retry_after;
+      toOrigin([this, head] { origin_.onHead(plan_.id, head); });
+    }
+
+   private:
+    proxy::AnswerHead answerHead(int status) const {
+      proxy::AnswerHead head;
+      head.status = status;
+      head.request_id = id_;
+      head.hop_load = node_.ingress.load();
+      return head;
+    }
+
+    void toOrigin(std::function<void()> message) {
+      mesh_.environment_.schedule(kHopDelay, [this, message = std::move(message)] {
+        if (!is_cancelled_) message();
+      });
+    }
+
+    void afterWork(proxy::AttemptId run) {
+      if (run_ != run) return;
+      const ServiceModel& model = mesh_.models_[node_.service];
+      const bool is_calling = !model.calls.empty() && mesh_.shareOf(id_) < model.calling_share;
+      calls_open_ = is_calling ? model.calls_per_run : 0;
+      if (calls_open_ == 0) return end(run);
+      for (int number = 0; number < model.calls_per_run; ++number) {
+        mesh_.request(
+            node_, model.calls, mesh_.idOfCall(id_), node_.entry.address.host, kCallDeadline,
+            [this, run](int status) { onCallEnded(run, status); }, is_repeat_);
+      }
+    }
+
+    void onCallEnded(proxy::AttemptId run, int status) {
+      if (status != 200) has_failed_call_ = true;
+      if (--calls_open_ == 0) end(run);
+    }
+
+    void end(proxy::AttemptId run) {
+      if (run_ != run) return;
+      if (mesh_.chance(mesh_.models_[node_.service].answers_lost)) {
+        return flow_->onAttemptFailed(run, proxy::AttemptFailure::kLostAfterSend);
+      }
+      status_ = has_failed_call_ ? 500 : 200;
+      proxy::AnswerHead head;
+      head.status = status_;
+      head.request_id = id_;
+      head.is_signed = true;
+      flow_->onAnswerHead(run, head);
+    }
+
+    SimulatedMesh& mesh_;
+    Node& node_;
+    Begun& origin_;
+    proxy::AttemptPlan plan_;
+    std::string id_;
+    bool parent_is_repeat_;
+    bool is_repeat_ = false;
+    bool is_cancelled_ = false;
+    bool has_failed_call_ = false;
+    int calls_open_ = 0;
+    int status_ = 0;
+    std::string reason_;
+    proxy::AttemptId run_ = 0;
+    std::unique_ptr<proxy::Exchange> flow_;
+  };
+
+  void addNode(const std::string& service) {
+    const std::string number = std::to_string(nodes_.size() + 1);
+    model::ServerEntry entry;
+    entry.id = EndpointId("s" + number);
+    entry.service = ServiceName(service);
+    entry.address = {"10.0.0." + number, 9000};
+    entry.zone = ZoneId("z" + std::to_string(nodes_.size() % 3));
+    entry.slots = kSlots;
+    nodes_.push_back(std::make_unique<Node>(service, entry, environment_));
+  }
+
+  void begin(Node& node) {
+    auto snapshot = std::make_shared<model::Snapshot>();
+    snapshot->version = Version(1);
+    for (const auto& [name, service] : models_) {
+      model::Route route;
+      route.name = RouteName(name);
+      route.match.path_prefix = "/" + name;
+      route.service = ServiceName(name);
+      route.repeatability = model::Repeatability::kAlways;
+      route.longest_hold = std::chrono::milliseconds(1200);
+      route.target_latency = std::chrono::milliseconds(400);
+      route.max_attempts = kMaxAttempts;
+      snapshot->routes.push_back(std::move(route));
+    }
+    node.egress.apply(snapshot);
+    node.ingress.setServer(node.entry);
+    list(node, nodes_.size());
+  }
+
+  void list(Node& node, std::size_t count) {
+    std::vector<model::ServerEntry> entries;
+    for (std::size_t index = 0; index < count; ++index) entries.push_back(nodes_[index]->entry);
+    node.egress.directory().replaceAll(entries, now());
+    node.egress.onDirectoryChanged();
+  }
+
+  void request(Node& node, const std::string& service, const std::string& id,
+               const std::string& caller_host, Duration deadline, std::function<void(int)> done,
+               bool parent_is_repeat = false) {
+    if (!parent_is_repeat) ledger_.noteRequest(service, now());
+    begun_.push_back(
+        std::make_unique<Begun>(*this, node, service, id, std::move(done), parent_is_repeat));
+    begun_.back()->start(caller_host, deadline);
+  }
+
+  Node& nodeAt(const std::string& host) {
+    for (const auto& node : nodes_) {
+      if (node->entry.address.host == host) return *node;
+    }
+    return *nodes_.front();
+  }
+
+  TimePoint now() const { return environment_.now(); }
+  bool chance(double share) { return std::uniform_real_distribution<>(0, 1)(random_) < share; }
+  /// The same for each run of a request, evenly from 0 to 1.
+  static double shareOf(const std::string& id) {
+    return static_cast<double>(std::hash<std::string>()(id) % 1000) / 1000;
+  }
+  std::string idOfCall(const std::string& parent) {
+    const std::string own = "c" + std::to_string(++last_id_);
+    return has_child_ids_ ? parent + "." + own : own;
+  }
+
+  proxy::VirtualEnvironment environment_;
+  std::mt19937_64 random_;
+  bool has_child_ids_;
+  std::map<std::string, ServiceModel> models_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<Node>> retired_;
+  std::vector<std::unique_ptr<Begun>> begun_;
+  std::vector<std::unique_ptr<Hop>> hops_;
+  ArrivalLedger ledger_;
+  std::map<int, int> answered_;
+  std::size_t next_node_ = 0;
+  std::uint64_t last_id_ = 0;
+  std::uint64_t last_life_ = 0;
+};
+
+inline void SimulatedMesh::Begun::startAttempt(const proxy::AttemptPlan& plan) {
+  Node& target = mesh_.nodeAt(plan.endpoint.address.host);
+  mesh_.hops_.push_back(std::make_unique<Hop>(mesh_, target, *this, plan, id_, parent_is_repeat_));
+  Hop* const hop = mesh_.hops_.back().get();
+  hops_[plan.id] = hop;
+  mesh_.environment_.schedule(kHopDelay, [hop] { hop->arrive(); });
+}
+
+inline void SimulatedMesh::Begun::cancelAttempt(proxy::AttemptId attempt) {
+  Hop* const hop = hops_[attempt];
+  mesh_.environment_.schedule(kHopDelay, [hop] { hop->cancel(); });
+}
+
+}  // namespace coursepond::testing
