--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -77,11 +77,15 @@
   }
   bool shouldRepeat(const AnswerHead& answer, TimePoint now);
   void onNotRun(const AnswerHead& answer, TimePoint now);
+  void onTurnedAway(const AnswerHead& answer, TimePoint now);
+  void onOtherInstance(TimePoint now);
+  void onServerRefused(TimePoint now);
   void onUnknown(Reason reason, TimePoint now);
   void onLostUnread(TimePoint now);
   void onSilent(TimePoint now);
   void noteArrival();
   bool mayRepeat(RepeatReason reason, TimePoint now);
+  proxy::RepeatUse repeatUse(RepeatReason reason, TimePoint now);
   void releaseServer();
 
   void note(proxy::DecisionKind kind, std::string_view reason, int status) const;
@@ -101,10 +105,7 @@
   }
 
   /// How likely it is that the attempt that begins counts as a repeat.
-  double repeatShare() const {
-    if (may_have_arrived_) return 1;
-    return isCall() ? state_.retries().repeatShareOfCalls() : 0;
-  }
+  double repeatShare() const { return has_arrived_ ? 1 : first_repeat_share_; }
 
   Duration target() const {
     const Duration target = route_ != nullptr ? route_->target_latency : Duration(0);
@@ -123,17 +124,20 @@
   Phase phase_ = Phase::kNew;
   AttemptId attempt_ = 0;
   std::uint32_t arrivals_ = 0;          ///< Servers that may have seen the request.
+  double first_repeat_share_ = 0;       ///< How likely the first attempt counts as a repeat.
   std::uint32_t full_ingresses_ = 0;    ///< That refused it for want of room.
   std::uint32_t silent_ingresses_ = 0;  ///< That did not say that they have it.
   std::uint32_t max_attempts_ = 1;
   bool is_repeatable_ = false;
   bool may_have_run_ = false;
-  bool may_have_arrived_ = false;  ///< At a server, in an attempt before this one.
-  bool was_received_ = false;      ///< The current attempt, by its ingress.
-  bool arrival_noted_ = false;     ///< Of the current attempt.
-  bool outcome_noted_ = false;     ///< For the throttle.
+  bool has_arrived_ = false;           ///< Maybe, at a server, in an attempt before this one.
+  bool asked_other_instance_ = false;  ///< Of the same server, for this request.
+  bool was_received_ = false;          ///< The current attempt, by its ingress.
+  bool arrival_noted_ = false;         ///< Of the current attempt.
+  bool outcome_noted_ = false;         ///< For the throttle.
   bool was_refused_ = false;
-  bool is_late_ = false;  ///< The deadline ended it.
+  bool is_late_ = false;       ///< The deadline ended it.
+  bool holds_repeat_ = false;  ///< Charged for an arrival that has not been yet.
   std::optional<Duration> retry_after_;
   TimePoint deadline_;
   TimePoint started_;
@@ -222,8 +226,9 @@
   was_received_ = false;
   arrival_noted_ = false;
   state_.deadlines().arm(*this, std::min(latest(), now + state_.receiptTimeout(target())));
-  if (attempt_ == 1) state_.retries().onFirstAttempt(service_);
-  if (attempt_ == 1 && isCall()) state_.retries().onCall(service_);
+  if (attempt_ == 1) {
+    first_repeat_share_ = state_.retries().onFirstAttempt(service_, head_.request_id);
+  }
   io_.startAttempt(makePlan(now));
 }
 
@@ -251,7 +256,8 @@
 void EgressFlow::noteArrival() {
   if (std::exchange(arrival_noted_, true)) return;
   ++arrivals_;
-  may_have_arrived_ = true;
+  has_arrived_ = true;
+  holds_repeat_ = false;
   tried_.push_back(server_->entry.id);
 }
 
@@ -288,14 +294,13 @@
   }
 }
 
-/// The ingress ended before it said that it has the request, most likely without having read it.
-/// No server can be told to have seen it, so that neither allowance nor attempts are charged.
+/// The ingress ended before it said that it has the request. Its word may be what was lost: a reset
+/// discards what this node has not read yet, so that a server may have seen the request.
 void EgressFlow::onLostUnread(TimePoint now) {
   may_have_run_ = true;
-  may_have_arrived_ = true;
-  ++state_.statistics().lost_unread;
-  tried_.push_back(server_->entry.id);
+  noteArrival();
   releaseServer();
+  if (!mayRepeat(RepeatReason::kIngressLost, now)) return conclude(Reason::kConnectionLost);
   if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
   conclude(Reason::kConnectionLost);
 }
@@ -396,19 +401,39 @@
   if (answer.retry_after) {
     retry_after_ = std::min(retry_after_.value_or(*answer.retry_after), *answer.retry_after);
   }
-  const bool server_saw_it = answer.node_reason == reasonWord(Reason::kServerRefused);
-  if (!server_saw_it) {
-    ++state_.statistics().hop_refusals;
-    tried_.push_back(server_->entry.id);
-    releaseServer();
-    if (now >= deadline_) return conclude(Reason::kDeadline);
-    if (isForWantOfRoom(answer)) ++full_ingresses_;
-    if (full_ingresses_ >= state_.settings().most_full_ingresses) {
-      noteOutcome(false, now);
-      return conclude(Reason::kQueueFull);
-    }
-    return sendOrWait(now);
-  }
+  if (answer.node_reason == reasonWord(Reason::kOtherInstance)) return onOtherInstance(now);
+  if (answer.node_reason == reasonWord(Reason::kServerRefused)) return onServerRefused(now);
+  onTurnedAway(answer, now);
+}
+
+/// By the ingress: no server saw the request.
+void EgressFlow::onTurnedAway(const AnswerHead& answer, TimePoint now) {
+  ++state_.statistics().hop_refusals;
+  tried_.push_back(server_->entry.id);
+  releaseServer();
+  if (now >= deadline_) return conclude(Reason::kDeadline);
+  const bool is_over_budget = answer.node_reason == reasonWord(Reason::kRetryBudget);
+  if (isForWantOfRoom(answer) || is_over_budget) ++full_ingresses_;
+  if (full_ingresses_ < state_.settings().most_full_ingresses) return sendOrWait(now);
+  if (is_over_budget) return conclude(Reason::kRetryBudget);
+  noteOutcome(false, now);
+  conclude(Reason::kQueueFull);
+}
+
+/// Another start of the server has the address. The ingress knows it now, so that it is asked
+/// again; for the service this is a further server that sees the request.
+void EgressFlow::onOtherInstance(TimePoint now) {
+  if (std::exchange(asked_other_instance_, true)) return onServerRefused(now);
+  ++state_.statistics().server_refusals;
+  has_arrived_ = true;
+  holds_repeat_ = false;
+  ServerPointer server = server_;
+  releaseServer();
+  if (!mayRepeat(RepeatReason::kOtherInstance, now)) return conclude(Reason::kServerRefused);
+  send(std::move(server), now);
+}
+
+void EgressFlow::onServerRefused(TimePoint now) {
   ++state_.statistics().server_refusals;
   noteArrival();
   releaseServer();
@@ -432,14 +457,25 @@
 bool EgressFlow::mayRepeat(RepeatReason reason, TimePoint now) {
   if (may_have_run_ && !is_repeatable_) return false;
   if (arrivals_ >= max_attempts_ || deadline_ - now < kLeastForRepeat) return false;
-  if (!state_.retries().takeRepeat(service_, reason)) {
+  if (!state_.retries().takeRepeat(service_, reason, repeatUse(reason, now))) {
     ++state_.statistics().repeats_denied;
+    note(proxy::DecisionKind::kRepeatDenied, repeatWord(reason), 0);
     return false;
   }
   ++state_.statistics().repeats;
+  holds_repeat_ = true;
   return true;
 }
 
+/// Repeats that can still be in time and were not turned away go before the others.
+proxy::RepeatUse EgressFlow::repeatUse(RepeatReason reason, TimePoint now) {
+  const Duration usual =
+      part(std::chrono::milliseconds(1), state_.use(service_).average_latency_ms);
+  const bool is_in_time = now + usual <= started_ + target();
+  const bool was_turned_away = reason == RepeatReason::kServerRefused;
+  return is_in_time && !was_turned_away ? proxy::RepeatUse::kAll : proxy::RepeatUse::kHalf;
+}
+
 // ---- Ends
 
 void EgressFlow::onDeadline(TimePoint now) {
@@ -502,6 +538,7 @@
 }
 
 void EgressFlow::conclude(Reason reason) {
+  if (holds_repeat_ && !server_) state_.retries().giveBackRepeat(service_);
   const proxy::LocalAnswer answer = makeAnswer(reason);
   Statistics& statistics = state_.statistics();
   if (answer.status == kServiceUnavailable) ++statistics.refused;
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -29,7 +29,6 @@
   std::uint64_t answers_cut = 0;
   std::uint64_t attempts = 0;
   std::uint64_t repeats = 0;          ///< Attempts that a second server saw.
-  std::uint64_t lost_unread = 0;      ///< Sent on, since an ingress ended before its receipt.
   std::uint64_t repeats_denied = 0;   ///< For want of allowance.
   std::uint64_t hop_refusals = 0;     ///< By ingresses: no server saw the request.
   std::uint64_t server_refusals = 0;  ///< By servers, which did not run it.
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -49,7 +49,6 @@
   // DeadlineEntry
   void onDeadline(TimePoint now) override;
 
-  double repeatShare() const { return head_.hop_class ? head_.hop_class->repeat_share : 0; }
   WaitBounds waitBounds(TimePoint now) const;
   void attempt(TimePoint now);
   bool isCurrent(AttemptId attempt, Phase phase) const {
@@ -73,6 +72,7 @@
   Phase phase_ = Phase::kNew;
   AttemptId attempt_ = 0;
   std::string instance_;  ///< That the current attempt is for.
+  proxy::ServerRun run_;
   bool has_slot_ = false;
   bool may_have_run_ = false;
   TimePoint started_;
@@ -97,6 +97,9 @@
   rank = hop.rank;
   is_call = hop.is_call;
   due = now + target;
+  run_.request = head_.request_id;
+  run_.repeat_share = hop.repeat_share;
+  if (!state_.retries().admit(run_)) return conclude(Reason::kRetryBudget, now);
   const WaitBounds bounds = waitBounds(now);
   if (const auto refusal = state_.admit(*this, bounds, now)) return conclude(*refusal, now);
   if (phase_ == Phase::kWaiting) state_.deadlines().arm(*this, std::min(bounds.slot, deadline_));
@@ -111,7 +114,7 @@
 
 void IngressFlow::onSlot(TimePoint now) {
   has_slot_ = true;
-  state_.retries().onRunStarted(repeatShare());
+  state_.retries().onStarted(run_);
   if (now >= deadline_) return conclude(Reason::kDeadline, now);
   state_.deadlines().arm(*this, deadline_);
   attempt(now);
@@ -119,7 +122,7 @@
 
 void IngressFlow::attempt(TimePoint now) {
   phase_ = Phase::kAttempting;
-  if (attempt_ == 0 && repeatShare() >= 1) ++state_.statistics().repeated_runs;
+  if (attempt_ == 0 && run_.repeat_share >= 1) ++state_.statistics().repeated_runs;
   ++attempt_;
   attempt_started_ = now;
   proxy::AttemptPlan plan;
@@ -185,10 +188,9 @@
   io_.discardAnswer(attempt_);
   const bool was_started_anew =
       answer.status == kMisdirected && !answer.instance.empty() && answer.instance != instance_;
-  if (was_started_anew && attempt_ < state_.settings().local_tries && now < deadline_) {
+  if (was_started_anew) {
     state_.learnInstance(answer.instance);
-    ++state_.statistics().other_instance;
-    return attempt(now);
+    return conclude(Reason::kOtherInstance, now);
   }
   if (answer.status != kMisdirected) state_.pause(state_.settings().refused_pause, now);
   conclude(Reason::kServerRefused, now);
@@ -246,9 +248,9 @@
   phase_ = Phase::kFinished;
   state_.deadlines().disarm(*this);
   state_.leave(*this);
+  state_.retries().remove(run_);
   if (!has_slot_) return;
   has_slot_ = false;
-  state_.retries().onRunEnded(repeatShare());
   state_.release(now);
 }
 
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -33,7 +33,6 @@
   std::uint64_t displaced = 0;         ///< Made room for a more urgent request.
   std::uint64_t expired = 0;           ///< The deadline passed while waiting.
   std::uint64_t repeated_runs = 0;     ///< Given to the server though another may have seen them.
-  std::uint64_t other_instance = 0;    ///< Sent again, since another start of the server answered.
   std::uint64_t server_refusals = 0;
   std::uint64_t server_unreachable = 0;
   std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
--- a/src/node/retry_report.cpp
+++ b/src/node/retry_report.cpp
@@ -35,13 +35,15 @@
     const std::string repeats = repeatsSince(told, now);
     const std::uint64_t denied = now.denied - told.denied;
     const double calls = now.calls_of_repeats - told.calls_of_repeats;
-    const bool is_quiet = repeats.empty() && denied == 0 && calls == 0;
+    const std::uint64_t runs_denied = now.runs_denied - told.runs_denied;
+    const bool is_quiet = repeats.empty() && denied == 0 && runs_denied == 0 && calls == 0;
     if (!is_quiet) {
       lines.push_back({{"service", service.value()},
                        {"first_attempts", std::to_string(now.first_attempts - told.first_attempts)},
                        {"repeats", repeats},
                        {"calls_of_repeats", oneDecimal(calls)},
                        {"denied", std::to_string(denied)},
+                       {"runs_denied", std::to_string(runs_denied)},
                        {"left", oneDecimal(account.allowance.left())}});
     }
     told = now;
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -18,9 +18,6 @@
        {"egress_answers_total", "Server answers passed on whole.", &S::answers_forwarded},
        {"egress_attempts_total", "Requests sent to an ingress.", &S::attempts},
        {"egress_repeats_total", "Requests sent to a further server.", &S::repeats},
-       {"egress_lost_unread_total",
-        "Requests sent on since an ingress ended before it said that it has them.",
-        &S::lost_unread},
        {"egress_repeats_denied_total", "Repeats left out for want of allowance.",
         &S::repeats_denied},
        {"egress_hop_refusals_total", "Refusals by ingresses; no server saw the request.",
@@ -58,9 +55,6 @@
        {"ingress_expired_total", "Requests whose deadline passed.", &S::expired},
        {"ingress_repeated_runs_total", "Requests that another server may have seen before.",
         &S::repeated_runs},
-       {"ingress_other_instance_total",
-        "Requests sent again to the server, since another start of it answered.",
-        &S::other_instance},
        {"ingress_server_refusals_total", "Refusals by the server.", &S::server_refusals},
        {"ingress_server_unreachable_total", "Connections the server did not take.",
         &S::server_unreachable},
@@ -115,8 +109,12 @@
              [&retries] { return repeatsByReason(retries); }});
   add("retry_denied_total", MetricType::kCounter, "Repeats left out for want of allowance.",
       [](const auto& account) { return static_cast<double>(account.statistics.denied); });
+  add("retry_runs_denied_total", MetricType::kCounter,
+      "Repeats of runs of this machine's server that were turned away, since the calls they would "
+      "make to the service could not be paid for.",
+      [](const auto& account) { return static_cast<double>(account.statistics.runs_denied); });
   add("retry_calls_of_repeats_total", MetricType::kCounter,
-      "Calls of this machine's server by runs that are repeats, as expected.",
+      "Calls of this machine's server by runs that are repeats.",
       [](const auto& account) { return account.statistics.calls_of_repeats; });
   add("retry_allowance_left", MetricType::kGauge, "Repeats that may be made now.",
       [](const auto& account) { return account.allowance.left(); });
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -109,7 +109,7 @@
         environment_(context),
         log_(settings_.log.lines_per_second),
         fold_(settings_.log.equal_decisions_per_second),
-        retries_(settings_.retries),
+        retries_(environment_, settings_.retries),
         egress_(egressSettings(settings_), retries_, environment_),
         ingress_(ingressSettings(settings_), retries_, environment_),
         peer_client_(context, settings_.node.peer_listen.port, settings_.relay),
--- a/src/proxy/call_profile.cpp
+++ b/src/proxy/call_profile.cpp
@@ -24,8 +24,6 @@
   repeats_running_ = running_ == 0 ? 0 : std::max(0.0, repeats_running_ - repeat_share);
 }
 
-void CallProfile::onCall(const ServiceName& service) { calls_[service] += 1; }
-
 double CallProfile::repeatShare() const {
   if (running_ == 0) return 0;
   return std::min(1.0, repeats_running_ / static_cast<double>(running_));
--- a/src/proxy/call_profile.h
+++ b/src/proxy/call_profile.h
@@ -1,7 +1,6 @@
 #pragma once
 
-/// What the runs of one server call, as its node sees it. A call does not say which run makes it:
-/// the node knows how many runs there are, how many of them are repeats, and which calls come.
+/// What the runs of one server call, as its node sees it.
 
 #include <cstddef>
 #include <map>
@@ -16,7 +15,9 @@
   void onRunStarted(double repeat_share);
   void onRunEnded(double repeat_share);
   /// The server calls `service`.
-  void onCall(const ServiceName& service);
+  void onCall(const ServiceName& service) { calls_[service] += 1; }
+  /// What was taken for calls was not.
+  void forgetCalls() { calls_.clear(); }
 
   /// The part of the present runs that are repeats, from 0 to 1.
   double repeatShare() const;
--- a/src/proxy/decision_log.cpp
+++ b/src/proxy/decision_log.cpp
@@ -8,6 +8,8 @@
       return "forwarded";
     case DecisionKind::kAttemptEnded:
       return "attempt_ended";
+    case DecisionKind::kRepeatDenied:
+      return "repeat_denied";
     case DecisionKind::kAnsweredItself:
       return "answered_itself";
     case DecisionKind::kAnswerCut:
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -13,6 +13,7 @@
 enum class DecisionKind {
   kForwarded,       ///< A server's answer was passed on.
   kAttemptEnded,    ///< An attempt brought no answer to pass on.
+  kRepeatDenied,    ///< A further server is not asked, for want of allowance.
   kAnsweredItself,  ///< The request got its final answer from this node.
   kAnswerCut,       ///< A server's answer ended early on its way through.
   kCallerGone,      ///< The caller left; what still ran for it was cancelled.
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -30,6 +30,10 @@
       return "server_draining";
     case Reason::kWrongService:
       return "wrong_service";
+    case Reason::kRetryBudget:
+      return "retry_budget";
+    case Reason::kOtherInstance:
+      return "other_instance";
     case Reason::kServerRefused:
       return "server_refused";
     case Reason::kConnectFailed:
--- a/src/proxy/reason.h
+++ b/src/proxy/reason.h
@@ -21,6 +21,8 @@
   kDeadline,            ///< The deadline passed.
   kServerDraining,      ///< The server or its ingress is leaving.
   kWrongService,        ///< This machine's server is of another service.
+  kRetryBudget,         ///< A repeat, and the calls it would make may not be repeated now.
+  kOtherInstance,       ///< Another start of the server has the address: ask again for that one.
   kServerRefused,       ///< Servers refused, and no further attempt is allowed.
   kConnectFailed,       ///< No connection could be made.
   kConnectionLost,      ///< The connection was lost after the request was sent.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -425,6 +425,8 @@
       return;
     case Reason::kServerDraining:
     case Reason::kWrongService:
+    case Reason::kRetryBudget:
+    case Reason::kOtherInstance:
     case Reason::kServerRefused:
     case Reason::kConnectFailed:
     case Reason::kConnectionLost:
--- a/src/proxy/retry_accounts.cpp
+++ b/src/proxy/retry_accounts.cpp
@@ -1,6 +1,24 @@
 #include "proxy/retry_accounts.h"
 
 namespace coursepond::proxy {
+namespace {
+
+/// The id of a call is that of its parent, this, and a part of its own, as is usual for
+/// hierarchical request ids. Servers that do otherwise are told by averages.
+constexpr char kChildSeparator = '.';
+/// A smaller number of nodes counts after this time: longer than a source's outage lets entries
+/// lapse and come back, and than the spans of some ten seconds over which operators bound repeats.
+constexpr Duration kFewerNodesHold = std::chrono::seconds(30);
+/// Runs that are at least as likely to be a repeat may be turned away.
+constexpr double kProbableRepeat = 0.5;
+/// Of a node's part of the burst, left by those that may use half.
+constexpr double kKeptByHalf = 0.5;
+/// Steps of a random draw from 0 to 1.
+constexpr std::uint64_t kDrawSteps = 1'000'000;
+
+double keptShare(RepeatUse use) { return use == RepeatUse::kHalf ? kKeptByHalf : 0; }
+
+}  // namespace
 
 std::string_view repeatWord(RepeatReason reason) {
   switch (reason) {
@@ -21,27 +39,73 @@
 }
 
 void RetryAccounts::setNodes(std::size_t nodes) {
+  const TimePoint now = environment_.now();
+  if (nodes < nodes_) {
+    if (!std::exchange(is_told_fewer_, true)) fewer_nodes_since_ = now;
+    if (now - fewer_nodes_since_ < kFewerNodesHold) return;
+  }
+  is_told_fewer_ = false;
   nodes_ = nodes;
   for (auto& [service, account] : accounts_) account.allowance.setBurst(settings_.burst, nodes_);
 }
 
+void RetryAccounts::setBurst(double burst) {
+  settings_.burst = burst;
+  for (auto& [service, account] : accounts_) account.allowance.setBurst(settings_.burst, nodes_);
+}
+
 RetryAccount& RetryAccounts::account(const ServiceName& service) {
   const auto found = accounts_.find(service);
   if (found != accounts_.end()) return found->second;
   RetryAccount& made = accounts_.emplace(service, RetryAccount(settings_.ratio)).first->second;
-  made.allowance.setBurst(settings_.burst, nodes_);
+  if (nodes_ > 0) made.allowance.setBurst(settings_.burst, nodes_);
   return made;
 }
 
-void RetryAccounts::onFirstAttempt(const ServiceName& service) {
+double RetryAccounts::draw() {
+  return static_cast<double>(environment_.random(kDrawSteps)) / static_cast<double>(kDrawSteps);
+}
+
+// ---- Egress
+
+double RetryAccounts::onFirstAttempt(const ServiceName& service, std::string_view request) {
   RetryAccount& account = this->account(service);
   ++account.statistics.first_attempts;
-  account.allowance.onFirstAttempt();
+  ServerRun* const parent = parentOf(request);
+  if (parent != nullptr && !std::exchange(knows_calls_, true)) profile_.forgetCalls();
+  // Without a word of their parents, all that begins here may be calls.
+  const bool may_be_call = parent != nullptr || !knows_calls_;
+  if (may_be_call) profile_.onCall(service);
+  const double own_share = may_be_call ? profile_.repeatShare() : 0;
+  const double repeat_share = parent != nullptr ? parent->repeat_share : own_share;
+  account.allowance.onFirstAttempt(repeat_share);
+  if (repeat_share > 0) chargeCall(parent, service, repeat_share);
+  return repeat_share;
 }
 
-bool RetryAccounts::takeRepeat(const ServiceName& service, RepeatReason reason) {
+ServerRun* RetryAccounts::parentOf(std::string_view request) {
+  const std::size_t separator = request.rfind(kChildSeparator);
+  if (separator == std::string_view::npos) return nullptr;
+  const auto found = runs_.find(std::string(request.substr(0, separator)));
+  return found == runs_.end() ? nullptr : found->second;
+}
+
+void RetryAccounts::chargeCall(ServerRun* parent, const ServiceName& service, double repeat_share) {
   RetryAccount& account = this->account(service);
-  if (!account.allowance.take()) {
+  account.statistics.calls_of_repeats += repeat_share;
+  double cost = repeat_share;
+  if (parent != nullptr) {
+    double& held = parent->held[service];
+    const double paid = std::min(held, cost);
+    held -= paid;
+    cost -= paid;
+  }
+  account.allowance.charge(cost);
+}
+
+bool RetryAccounts::takeRepeat(const ServiceName& service, RepeatReason reason, RepeatUse use) {
+  RetryAccount& account = this->account(service);
+  if (!account.allowance.take(1, keptShare(use), draw())) {
     ++account.statistics.denied;
     return false;
   }
@@ -49,14 +113,52 @@
   return true;
 }
 
-void RetryAccounts::onCall(const ServiceName& service) { profile_.onCall(service); }
+// ---- Ingress
 
-void RetryAccounts::onRunStarted(double repeat_share) {
-  profile_.onRunStarted(repeat_share);
-  if (repeat_share <= 0) return;
+bool RetryAccounts::admit(ServerRun& run) {
+  if (run.repeat_share > 0 && !payForCalls(run)) return false;
+  runs_.emplace(run.request, &run);
+  return true;
+}
+
+/// A repeat that costs one call is worth more than one that costs all calls of a run, so that half
+/// of the allowance is left to those. A run that is hardly a repeat is charged, but never turned
+/// away.
+bool RetryAccounts::payForCalls(ServerRun& run) {
   for (const auto& [service, calls] : profile_.callsPerRun()) {
-    account(service).statistics.calls_of_repeats += repeat_share * calls;
+    RetryAccount& account = this->account(service);
+    const double cost = run.repeat_share * calls;
+    if (run.repeat_share < kProbableRepeat) {
+      account.allowance.charge(cost);
+    } else if (!account.allowance.take(cost, kKeptByHalf, draw())) {
+      ++account.statistics.runs_denied;
+      giveBackHeld(run);
+      return false;
+    }
+    run.held[service] = cost;
+  }
+  return true;
+}
+
+void RetryAccounts::giveBackHeld(ServerRun& run) {
+  for (const auto& [service, held] : run.held) account(service).allowance.giveBack(held);
+  run.held.clear();
+}
+
+void RetryAccounts::onStarted(ServerRun& run) {
+  run.is_running = true;
+  profile_.onRunStarted(run.repeat_share);
+}
+
+void RetryAccounts::remove(ServerRun& run) {
+  const auto [begin, end] = runs_.equal_range(run.request);
+  for (auto entry = begin; entry != end; ++entry) {
+    if (entry->second != &run) continue;
+    runs_.erase(entry);
+    break;
   }
+  giveBackHeld(run);
+  if (std::exchange(run.is_running, false)) profile_.onRunEnded(run.repeat_share);
 }
 
 }  // namespace coursepond::proxy
--- a/tests/node/repeat_bound_test.cpp
+++ b/tests/node/repeat_bound_test.cpp
@@ -52,4 +52,90 @@
   CHECK(mesh.ledger().repeats("transfers") > 100);
 }
 
+TEST_CASE("servers that do not name the parent of a call change nothing about the bound") {
+  SimulatedMesh mesh(callingMesh(), 8, /*child_ids=*/false);
+  mesh.load("accounts", 440);
+  mesh.load("transfers", 120);
+  mesh.run(seconds(4));
+  mesh.model("transfers").answers_lost = 0.3;
+  mesh.run(seconds(14));
+  checkWithinBound(mesh, "accounts");
+  checkWithinBound(mesh, "transfers");
+  CHECK(mesh.ledger().repeats("transfers") > 100);
+}
+
+TEST_CASE("while both hops lose answers, repeats stay within the bounds of both services") {
+  for (const double lost : {0.05, 0.2, 0.6, 1.0}) {
+    CAPTURE(lost);
+    SimulatedMesh mesh(callingMesh(), 9);
+    mesh.load("accounts", 440);
+    mesh.load("transfers", 120);
+    mesh.run(seconds(4));
+    mesh.model("accounts").answers_lost = lost;
+    mesh.model("transfers").answers_lost = lost;
+    mesh.run(seconds(14));
+    checkWithinBound(mesh, "accounts");
+    checkWithinBound(mesh, "transfers");
+  }
+}
+
+TEST_CASE("calls of calls: a repeat at the first hop is charged at each service below") {
+  ServiceModel accounts{.name = "accounts", .servers = 5};
+  accounts.calls = "transfers";
+  accounts.calls_per_run = 2;
+  ServiceModel transfers{.name = "transfers", .servers = 6};
+  transfers.calls = "ledgers";
+  transfers.calls_per_run = 2;
+  transfers.calling_share = 0.6;
+  for (const std::string failing : {"accounts", "transfers", "ledgers"}) {
+    CAPTURE(failing);
+    SimulatedMesh mesh({accounts, transfers, {.name = "ledgers", .servers = 6}}, 10);
+    mesh.load("accounts", 200);
+    mesh.load("ledgers", 20);
+    mesh.run(seconds(4));
+    mesh.model(failing).answers_lost = 0.3;
+    mesh.run(seconds(14));
+    for (const std::string service : {"accounts", "transfers", "ledgers"}) {
+      checkWithinBound(mesh, service);
+    }
+  }
+}
+
+TEST_CASE("nodes that start again do not bring the burst anew") {
+  SimulatedMesh mesh(callingMesh(), 11);
+  mesh.load("accounts", 60);
+  mesh.load("transfers", 10);
+  mesh.run(seconds(10));
+  mesh.model("transfers").answers_lost = 0.5;
+  for (int round = 0; round < 12; ++round) {
+    for (std::size_t index = 0; index < mesh.nodes(); ++index) mesh.restart(index);
+    mesh.run(seconds(1));
+  }
+  checkWithinBound(mesh, "accounts");
+  checkWithinBound(mesh, "transfers");
+}
+
+TEST_CASE("nodes that see few others in an outage of the source keep to their part of the burst") {
+  SimulatedMesh mesh(callingMesh(), 12);
+  mesh.load("accounts", 60);
+  mesh.load("transfers", 10);
+  mesh.run(seconds(10));
+  mesh.listOnly(8);
+  mesh.run(seconds(10));
+  mesh.model("transfers").answers_lost = 1;
+  mesh.run(seconds(10));
+  checkWithinBound(mesh, "transfers");
+}
+
+TEST_CASE("a mesh that loses nothing repeats nothing and serves all") {
+  SimulatedMesh mesh(callingMesh(), 13);
+  mesh.load("accounts", 440);
+  mesh.load("transfers", 120);
+  mesh.run(seconds(10));
+  CHECK(mesh.ledger().repeats("accounts") == 0);
+  CHECK(mesh.ledger().repeats("transfers") == 0);
+  CHECK(mesh.answered(200) > 5400);
+  CHECK(mesh.answered(500) + mesh.answered(502) + mesh.answered(503) + mesh.answered(504) == 0);
+}
+
 }  // namespace coursepond::testing
--- /dev/null
+++ b/tests/proxy/retry_accounts_test.cpp
@@ -0,0 +1,158 @@
+#include "proxy/retry_accounts.h"
+
+#include <doctest/doctest.h>
+
+#include "support/virtual_environment.h"
+
+namespace coursepond::proxy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kStock("stock");
+const ServiceName kPrices("prices");
+
+/// Accounts of a node among `nodes`, with a ratio of 0.15 and a burst of 45.
+struct AccountsFixture {
+  explicit AccountsFixture(std::size_t nodes) : retries(environment) { retries.setNodes(nodes); }
+
+  void earn(const ServiceName& service, int first_attempts) {
+    for (int number = 0; number < first_attempts; ++number) retries.onFirstAttempt(service, "r");
+  }
+
+  int take(const ServiceName& service, int tries, RepeatUse use = RepeatUse::kAll) {
+    int taken = 0;
+    for (int number = 0; number < tries; ++number) {
+      if (retries.takeRepeat(service, RepeatReason::kAnswerLost, use)) ++taken;
+    }
+    return taken;
+  }
+
+  double left(const ServiceName& service) const {
+    return retries.all().at(service).allowance.left();
+  }
+
+  VirtualEnvironment environment;
+  RetryAccounts retries;
+};
+
+}  // namespace
+
+TEST_CASE("a node repeats a ratio of its first attempts and its part of the burst") {
+  AccountsFixture node(15);
+  CHECK(node.take(kStock, 10) == 0);  // Nothing is earned yet.
+  node.earn(kStock, 1000);
+  CHECK(node.take(kStock, 10) == 3);
+  node.earn(kStock, 21);
+  CHECK(node.take(kStock, 10) == 3);
+}
+
+TEST_CASE("nodes that are many repeat too, and all together within the burst") {
+  // A part of the burst below one never let a node repeat anything: with 45 in a mesh of 67 nodes
+  // no lost answer was made good.
+  constexpr int kNodes = 300;
+  int taken = 0;
+  for (int number = 0; number < kNodes; ++number) {
+    VirtualEnvironment environment(static_cast<std::uint64_t>(number) + 1);
+    RetryAccounts retries(environment);
+    retries.setNodes(kNodes);
+    for (int first = 0; first < 100; ++first) retries.onFirstAttempt(kStock, "r");
+    for (int trial = 0; trial < 5; ++trial) {
+      if (retries.takeRepeat(kStock, RepeatReason::kAnswerLost, RepeatUse::kAll)) ++taken;
+    }
+  }
+  CHECK(taken > 25);
+  CHECK(taken <= 62);
+}
+
+TEST_CASE("entries that lapse do not enlarge a node's part of the burst") {
+  // The burst was divided by the servers listed now. When entries lapsed on all nodes at once,
+  // their parts added up to several times the burst.
+  AccountsFixture node(15);
+  node.retries.setNodes(1);
+  node.environment.advance(seconds(20));
+  node.retries.setNodes(1);
+  node.earn(kStock, 1000);
+  CHECK(node.left(kStock) == doctest::Approx(3));
+  // What stands for longer is the truth.
+  node.environment.advance(seconds(11));
+  node.retries.setNodes(5);
+  node.earn(kStock, 1000);
+  CHECK(node.left(kStock) == doctest::Approx(9));
+}
+
+TEST_CASE("an outage between two lists does not count as a smaller number that stood") {
+  AccountsFixture node(15);
+  node.retries.setNodes(1);
+  node.environment.advance(seconds(20));
+  node.retries.setNodes(15);
+  node.environment.advance(seconds(20));
+  node.retries.setNodes(1);
+  node.earn(kStock, 1000);
+  CHECK(node.left(kStock) == doctest::Approx(3));
+}
+
+TEST_CASE("repeats of little use leave half of the part to the others") {
+  AccountsFixture node(10);
+  node.earn(kStock, 1000);
+  CHECK(node.take(kStock, 10, RepeatUse::kHalf) == 2);
+  CHECK(node.take(kStock, 10, RepeatUse::kAll) == 2);
+}
+
+TEST_CASE("a call of a repeated run is charged and earns nothing, that of another run earns") {
+  AccountsFixture node(1);
+  node.earn(kPrices, 100);
+  ServerRun first{.request = "r1"};
+  ServerRun again{.request = "r2", .repeat_share = 1};
+  REQUIRE(node.retries.admit(first));
+  REQUIRE(node.retries.admit(again));
+  node.retries.onStarted(first);
+  node.retries.onStarted(again);
+  const double before = node.left(kPrices);
+  CHECK(node.retries.onFirstAttempt(kPrices, "r1.7") == 0);
+  CHECK(node.left(kPrices) == doctest::Approx(before + 0.15));
+  CHECK(node.retries.onFirstAttempt(kPrices, "r2.8") == 1);
+  CHECK(node.left(kPrices) == doctest::Approx(before + 0.15 - 1));
+  node.retries.remove(first);
+  node.retries.remove(again);
+  // Neither runs any more.
+  CHECK(node.retries.onFirstAttempt(kPrices, "r2.9") == 0);
+}
+
+TEST_CASE("where calls do not name their parent, they are charged by the part that repeats have") {
+  AccountsFixture node(1);
+  for (int number = 0; number < 400; ++number) {
+    ServerRun run{.request = "earlier"};
+    REQUIRE(node.retries.admit(run));
+    node.retries.onStarted(run);
+    node.earn(kPrices, 1);
+    node.retries.remove(run);
+  }
+  ServerRun first{.request = "r1"};
+  ServerRun again{.request = "r2", .repeat_share = 1};
+  REQUIRE(node.retries.admit(first));
+  node.retries.onStarted(first);
+  REQUIRE(node.retries.admit(again));
+  node.retries.onStarted(again);
+  const double before = node.left(kPrices);
+  CHECK(node.retries.onFirstAttempt(kPrices, "other") == doctest::Approx(0.5));
+  CHECK(node.left(kPrices) == doctest::Approx(before + 0.5 * 0.15 - 0.5));
+  node.retries.remove(first);
+  node.retries.remove(again);
+}
+
+TEST_CASE("of two runs of one request, the one that ends is forgotten") {
+  AccountsFixture node(1);
+  ServerRun first{.request = "r1"};
+  ServerRun second{.request = "r1", .repeat_share = 1};
+  REQUIRE(node.retries.admit(first));
+  REQUIRE(node.retries.admit(second));
+  node.retries.onStarted(second);
+  node.retries.remove(first);
+  CHECK(node.retries.onFirstAttempt(kPrices, "r1.1") == 1);
+  node.retries.remove(second);
+  CHECK(node.retries.onFirstAttempt(kPrices, "r1.1") == 0);
+}
+
+}  // namespace coursepond::proxy
--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -73,7 +73,8 @@
 
   void run(Duration span) { environment_.advance(span); }
 
-  /// The node's process ends and starts again; what it did is lost.
+  /// The node's process ends and starts again. What it began goes on to its end, as if it were
+  /// another one's: only what the node knew is lost.
   void restart(std::size_t index) {
     Node& old = *nodes_[index];
     auto fresh = std::make_unique<Node>(old.service, old.entry, environment_);
@@ -97,6 +98,7 @@
     Node(std::string its_service, model::ServerEntry its_entry, Environment& environment)
         : service(std::move(its_service)),
           entry(std::move(its_entry)),
+          retries(environment),
           egress(egressSettings(entry), retries, environment),
           ingress(ingressSettings(service), retries, environment) {}
 
