The allowance of repeats follows from the operator's bound

It was fixed at 0.15 and 45, whatever ratio and burst a deployment allows: one that allows a tenth would have been broken by the first service that loses answers, hops or not. [promises] states both, three quarters of them are used; the platform's bounds are translated at its boundary. What may be repeated can change while a node runs, as before. Tests of runtime, platform, proxy, node, ingress, cli pass.

--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -548,6 +548,7 @@
   }
   takeOver(settings_, settings);
   egress_.changeSettings(egressSettings(settings_));
+  retries_.changeSettings(settings_.retries);
   ingress_.changeSettings(ingressSettings(settings_));
   log_.setLimit(settings_.log.lines_per_second);
   fold_.setLimit(settings_.log.equal_decisions_per_second);
--- a/src/proxy/retry_accounts.cpp
+++ b/src/proxy/retry_accounts.cpp
@@ -49,9 +49,12 @@
   for (auto& [service, account] : accounts_) account.allowance.setBurst(settings_.burst, nodes_);
 }
 
-void RetryAccounts::setBurst(double burst) {
-  settings_.burst = burst;
-  for (auto& [service, account] : accounts_) account.allowance.setBurst(settings_.burst, nodes_);
+void RetryAccounts::changeSettings(RetryAllowanceSettings settings) {
+  settings_ = settings;
+  for (auto& [service, account] : accounts_) {
+    account.allowance.setRatio(settings_.ratio);
+    account.allowance.setBurst(settings_.burst, nodes_);
+  }
 }
 
 RetryAccount& RetryAccounts::account(const ServiceName& service) {
--- a/src/proxy/retry_accounts.h
+++ b/src/proxy/retry_accounts.h
@@ -89,8 +89,8 @@
   /// while: entries lapse while the source is away, and the parts of nodes that see few others
   /// would add up to more than the burst.
   void setNodes(std::size_t nodes);
-  /// Of all nodes; see RetryAllowanceSettings.
-  void setBurst(double burst);
+  /// For repeats from now on.
+  void changeSettings(RetryAllowanceSettings settings);
 
   // ---- Of the egress
 
--- a/src/proxy/retry_allowance.h
+++ b/src/proxy/retry_allowance.h
@@ -14,6 +14,7 @@
  public:
   explicit RetryAllowance(double ratio) : ratio_(ratio) {}
 
+  void setRatio(double ratio) { ratio_ = ratio; }
   /// The burst of all nodes, divided by their number.
   void setBurst(double burst, std::size_t nodes) {
     part_ = burst / static_cast<double>(std::max<std::size_t>(nodes, 1));
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -75,10 +75,20 @@
   node.stop_timeout = rest - node.stop_linger;
 }
 
+/// Used of what may be repeated. The rest is for repeats that no node can know of: requests whose
+/// arrival is learned late, and nodes that are told of others late.
+constexpr double kRepeatsUsed = 0.75;
+
+void deriveRetries(const Promises& promises, proxy::RetryAllowanceSettings& retries) {
+  retries.ratio = kRepeatsUsed * promises.repeat_ratio;
+  retries.burst = kRepeatsUsed * promises.repeat_burst;
+}
+
 }  // namespace
 
 void deriveTimings(Settings& settings) {
   const Promises& promises = settings.promises;
+  deriveRetries(promises, settings.retries);
   if (promises.settled > Duration(0)) deriveRepair(promises.settled, settings.watch);
   const bool bounds_changes = promises.leaving > Duration(0) || promises.in_force > Duration(0);
   if (bounds_changes) deriveTakingIn(promises, settings);
--- a/src/runtime/promises.h
+++ b/src/runtime/promises.h
@@ -9,7 +9,7 @@
 
 struct Settings;
 
-/// [promises]: zero leaves the parts' own defaults as they are.
+/// [promises]: a time of zero leaves the parts' own defaults as they are.
 struct Promises {
   /// A server that said it leaves, or whose entry went, gets no new work after this.
   Duration leaving{};
@@ -19,6 +19,11 @@
   Duration settled{};
   /// The longest planned stop; then the process is killed.
   Duration stop{};
+  /// Arrivals at a service beyond the first of each request, by all nodes together and over any
+  /// span that operators look at: this part of the requests for it,
+  double repeat_ratio = 0.2;
+  /// and so many in a burst.
+  double repeat_burst = 60;
 };
 
 /// Sets what follows from `settings.promises`:
@@ -31,7 +36,8 @@
 ///     does not say that a route does not exist;
 ///   - relay: a reader that fell silent is left for another path before the shorter of the two is
 ///   over;
-///   - node.stop_*: a planned stop ends by itself before `stop` is over.
+///   - node.stop_*: a planned stop ends by itself before `stop` is over;
+///   - egress.retry_*: what nodes repeat on purpose stays below `repeat_ratio` and `repeat_burst`.
 void deriveTimings(Settings& settings);
 
 }  // namespace coursepond::runtime
--- a/src/runtime/settings_change.cpp
+++ b/src/runtime/settings_change.cpp
@@ -44,6 +44,7 @@
   held.watch.backoff_base = backoff_base;
   held.watch.backoff_limit = backoff_limit;
   held.egress = newer.egress;
+  held.retries = newer.retries;
   held.ingress = newer.ingress;
   held.node.stop_delay = newer.node.stop_delay;
   held.node.stop_linger = newer.node.stop_linger;
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -72,6 +72,12 @@
   keys.push_back(millisecondsKey(section, "stop_ms", {0, kHourMs},
                                  "The longest planned stop; then the process is killed.",
                                  FIELD(promises.stop)));
+  keys.push_back(percentKey(section, "repeat_ratio_percent", {0, 100},
+                            "Arrivals at a service beyond the first of each request, by all nodes, "
+                            "of the requests for it.",
+                            FIELD(promises.repeat_ratio)));
+  keys.push_back(numberKey(section, "repeat_burst", {0, 100'000}, "", "And so many in a burst.",
+                           FIELD(promises.repeat_burst)));
 }
 
 void addPlatformKeys(Keys& keys) {
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -235,7 +235,7 @@
   // Forty calls have earned six; half of the part stays for repeats that cost one each.
   const double earned = ingress.retries.all().at(called).allowance.left();
   CHECK(earned == doctest::Approx(6));
-  ingress.retries.setBurst(8);
+  ingress.retries.changeSettings({.ratio = 0.15, .burst = 8});
   const auto repeat = ingress.send("again1", 1, milliseconds(1000), false, 1);
   CHECK(repeat->isOpen());
   CHECK(ingress.retries.all().at(called).allowance.left() == doctest::Approx(4).epsilon(0.05));
--- a/tests/platform/bounds_test.cpp
+++ b/tests/platform/bounds_test.cpp
@@ -6,18 +6,20 @@
 
 TEST_CASE("the bounds that promise something become settings, the others are passed over") {
   const auto flags = promiseFlags(
-      "seed_lag=3s,contact=3000ms,drain=2500ms,retry_budget_ratio=0.2,grace=6s,"
-      "config_apply=2s,recovery=15s");
+      "seed_lag=3s,contact=3000ms,drain=2500ms,retry_budget_ratio=0.29,grace=6s,"
+      "config_apply=2s,recovery=15s,budget_window=10s,budget_slack=62.0");
   REQUIRE(flags.has_value());
   CHECK(*flags == std::vector<std::string>{
                       "--set", "promises.settled_ms=3000", "--set", "promises.leaving_ms=2500",
-                      "--set", "promises.stop_ms=6000", "--set", "promises.in_force_ms=2000"});
+                      "--set", "promises.repeat_ratio_percent=29", "--set", "promises.stop_ms=6000",
+                      "--set", "promises.in_force_ms=2000", "--set", "promises.repeat_burst=62"});
 }
 
 TEST_CASE("no bounds and empty entries give no flags, a bound that is no time a clear mistake") {
   CHECK(promiseFlags("")->empty());
   CHECK(promiseFlags(",,drain_whole=true,drain=,")->empty());
-  for (const char* bounds : {"drain=soon", "drain", "grace=6", "{\"drain\":\"1200ms\"}"}) {
+  for (const char* bounds : {"drain=soon", "drain", "grace=6", "{\"drain\":\"1200ms\"}",
+                             "retry_budget_ratio=some", "budget_slack=-1", "budget_slack=1e999"}) {
     CAPTURE(bounds);
     const auto flags = promiseFlags(bounds);
     REQUIRE_FALSE(flags.has_value());
--- a/tests/proxy/retry_accounts_test.cpp
+++ b/tests/proxy/retry_accounts_test.cpp
@@ -93,6 +93,16 @@
   CHECK(node.left(kStock) == doctest::Approx(3));
 }
 
+TEST_CASE("a changed allowance holds from then on") {
+  AccountsFixture node(1);
+  node.earn(kStock, 100);
+  node.retries.changeSettings({.ratio = 1, .burst = 5});
+  CHECK(node.left(kStock) == doctest::Approx(5));
+  CHECK(node.take(kStock, 10) == 5);
+  node.earn(kStock, 2);
+  CHECK(node.take(kStock, 10) == 2);
+}
+
 TEST_CASE("repeats of little use leave half of the part to the others") {
   AccountsFixture node(10);
   node.earn(kStock, 1000);
--- a/tests/runtime/promises_test.cpp
+++ b/tests/runtime/promises_test.cpp
@@ -56,6 +56,25 @@
   }
 }
 
+TEST_CASE("nodes repeat less than operators allow, whatever that is") {
+  // The allowance was fixed at 0.15 and 45 whatever the operator's bound was.
+  Promises promises;
+  promises.repeat_ratio = 0.1;
+  promises.repeat_burst = 20;
+  const Settings settings = derived(promises);
+  CHECK(settings.retries.ratio == doctest::Approx(0.075));
+  CHECK(settings.retries.burst == doctest::Approx(15));
+  const Settings stated = loaded("[promises]\nrepeat_ratio_percent = 10\nrepeat_burst = 0\n");
+  CHECK(stated.retries.ratio == doctest::Approx(0.075));
+  CHECK(stated.retries.burst == 0);
+  // The part's own settings go before what follows from the promises.
+  const Settings own = loaded(
+      "[promises]\nrepeat_ratio_percent = 10\n"
+      "[egress]\nretry_ratio_percent = 3\nretry_burst = 7\n");
+  CHECK(own.retries.ratio == doctest::Approx(0.03));
+  CHECK(own.retries.burst == 7);
+}
+
 TEST_CASE("a reader that stops in the middle of its answer is left before the promise is due") {
   // The sets of docs/design/PLATFORM.md: both known sites, and the trial one.
   for (const Promises& promises :
