A call is known by its parent's id, not by the address that it comes from

Cause: an egress took whatever came from its server's machine for a call of the server. So no request was held back when its service was full, all waited as long as calls may (0.6 of their deadline instead of a quarter of their target), and calls, whose failure loses the work of their parent, went before nothing. Found while looking who makes the calls of a repeated run. Change: a call is a request whose id extends that of a run of the own server. A node whose server makes no calls learns from those that it receives that ids tell; until then it is charged by averages, but turns no repeat away for them.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -98,12 +98,6 @@
 
   AdmissionThrottle& throttle() { return state_.use(service_).throttles[route_->rank]; }
 
-  /// Whether this machine's server sent it, for a request that it runs.
-  bool isCall() const {
-    const std::string& own = state_.settings().own_server_host;
-    return !own.empty() && head_.caller_host == own;
-  }
-
   /// How likely it is that the attempt that begins counts as a repeat.
   double repeatShare() const { return has_arrived_ ? 1 : first_repeat_share_; }
 
@@ -129,6 +123,7 @@
   std::uint32_t silent_ingresses_ = 0;  ///< That did not say that they have it.
   std::uint32_t max_attempts_ = 1;
   bool is_repeatable_ = false;
+  bool is_call_ = false;  ///< This machine's server sent it, for a request that it runs.
   bool may_have_run_ = false;
   bool has_arrived_ = false;           ///< Maybe, at a server, in an attempt before this one.
   bool asked_other_instance_ = false;  ///< Of the same server, for this request.
@@ -152,6 +147,7 @@
   ++state_.statistics().requests;
   ++state_.inFlight();
   started_ = now;
+  is_call_ = state_.retries().isCall(head_.request_id);
   phase_ = Phase::kWaiting;
   route(now);
 }
@@ -190,14 +186,14 @@
 /// Whether the service is so full that an ingress would most likely refuse the request. Calls are
 /// never held back: their parent's work would be lost.
 bool EgressFlow::isHeldBack(TimePoint now) {
-  if (isCall()) return false;
+  if (is_call_) return false;
   if (throttle().passes(state_.settings().throttle, now, environment_)) return false;
   ++state_.statistics().throttled;
   return true;
 }
 
 void EgressFlow::noteOutcome(bool is_accepted, TimePoint now) {
-  if (isCall() || std::exchange(outcome_noted_, true)) return;
+  if (is_call_ || std::exchange(outcome_noted_, true)) return;
   throttle().onOutcome(state_.settings().throttle, now, is_accepted);
 }
 
@@ -243,7 +239,7 @@
   plan.confirm = !is_repeatable_;
   plan.caller_service = state_.settings().own_service;
   plan.hop_class = proxy::HopClass{service_.value(), route_->rank, target(),
-                                   is_repeatable_,   isCall(),     repeatShare()};
+                                   is_repeatable_,   is_call_,     repeatShare()};
   return plan;
 }
 
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -15,7 +15,6 @@
 struct Settings {
   ZoneId own_zone;
   ServiceName own_service;         ///< Told to servers as the caller.
-  std::string own_server_host;     ///< Whoever sends from here is this machine's server.
   std::uint16_t ingress_port = 0;  ///< The same on every machine.
 
   /// Whether a success without a server's signature is no answer.
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -99,6 +99,7 @@
   due = now + target;
   run_.request = head_.request_id;
   run_.repeat_share = hop.repeat_share;
+  run_.is_call = hop.is_call;
   if (!state_.retries().admit(run_)) return conclude(Reason::kRetryBudget, now);
   const WaitBounds bounds = waitBounds(now);
   if (const auto refusal = state_.admit(*this, bounds, now)) return conclude(*refusal, now);
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -85,7 +85,6 @@
   egress::Settings egress = settings.egress;
   egress.own_zone = settings.node.zone;
   egress.own_service = settings.two_hop.service;
-  egress.own_server_host = settings.two_hop.server.host;
   egress.ingress_port = settings.two_hop.ingress_listen.port;
   egress.expects_signature = !settings.headers.signature.empty();
   return egress;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -64,7 +64,6 @@
   std::optional<model::Priority> priority;
   std::optional<HopClass> hop_class;  ///< From an egress.
   std::string target_instance;        ///< The only instance that may run it; empty: any.
-  std::string caller_host;            ///< IP number the connection comes from; empty: not known.
 };
 
 using AttemptId = std::uint32_t;
--- a/src/proxy/retry_accounts.cpp
+++ b/src/proxy/retry_accounts.cpp
@@ -75,7 +75,7 @@
   RetryAccount& account = this->account(service);
   ++account.statistics.first_attempts;
   ServerRun* const parent = parentOf(request);
-  if (parent != nullptr && !std::exchange(knows_calls_, true)) profile_.forgetCalls();
+  if (parent != nullptr) learnOfCalls();
   // Without a word of their parents, all that begins here may be calls.
   const bool may_be_call = parent != nullptr || !knows_calls_;
   if (may_be_call) profile_.onCall(service);
@@ -86,7 +86,12 @@
   return repeat_share;
 }
 
-ServerRun* RetryAccounts::parentOf(std::string_view request) {
+/// Until then, whatever began at this node was counted as a call of the own server.
+void RetryAccounts::learnOfCalls() {
+  if (!std::exchange(knows_calls_, true)) profile_.forgetCalls();
+}
+
+ServerRun* RetryAccounts::parentOf(std::string_view request) const {
   const std::size_t separator = request.rfind(kChildSeparator);
   if (separator == std::string_view::npos) return nullptr;
   const auto found = runs_.find(std::string(request.substr(0, separator)));
@@ -118,8 +123,11 @@
 
 // ---- Ingress
 
+/// Where calls do not name their parent, they are charged as they come, and nothing is held for
+/// them: what is known of them would turn away the repeats of servers that make none.
 bool RetryAccounts::admit(ServerRun& run) {
-  if (run.repeat_share > 0 && !payForCalls(run)) return false;
+  if (run.is_call) learnOfCalls();
+  if (run.repeat_share > 0 && knows_calls_ && !payForCalls(run)) return false;
   runs_.emplace(run.request, &run);
   return true;
 }
--- a/src/proxy/retry_accounts.h
+++ b/src/proxy/retry_accounts.h
@@ -74,6 +74,7 @@
 struct ServerRun {
   std::string request;      ///< Its id.
   double repeat_share = 0;  ///< See HopClass::repeat_share.
+  bool is_call = false;     ///< See HopClass::is_call.
   bool is_running = false;  ///< The server has it.
   /// Charged already for calls that it has not made yet.
   std::map<ServiceName, double> held = {};
@@ -97,6 +98,8 @@
   /// A request that began at this node is sent for the first time. Returns how likely it is that it
   /// counts as a repeat, because a repeated run of the own server makes it.
   double onFirstAttempt(const ServiceName& service, std::string_view request);
+  /// Whether a run of the own server makes this request.
+  bool isCall(std::string_view request) const { return parentOf(request) != nullptr; }
   /// Whether the request may go to a further server; if so it is charged.
   bool takeRepeat(const ServiceName& service, RepeatReason reason, RepeatUse use);
   /// What was taken last for this service reached no server.
@@ -117,7 +120,8 @@
   double draw();
   bool payForCalls(ServerRun& run);
   void giveBackHeld(ServerRun& run);
-  ServerRun* parentOf(std::string_view request);
+  ServerRun* parentOf(std::string_view request) const;
+  void learnOfCalls();
   void chargeCall(ServerRun* parent, const ServiceName& service, double repeat_share);
 
   Environment& environment_;
@@ -128,7 +132,7 @@
   std::map<ServiceName, RetryAccount> accounts_;
   CallProfile profile_;
   std::unordered_multimap<std::string, ServerRun*> runs_;  ///< By request id.
-  /// Whether calls here name their parent.
+  /// Whether a call of this mesh was known by its id: then those of the own server are, too.
   bool knows_calls_ = false;
 };
 
--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -18,12 +18,10 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket,
-                                   std::string caller_host)
+CallerConnection::CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket)
     : Watched(shared->watch),
       shared_(std::move(shared)),
       socket_(std::move(socket)),
-      caller_host_(std::move(caller_host)),
       received_(std::max(shared_->settings.buffer_bytes, shared_->settings.head_bytes)) {
   shared_->connections.insert(this);
 }
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -23,9 +23,7 @@
 class CallerConnection final : public std::enable_shared_from_this<CallerConnection>,
                                private Watched {
  public:
-  /// `caller_host`: IP number of the caller.
-  CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket,
-                   std::string caller_host);
+  CallerConnection(std::shared_ptr<ProxyServerShared> shared, TcpSocket socket);
   ~CallerConnection() override;
 
   void start();
@@ -38,7 +36,6 @@
   // For its exchanges
   ProxyServerShared& shared() { return *shared_; }
   /// IP number of the caller.
-  const std::string& callerHost() const { return caller_host_; }
   boost::asio::any_io_executor executor() { return socket_.get_executor(); }
   /// Bytes of the last exchange's request, or of requests after it.
   ReceiveBuffer& received() { return received_; }
@@ -84,7 +81,6 @@
 
   std::shared_ptr<ProxyServerShared> shared_;
   TcpSocket socket_;
-  std::string caller_host_;
   State state_ = State::kIdle;
   ReceiveBuffer received_;
 
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -53,7 +53,6 @@
   head_ = proxy::RequestHead();
   const auto refusal = checkRequest(parser_.head(), shared_.request_ids, request_, head_);
   if (refusal) return refusal;
-  head_.caller_host = connection_.callerHost();
   const auto& may_run_beside = shared_.source.runs_beside;
   runs_beside_ =
       may_run_beside && parser_.head().framing == BodyFraming::kNone && may_run_beside(head_);
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -167,11 +167,12 @@
     }
     ++shared_->statistics.connections_accepted;
     error_code ignored;
-    std::string host = socket.remote_endpoint(ignored).address().to_string();
-    if (shared_->settings.on_caller) shared_->settings.on_caller(host);
+    if (shared_->settings.on_caller) {
+      shared_->settings.on_caller(socket.remote_endpoint(ignored).address().to_string());
+    }
     socket.set_option(Tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    std::make_shared<CallerConnection>(shared_, std::move(socket), std::move(host))->start();
+    std::make_shared<CallerConnection>(shared_, std::move(socket))->start();
   }
 
   void maintain() {
