--- a/src/node/retry_report.cpp
+++ b/src/node/retry_report.cpp
@@ -41,6 +41,7 @@
       lines.push_back({{"service", service.value()},
                        {"first_attempts", std::to_string(now.first_attempts - told.first_attempts)},
                        {"repeats", repeats},
+                       {"given_back", std::to_string(now.given_back - told.given_back)},
                        {"calls_of_repeats", oneDecimal(calls)},
                        {"denied", std::to_string(denied)},
                        {"runs_denied", std::to_string(runs_denied)},
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -107,6 +107,8 @@
              "Requests that a further server may see.",
              {"service", "reason"},
              [&retries] { return repeatsByReason(retries); }});
+  add("retry_given_back_total", MetricType::kCounter, "Of the repeats, those that no server saw.",
+      [](const auto& account) { return static_cast<double>(account.statistics.given_back); });
   add("retry_denied_total", MetricType::kCounter, "Repeats left out for want of allowance.",
       [](const auto& account) { return static_cast<double>(account.statistics.denied); });
   add("retry_runs_denied_total", MetricType::kCounter,
--- a/src/proxy/retry_accounts.cpp
+++ b/src/proxy/retry_accounts.cpp
@@ -1,5 +1,8 @@
 #include "proxy/retry_accounts.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace coursepond::proxy {
 namespace {
 
@@ -39,6 +42,7 @@
 }
 
 void RetryAccounts::setNodes(std::size_t nodes) {
+  if (nodes == 0) return;  // Nothing is listed yet, or nothing any more.
   const TimePoint now = environment_.now();
   if (nodes < nodes_) {
     if (!std::exchange(is_told_fewer_, true)) fewer_nodes_since_ = now;
@@ -46,22 +50,24 @@
   }
   is_told_fewer_ = false;
   nodes_ = nodes;
-  for (auto& [service, account] : accounts_) account.allowance.setBurst(settings_.burst, nodes_);
+  for (auto& [service, account] : accounts_) applySettings(account);
 }
 
 void RetryAccounts::changeSettings(RetryAllowanceSettings settings) {
   settings_ = settings;
-  for (auto& [service, account] : accounts_) {
-    account.allowance.setRatio(settings_.ratio);
-    account.allowance.setBurst(settings_.burst, nodes_);
-  }
+  for (auto& [service, account] : accounts_) applySettings(account);
+}
+
+void RetryAccounts::applySettings(RetryAccount& account) const {
+  account.allowance.setRatio(settings_.ratio);
+  if (nodes_ > 0) account.allowance.setBurst(settings_.burst, nodes_);
 }
 
 RetryAccount& RetryAccounts::account(const ServiceName& service) {
   const auto found = accounts_.find(service);
   if (found != accounts_.end()) return found->second;
-  RetryAccount& made = accounts_.emplace(service, RetryAccount(settings_.ratio)).first->second;
-  if (nodes_ > 0) made.allowance.setBurst(settings_.burst, nodes_);
+  RetryAccount& made = accounts_.try_emplace(service).first->second;
+  applySettings(made);
   return made;
 }
 
@@ -121,6 +127,12 @@
   return true;
 }
 
+void RetryAccounts::giveBackRepeat(const ServiceName& service) {
+  RetryAccount& account = this->account(service);
+  ++account.statistics.given_back;
+  account.allowance.giveBack(1);
+}
+
 // ---- Ingress
 
 /// Where calls do not name their parent, they are charged as they come, and nothing is held for
--- a/src/proxy/retry_accounts.h
+++ b/src/proxy/retry_accounts.h
@@ -58,14 +58,14 @@
 struct RetryStatistics {
   std::uint64_t first_attempts = 0;
   std::array<std::uint64_t, kRepeatReasons> repeats{};  ///< By RepeatReason.
-  std::uint64_t denied = 0;                             ///< Repeats, for want of allowance.
+  std::uint64_t given_back = 0;   ///< Of the repeats, those that no server saw.
+  std::uint64_t denied = 0;       ///< Repeats, for want of allowance.
   std::uint64_t runs_denied = 0;  ///< Repeated runs of the own server, which would call it.
   double calls_of_repeats = 0;    ///< Calls by runs that are repeats, of a whole call each.
 };
 
 /// One service, as seen from this node.
 struct RetryAccount {
-  explicit RetryAccount(double ratio) : allowance(ratio) {}
   RetryAllowance allowance;
   RetryStatistics statistics;
 };
@@ -103,7 +103,7 @@
   /// Whether the request may go to a further server; if so it is charged.
   bool takeRepeat(const ServiceName& service, RepeatReason reason, RepeatUse use);
   /// What was taken last for this service reached no server.
-  void giveBackRepeat(const ServiceName& service) { account(service).allowance.giveBack(1); }
+  void giveBackRepeat(const ServiceName& service);
 
   // ---- Of the ingress
 
@@ -117,6 +117,7 @@
 
  private:
   RetryAccount& account(const ServiceName& service);
+  void applySettings(RetryAccount& account) const;
   double draw();
   bool payForCalls(ServerRun& run);
   void giveBackHeld(ServerRun& run);
--- a/src/proxy/retry_allowance.h
+++ b/src/proxy/retry_allowance.h
@@ -12,8 +12,6 @@
 
 class RetryAllowance {
  public:
-  explicit RetryAllowance(double ratio) : ratio_(ratio) {}
-
   void setRatio(double ratio) { ratio_ = ratio; }
   /// The burst of all nodes, divided by their number.
   void setBurst(double burst, std::size_t nodes) {
@@ -51,7 +49,7 @@
     return draw * cost < staked;
   }
 
-  double ratio_;
+  double ratio_ = 0;
   double part_ = 0;
   double tokens_ = 0;
 };
--- a/tests/node/repeat_bound_test.cpp
+++ b/tests/node/repeat_bound_test.cpp
@@ -28,6 +28,13 @@
   return {accounts, {.name = "transfers", .servers = 4}, {.name = "receipts", .servers = 3}};
 }
 
+/// Both services have callers, and all is well.
+void serveForAWhile(SimulatedMesh& mesh) {
+  mesh.load("accounts", 440);
+  mesh.load("transfers", 120);
+  mesh.run(seconds(4));
+}
+
 void checkWithinBound(SimulatedMesh& mesh, const std::string& service,
                       const RepeatBound& bound = {}) {
   const WorstWindow worst = mesh.ledger().worst(service, bound);
@@ -40,9 +47,7 @@
 
 TEST_CASE("while a called service loses answers, repeats of all hops stay within its bound") {
   SimulatedMesh mesh(callingMesh(), 7);
-  mesh.load("accounts", 440);
-  mesh.load("transfers", 120);
-  mesh.run(seconds(4));
+  serveForAWhile(mesh);
   mesh.model("transfers").answers_lost = 0.3;
   mesh.run(seconds(14));
   mesh.model("transfers").answers_lost = 0;
@@ -54,9 +59,7 @@
 
 TEST_CASE("servers that do not name the parent of a call change nothing about the bound") {
   SimulatedMesh mesh(callingMesh(), 8, /*child_ids=*/false);
-  mesh.load("accounts", 440);
-  mesh.load("transfers", 120);
-  mesh.run(seconds(4));
+  serveForAWhile(mesh);
   mesh.model("transfers").answers_lost = 0.3;
   mesh.run(seconds(14));
   checkWithinBound(mesh, "accounts");
@@ -66,9 +69,7 @@
 
 TEST_CASE("while servers of a called service reject half of what they get, the bound holds") {
   SimulatedMesh mesh(callingMesh(), 15);
-  mesh.load("accounts", 440);
-  mesh.load("transfers", 120);
-  mesh.run(seconds(4));
+  serveForAWhile(mesh);
   mesh.model("transfers").rejected = 0.5;
   mesh.run(seconds(14));
   checkWithinBound(mesh, "accounts");
@@ -80,9 +81,7 @@
   for (const double lost : {0.05, 0.2, 0.6, 1.0}) {
     CAPTURE(lost);
     SimulatedMesh mesh(callingMesh(), 9);
-    mesh.load("accounts", 440);
-    mesh.load("transfers", 120);
-    mesh.run(seconds(4));
+    serveForAWhile(mesh);
     mesh.model("accounts").answers_lost = lost;
     mesh.model("transfers").answers_lost = lost;
     mesh.run(seconds(14));
--- a/tests/node/retry_report_test.cpp
+++ b/tests/node/retry_report_test.cpp
@@ -23,15 +23,17 @@
   CHECK(retries.takeRepeat(stock, RepeatReason::kServerFailed, RepeatUse::kAll));
   CHECK(retries.takeRepeat(stock, RepeatReason::kAnswerLost, RepeatUse::kAll));
   CHECK_FALSE(retries.takeRepeat(stock, RepeatReason::kAnswerLost, RepeatUse::kAll));
+  retries.giveBackRepeat(stock);
   const auto lines = report.next(retries);
   REQUIRE(lines.size() == 1);
   CHECK(lines[0] == std::vector<LogField>{{"service", "stock"},
                                           {"first_attempts", "1"},
                                           {"repeats", "server_failed=1 answer_lost=1"},
+                                          {"given_back", "1"},
                                           {"calls_of_repeats", "0.0"},
                                           {"denied", "1"},
                                           {"runs_denied", "0"},
-                                          {"left", "0.0"}});
+                                          {"left", "1.0"}});
   CHECK(report.next(retries).empty());
 }
 
@@ -47,7 +49,7 @@
   const auto lines = report.next(retries);
   REQUIRE(lines.size() == 1);
   CHECK(lines[0][0] == LogField{"service", "prices"});
-  CHECK(lines[0][3] == LogField{"calls_of_repeats", "1.0"});
+  CHECK(lines[0][4] == LogField{"calls_of_repeats", "1.0"});
 }
 
 }  // namespace coursepond::node
--- a/tests/proxy/retry_accounts_test.cpp
+++ b/tests/proxy/retry_accounts_test.cpp
@@ -82,6 +82,23 @@
   CHECK(node.left(kStock) == doctest::Approx(9));
 }
 
+TEST_CASE("a node that knows no other yet does not take the burst for its own") {
+  AccountsFixture node(0);
+  node.earn(kStock, 1000);
+  CHECK(node.take(kStock, 10) == 0);
+  node.retries.setNodes(15);
+  node.earn(kStock, 1000);
+  CHECK(node.take(kStock, 10) == 3);
+}
+
+TEST_CASE("settings that change before any node is known give no part of the burst either") {
+  AccountsFixture node(0);
+  node.earn(kStock, 100);
+  node.retries.changeSettings({.ratio = 1, .burst = 5});
+  node.earn(kStock, 100);
+  CHECK(node.left(kStock) == 0);
+}
+
 TEST_CASE("an outage between two lists does not count as a smaller number that stood") {
   AccountsFixture node(15);
   node.retries.setNodes(1);
