--- a/bench/deployments/vary_site.py
+++ b/bench/deployments/vary_site.py
@@ -162,6 +162,17 @@
     return scaled(text, "per_s", 0.22)
 
 
+def few_repeats(text):
+    """Hardly a burst of repeats: a node's part of it is below one."""
+    return assigned(text, "budget_slack", "10.0")
+
+
+def deep_calls(text):
+    """More calls in each run that makes any, of fewer runs: those that fail call most."""
+    text = re.sub(r"(\bcalls = \[\{[^]]*?\btimes = )(\d+)", lambda m: m.group(1) + str(2 * int(m.group(2))), text)
+    return re.sub(r"(\bcalls = \[\{[^]]*?\bshare = )([\d.]+)", lambda m: f"{m.group(1)}{float(m.group(2)) / 2:.3g}", text)
+
+
 VARIANTS = {
     "five-zones": five_zones,
     "few-slots": few_slots,
@@ -177,6 +188,8 @@
     "pipelined": pipelined,
     "throttled": throttled,
     "lone-servers": lone_servers,
+    "few-repeats": few_repeats,
+    "deep-calls": deep_calls,
 }
 
 
