--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -35,7 +35,6 @@
 
   // For its exchanges
   ProxyServerShared& shared() { return *shared_; }
-  /// IP number of the caller.
   boost::asio::any_io_executor executor() { return socket_.get_executor(); }
   /// Bytes of the last exchange's request, or of requests after it.
   ReceiveBuffer& received() { return received_; }
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -279,8 +279,7 @@
 
 /// Servers send a surplus answer now and then, which arrives in the place of the next one. Taken
 /// for the end of this request, it broke off work at the server and left the caller without an
-/// answer.
-/// Only where servers are known to carry the request's id back.
+/// answer. It is told by its id, where servers are known to carry the request's id back.
 bool CallerExchange::isSurplusAnswer(const MessageHead& head) const {
   if (shared_.settings.answer_style == AnswerStyle::kDirect) return false;
   const std::string_view id = head.fields.find(FieldRole::kRequestId);
--- a/tests/node/repeat_bound_test.cpp
+++ b/tests/node/repeat_bound_test.cpp
@@ -43,6 +43,11 @@
   CHECK(static_cast<double>(worst.repeats) <= worst.allowed);
 }
 
+void checkBothWithinBound(SimulatedMesh& mesh) {
+  checkWithinBound(mesh, "accounts");
+  checkWithinBound(mesh, "transfers");
+}
+
 }  // namespace
 
 TEST_CASE("while a called service loses answers, repeats of all hops stay within its bound") {
@@ -52,8 +57,7 @@
   mesh.run(seconds(14));
   mesh.model("transfers").answers_lost = 0;
   mesh.run(seconds(4));
-  checkWithinBound(mesh, "accounts");
-  checkWithinBound(mesh, "transfers");
+  checkBothWithinBound(mesh);
   CHECK(mesh.ledger().repeats("transfers") > 100);
 }
 
@@ -62,8 +66,7 @@
   serveForAWhile(mesh);
   mesh.model("transfers").answers_lost = 0.3;
   mesh.run(seconds(14));
-  checkWithinBound(mesh, "accounts");
-  checkWithinBound(mesh, "transfers");
+  checkBothWithinBound(mesh);
   CHECK(mesh.ledger().repeats("transfers") > 100);
 }
 
@@ -72,8 +75,7 @@
   serveForAWhile(mesh);
   mesh.model("transfers").rejected = 0.5;
   mesh.run(seconds(14));
-  checkWithinBound(mesh, "accounts");
-  checkWithinBound(mesh, "transfers");
+  checkBothWithinBound(mesh);
   CHECK(mesh.ledger().repeats("transfers") > 100);
 }
 
@@ -85,8 +87,7 @@
     mesh.model("accounts").answers_lost = lost;
     mesh.model("transfers").answers_lost = lost;
     mesh.run(seconds(14));
-    checkWithinBound(mesh, "accounts");
-    checkWithinBound(mesh, "transfers");
+    checkBothWithinBound(mesh);
   }
 }
 
@@ -102,8 +103,7 @@
   mesh.run(seconds(4));
   mesh.model("transfers").answers_lost = 0.3;
   mesh.run(seconds(14));
-  checkWithinBound(mesh, "accounts");
-  checkWithinBound(mesh, "transfers");
+  checkBothWithinBound(mesh);
 }
 
 TEST_CASE("calls of calls: a repeat at the first hop is charged at each service below") {
@@ -138,8 +138,7 @@
     for (std::size_t index = 0; index < mesh.nodes(); ++index) mesh.restart(index);
     mesh.run(seconds(1));
   }
-  checkWithinBound(mesh, "accounts");
-  checkWithinBound(mesh, "transfers");
+  checkBothWithinBound(mesh);
 }
 
 TEST_CASE("nodes that see few others in an outage of the source keep to their part of the burst") {
--- a/tests/support/arrival_ledger.h
+++ b/tests/support/arrival_ledger.h
@@ -47,7 +47,6 @@
   }
 
   std::size_t repeats(const std::string& service) { return services_[service].repeats.size(); }
-  std::size_t requests(const std::string& service) { return services_[service].requests.size(); }
 
   /// Over all windows that end with a repeat.
   WorstWindow worst(const std::string& service, const RepeatBound& bound) {
--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -56,7 +56,6 @@
 
   ServiceModel& model(const std::string& service) { return models_[service]; }
   ArrivalLedger& ledger() { return ledger_; }
-  proxy::VirtualEnvironment& environment() { return environment_; }
   std::size_t nodes() const { return nodes_.size(); }
   /// Requests of callers (not calls) that got this status.
   int answered(int status) { return answered_[status]; }
@@ -80,7 +79,6 @@
   void restart(std::size_t index) {
     Node& old = *nodes_[index];
     auto fresh = std::make_unique<Node>(old.service, old.entry, environment_);
-    fresh->life = ++last_life_;
     retired_.push_back(std::move(nodes_[index]));
     nodes_[index] = std::move(fresh);
     begin(*nodes_[index]);
@@ -129,7 +127,6 @@
     proxy::RetryAccounts retries;
     egress::EgressState egress;
     ingress::IngressState ingress;
-    std::uint64_t life = 0;
   };
 
   class Hop;
@@ -396,7 +393,6 @@
   std::map<int, int> answered_;
   std::size_t next_node_ = 0;
   std::uint64_t last_id_ = 0;
-  std::uint64_t last_life_ = 0;
 };
 
 inline void SimulatedMesh::Begun::startAttempt(const proxy::AttemptPlan& plan) {
