--- a/bench/deployments/play_days.py
+++ b/bench/deployments/play_days.py
@@ -2,7 +2,7 @@
 """Plays days of our own on a site of the users' bench: each kind of trouble alone, twice in a day,
 and pairs that cross. Prints one line a day and a table at the end; exits 1 when a rule is broken.
 
-    play_days.py FLEETBENCH SITE.toml FOLDER [--set single|twice|pairs|grown] [--jobs N] [--only TEXT]
+    play_days.py FLEETBENCH SITE.toml FOLDER [--set single|twice|pairs|grown|lost] [--jobs N] [--only TEXT]
 
 The days' files and their reports go to FOLDER, outside the repository.
 """
@@ -123,6 +123,17 @@
     "idle_race": 'kind = "idle_race", share = 0.7, x = 200, for_s = 8.0',
 }
 
+# A service loses or spoils much of what it answers, at once on all of its servers and for longer than
+# the span over which repeats are bounded; alone, or together with every other service.
+LOST = {
+    f"{kind}-{service}-{part}": f'kind = "answer_lost", service = "{{service{service}}}", share = 1.0, '
+    f"x = {part}, for_s = 14.0{how}"
+    for kind, how in (("lost", ""), ("lost_reset", ', how = "reset"'))
+    for service in range(3)
+    for part in (0.1, 0.3, 0.6)
+}
+LOST["lost_reset-all"] = 'kind = "answer_lost", share = 1.0, x = 0.3, for_s = 14.0, how = "reset"'
+
 # What crosses: both begin within a second of each other.
 PAIRS = [
     ("platform_compact-drain", "release"),
@@ -164,8 +175,21 @@
 ]
 
 
-def days_of(which):
+def services_of(site):
+    """The names of a site's services, in its order."""
+    block = re.search(r"^services = \[$(.*?)^\]$", pathlib.Path(site).read_text(), re.M | re.S)
+    return re.findall(r'^\s*\{ name = "([^"]+)"', block.group(1), re.M)
+
+
+def days_of(which, site):
     """Name and entries of each day of a set."""
+    if which == "lost":
+        names = {f"service{number}": name for number, name in enumerate(services_of(site))}
+        return {
+            name: [(4.0, text.format_map(names))]
+            for name, text in LOST.items()
+            if "{service" not in text or any("{" + each + "}" in text for each in names)
+        }
     if which == "single":
         return {name: [(FIRST_AT, text)] for name, text in SINGLE.items()}
     if which == "twice":
@@ -209,13 +233,13 @@
     parser.add_argument("bench")
     parser.add_argument("site")
     parser.add_argument("folder", type=pathlib.Path)
-    parser.add_argument("--set", default="single", choices=["single", "twice", "pairs", "grown"])
+    parser.add_argument("--set", default="single", choices=["single", "twice", "pairs", "grown", "lost"])
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--only", default="", help="days whose names hold this")
     parser.add_argument("--seed", type=int, default=0, help="another number, other luck")
     options = parser.parse_args()
     options.folder.mkdir(parents=True, exist_ok=True)
-    days = {name: entries for name, entries in days_of(options.set).items() if options.only in name}
+    days = {name: entries for name, entries in days_of(options.set, options.site).items() if options.only in name}
     paths = [
         write_day(options.folder, name, entries, options.seed + zlib.crc32(name.encode()))
         for name, entries in days.items()
--- a/tests/node/repeat_bound_test.cpp
+++ b/tests/node/repeat_bound_test.cpp
@@ -64,6 +64,18 @@
   CHECK(mesh.ledger().repeats("transfers") > 100);
 }
 
+TEST_CASE("while servers of a called service reject half of what they get, the bound holds") {
+  SimulatedMesh mesh(callingMesh(), 15);
+  mesh.load("accounts", 440);
+  mesh.load("transfers", 120);
+  mesh.run(seconds(4));
+  mesh.model("transfers").rejected = 0.5;
+  mesh.run(seconds(14));
+  checkWithinBound(mesh, "accounts");
+  checkWithinBound(mesh, "transfers");
+  CHECK(mesh.ledger().repeats("transfers") > 100);
+}
+
 TEST_CASE("while both hops lose answers, repeats stay within the bounds of both services") {
   for (const double lost : {0.05, 0.2, 0.6, 1.0}) {
     CAPTURE(lost);
--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -32,6 +32,8 @@
   double calling_share = 1;
   /// The part of the runs whose answer is lost with the connection.
   double answers_lost = 0;
+  /// The part of the requests that a server rejects without running them, though it is not full.
+  double rejected = 0;
 };
 
 class SimulatedMesh {
@@ -225,6 +227,7 @@
       const std::string& service = node_.service;
       is_repeat_ = mesh_.ledger_.noteArrival(service, id_, parent_is_repeat_, mesh_.now());
       const ServiceModel& model = mesh_.models_[service];
+      if (mesh_.chance(model.rejected)) return reject(plan.id);
       mesh_.environment_.schedule(model.work, [this, run = plan.id] { afterWork(run); });
     }
     void cancelAttempt(proxy::AttemptId) override { run_ = 0; }
@@ -260,6 +263,17 @@
       });
     }
 
+    void reject(proxy::AttemptId run) {
+      mesh_.environment_.schedule(Duration(0), [this, run] {
+        if (run_ != run) return;
+        proxy::AnswerHead head;
+        head.status = 503;
+        head.request_id = id_;
+        head.not_run = true;
+        flow_->onAnswerHead(run, head);
+      });
+    }
+
     void afterWork(proxy::AttemptId run) {
       if (run_ != run) return;
       const ServiceModel& model = mesh_.models_[node_.service];
