Ingress: a server that rejects much of what it gets is offered to few

Change: RejectionRate. An ingress whose server rejects more than one of eight turns away those that look for a free slot, the more of them the more it rejects; who found none elsewhere still comes, and its queue counts as four service times longer.

--- a/bench/data_path/fleet_load.h
+++ b/bench/data_path/fleet_load.h
@@ -51,6 +51,15 @@
   double factor = 1;
 };
 
+/// Some servers of a service reject a part of what they get, at once and though they have room.
+struct RejectingServers {
+  std::string service;
+  double share = 0;  ///< Of the servers.
+  double rate = 0;   ///< Of the requests at these.
+  Duration at{};
+  Duration length{};
+};
+
 struct FleetScenario {
   std::string name;
   std::size_t zones = 6;
@@ -59,6 +68,7 @@
   double load = 1;          ///< Multiplies each kind's rate.
   double servers_gone = 0;  ///< Part of each service's servers that end a third into the run.
   std::vector<Burst> bursts;
+  RejectingServers rejecting;
   Duration length = std::chrono::seconds(20);
 };
 
@@ -87,6 +97,7 @@
   double hop_refusals = 0;     ///< By ingresses to egresses.
   double remote_answers = 0;   ///< Answers that came from another zone.
   double remote_refusals = 0;  ///< By ingresses of another zone.
+  double rejected = 0;         ///< By servers.
   double calls_failed = 0;     ///< Made by servers.
   double busiest = 0;          ///< Requests run at the busiest server over the mean of its service.
 
--- a/bench/data_path/fleet_scenarios.cpp
+++ b/bench/data_path/fleet_scenarios.cpp
@@ -119,6 +119,10 @@
   scenarios.push_back(downloads("downloads, a long burst"));
   scenarios.back().bursts = {{seconds(5), seconds(9), 1.6}};
 
+  scenarios.push_back(downloads("downloads, a quarter of a service's servers reject half"));
+  scenarios.back().load = 0.9;
+  scenarios.back().rejecting = {"typeserve", 0.25, 0.5, seconds(4), seconds(12)};
+
   scenarios.push_back(transfers("transfers, usual load"));
 
   scenarios.push_back(transfers("transfers, two bursts"));
--- a/bench/data_path/two_hop_fleet.cpp
+++ b/bench/data_path/two_hop_fleet.cpp
@@ -29,6 +29,9 @@
 constexpr Duration kTail = std::chrono::seconds(12);
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::uint64_t kFractionSteps = 1'000'000;
+/// Spreads the rejecting servers over zones and speeds.
+constexpr std::size_t kShareSteps = 97;
+constexpr std::size_t kShareStride = 31;
 constexpr double kTwoPi = 6.283185307179586;
 constexpr std::uint16_t kIngressPort = 8300;
 constexpr int kOk = 200;
@@ -85,6 +88,7 @@
     return from.entry.zone == to.entry.zone ? kSameZoneHop : kOtherZoneHop;
   }
   Duration drawWork(const KindShape& kind);
+  bool isRejected(const Node& node);
   bool drawChance(double probability) { return random_.chance(probability); }
   FleetOutcome& outcome() { return outcome_; }
   /// Keeps the exchange until it is released.
@@ -237,6 +241,7 @@
   void answerLocally(const proxy::LocalAnswer& answer) override;
 
  private:
+  void reject();
   void makeCalls();
   void onCallAnswered(int status);
   void work();
@@ -308,11 +313,24 @@
 void IngressExchange::startAttempt(const AttemptPlan& plan) {
   attempt_ = plan.id;
   ++run_;
+  if (fleet_.isRejected(node_)) {
+    // The flow expects its answer in a later event.
+    return fleet_.after(Duration(0), [self = shared_from_this(), run = run_] {
+      if (!self->is_done_ && run == self->run_) self->reject();
+    });
+  }
   ++node_.ran;
   makeCalls();
   if (open_calls_ == 0) work();
 }
 
+void IngressExchange::reject() {
+  AnswerHead head;
+  head.status = kNotRun;
+  head.not_run = true;
+  flow_->onAnswerHead(attempt_, head);
+}
+
 void IngressExchange::makeCalls() {
   for (const CallShape& call : fleet_.kind(kind_).calls) {
     if (!fleet_.drawChance(call.share)) continue;
@@ -481,6 +499,18 @@
   return fromMicroseconds(static_cast<double>(kind.work.count()) * factor);
 }
 
+bool Fleet::isRejected(const Node& node) {
+  const RejectingServers& rejecting = scenario_.rejecting;
+  const Duration since = time_.elapsed() - rejecting.at;
+  if (since < Duration(0) || since >= rejecting.length) return false;
+  if (node.entry.service.value() != rejecting.service) return false;
+  const double share = rejecting.share * static_cast<double>(kShareSteps);
+  if (static_cast<double>(node.index * kShareStride % kShareSteps) >= share) return false;
+  if (!random_.chance(rejecting.rate)) return false;
+  ++outcome_.rejected;
+  return true;
+}
+
 double Fleet::factor() const {
   double factor = scenario_.load;
   for (const Burst& burst : scenario_.bursts) {
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -418,7 +418,9 @@
   ++state_.statistics().hop_refusals;
   tried_.push_back(server_->entry.id);
   const bool is_over_budget = answer.node_reason == reasonWord(Reason::kRetryBudget);
+  const bool is_rejecting = answer.node_reason == reasonWord(Reason::kServerRejecting);
   if (isForWantOfRoom(answer)) slots_->onNoRoom(server_, server_->load);
+  if (is_rejecting) slots_->onRejecting(server_, server_->load);
   if (is_over_budget) slots_->onRefused();
   releaseServer();
   if (now >= deadline_) return conclude(Reason::kDeadline);
--- a/src/egress/slot_search.cpp
+++ b/src/egress/slot_search.cpp
@@ -8,6 +8,9 @@
 /// A call that is refused fails the work that made it, so that it tries one queue more.
 constexpr std::uint32_t kQueuesJoined = 1;
 constexpr std::uint32_t kQueuesJoinedByCalls = 2;
+/// By so many service times the queue of a rejecting server counts as longer: with one, it still
+/// was the shortest when all others were just full.
+constexpr int kRejectingTurns = 4;
 
 }  // namespace
 
@@ -17,10 +20,20 @@
 }
 
 void SlotSearch::onNoRoom(const ServerPointer& server, const proxy::HopLoad& load) {
+  noteQueue(server, load, Duration(0));
+}
+
+void SlotSearch::onRejecting(const ServerPointer& server, const proxy::HopLoad& load) {
+  noteQueue(server, load, kRejectingTurns * load.service_time);
+}
+
+void SlotSearch::noteQueue(const ServerPointer& server, const proxy::HopLoad& load,
+                           Duration longer_by) {
   ++refusals_;
   if (load.slots == 0 || joined_ > 0) return;
+  // With the time until it is done there, so that faster servers go before slower ones.
   const Duration turn = load.service_time / load.slots;
-  queues_.push_back({server, turn * (load.running + load.waiting + 1)});
+  queues_.push_back({server, turn * (load.running + load.waiting + 1) + longer_by});
 }
 
 ServerPointer SlotSearch::joinShortestQueue() {
--- a/src/egress/slot_search.h
+++ b/src/egress/slot_search.h
@@ -34,6 +34,8 @@
   void onAsk(bool is_own_zone) { ++(is_own_zone ? own_zone_asks_ : other_zone_asks_); }
   /// The ingress beside `server` had no room; `load` is what it said of the server.
   void onNoRoom(const ServerPointer& server, const proxy::HopLoad& load);
+  /// The server had room, but rejects much of what it gets: its queue counts as longer.
+  void onRejecting(const ServerPointer& server, const proxy::HopLoad& load);
   /// A refusal that says nothing of the queue.
   void onRefused() { ++refusals_; }
   /// The server to wait at: null when no further queue is known, or enough were joined.
@@ -45,6 +47,7 @@
     Duration wait{};  ///< Expected there.
   };
 
+  void noteQueue(const ServerPointer& server, const proxy::HopLoad& load, Duration longer_by);
   std::uint32_t mostFull() const {
     return is_call_ ? settings_.most_full_for_calls : settings_.most_full_ingresses;
   }
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -103,6 +103,7 @@
   if (!state_.retries().admit(run_)) return conclude(Reason::kRetryBudget, now);
   const WaitBounds bounds = waitBounds(now);
   if (!hop.may_wait && !state_.hasSlotFor(now)) return conclude(Reason::kNoFreeSlot, now);
+  if (!hop.may_wait && state_.turnsAway(now)) return conclude(Reason::kServerRejecting, now);
   if (const auto refusal = state_.admit(*this, bounds, now)) return conclude(*refusal, now);
   if (phase_ == Phase::kWaiting) state_.deadlines().arm(*this, std::min(bounds.slot, deadline_));
 }
@@ -180,6 +181,10 @@
   if (was_refused) return onServerRefused(answer, now);
   note(proxy::DecisionKind::kForwarded, "", answer.status);
   state_.onAnswered(target, now - attempt_started_);
+  // A failure that it answers is no sign against it: most often one of its calls failed, at a
+  // service that fails for all. Counted as well, 490 in place of 92 of 9,300 requests were refused
+  // by callers of a service whose servers came and went.
+  state_.onServerAnswer(false, now);
   phase_ = Phase::kForwarding;
   state_.deadlines().disarm(*this);
   io_.forwardAnswer(attempt_);
@@ -188,6 +193,7 @@
 void IngressFlow::onServerRefused(const AnswerHead& answer, TimePoint now) {
   ++state_.statistics().server_refusals;
   io_.discardAnswer(attempt_);
+  if (answer.status != kMisdirected) state_.onServerAnswer(true, now);
   const bool was_started_anew =
       answer.status == kMisdirected && !answer.instance.empty() && answer.instance != instance_;
   if (was_started_anew) {
@@ -273,6 +279,9 @@
     case Reason::kDeadlineTooShort:
       ++statistics.refused_full;
       return;
+    case Reason::kServerRejecting:
+      ++statistics.refused_rejecting;
+      return;
     case Reason::kStopping:
     case Reason::kServerDraining:
     case Reason::kWrongService:
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -27,12 +27,13 @@
   std::uint64_t answers_forwarded = 0;
   std::uint64_t answers_cut = 0;
   std::uint64_t queued = 0;
-  std::uint64_t refused_full = 0;      ///< The expected wait is too long.
-  std::uint64_t refused_draining = 0;  ///< The server or this node is leaving.
-  std::uint64_t refused_instance = 0;  ///< Meant for another start of the server.
-  std::uint64_t displaced = 0;         ///< Made room for a more urgent request.
-  std::uint64_t expired = 0;           ///< The deadline passed while waiting.
-  std::uint64_t repeated_runs = 0;     ///< Given to the server though another may have seen them.
+  std::uint64_t refused_full = 0;       ///< The expected wait is too long.
+  std::uint64_t refused_draining = 0;   ///< The server or this node is leaving.
+  std::uint64_t refused_instance = 0;   ///< Meant for another start of the server.
+  std::uint64_t refused_rejecting = 0;  ///< Asked for a free slot; the server rejects too much.
+  std::uint64_t displaced = 0;          ///< Made room for a more urgent request.
+  std::uint64_t expired = 0;            ///< The deadline passed while waiting.
+  std::uint64_t repeated_runs = 0;      ///< Given to the server though another may have seen them.
   std::uint64_t server_refusals = 0;
   std::uint64_t server_unreachable = 0;
   std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
@@ -86,6 +87,14 @@
   void release(TimePoint now);
   /// A request of this target latency was at the server for so long.
   void onAnswered(Duration target, Duration service_time);
+  /// The server answered a request, or rejected it.
+  void onServerAnswer(bool is_rejection, TimePoint now) {
+    rejections_.onAnswer(settings_.rejections, is_rejection, now);
+  }
+  /// Whether a request that looks for a free slot shall look elsewhere.
+  bool turnsAway(TimePoint now) const {
+    return rejections_.turnsAway(settings_.rejections, now, environment_);
+  }
   /// The server takes nothing for a while.
   void pause(Duration length, TimePoint now);
 
@@ -134,6 +143,7 @@
   double service_time_us_;  ///< Moving average over all requests,
   /// and by target latency: requests of one target are mostly of one kind.
   std::map<Duration, double> service_time_by_target_us_;
+  RejectionRate rejections_;
   TimePoint paused_until_;
   TimerId wake_timer_ = 0;
   bool is_dispatching_ = false;
--- a/src/ingress/settings.h
+++ b/src/ingress/settings.h
@@ -6,6 +6,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "ingress/rejection_rate.h"
 
 namespace coursepond::ingress {
 
@@ -35,6 +36,7 @@
   /// Pause in sending after the server refused or could not be reached.
   Duration refused_pause = std::chrono::milliseconds(15);
   Duration unreachable_pause = std::chrono::milliseconds(100);
+  RejectionRateSettings rejections;
   /// Connections kept back from the server's limit.
   std::uint32_t spare_connections = 8;
   /// How often a request is tried again whose connection was found closed before it was sent.
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -49,6 +49,8 @@
        {"ingress_answers_total", "Answers of the server passed on.", &S::answers_forwarded},
        {"ingress_queued_total", "Requests that waited for a slot.", &S::queued},
        {"ingress_refused_full_total", "Refused: the expected wait is too long.", &S::refused_full},
+       {"ingress_refused_rejecting_total",
+        "Refused a free slot: the server rejects much of what it gets.", &S::refused_rejecting},
        {"ingress_refused_draining_total", "Refused: the server or this node is leaving.",
         &S::refused_draining},
        {"ingress_displaced_total", "Waiting requests that made room.", &S::displaced},
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -24,6 +24,8 @@
       return "deadline_too_short";
     case Reason::kNoFreeSlot:
       return "no_free_slot";
+    case Reason::kServerRejecting:
+      return "server_rejecting";
     case Reason::kQueueTimeout:
       return "queue_timeout";
     case Reason::kDeadline:
--- a/tests/data_path/fleet_load_test.cpp
+++ b/tests/data_path/fleet_load_test.cpp
@@ -22,6 +22,7 @@
   double earned = 0;
   double late = 0;
   double refused = 0;
+  double calls_failed = 0;
   double remote = 0;  ///< Answers from other zones, of what was asked.
 };
 
@@ -33,6 +34,7 @@
     means.earned += outcome.earnedPart() / kSeeds;
     means.late += outcome.latePart() / kSeeds;
     means.refused += outcome.refusedPart() / kSeeds;
+    means.calls_failed += outcome.calls_failed / kSeeds;
     means.remote += outcome.remote_answers / outcome.asked() / kSeeds;
   }
   return means;
@@ -73,6 +75,15 @@
   CHECK(transfers.earned > 0.705);
 }
 
+// A server that rejects half of what it gets is free when others are not, so that asks for a free
+// slot found it first: each rejection uses up repeats, and a grant fails with its rejected call.
+// Before, 0.946 of the worth and 598 failed calls (mean of the seeds 1 to 3); now 0.955 and 388.
+TEST_CASE("servers that reject much of what they get are left to those that find no other") {
+  const Means rejecting = play("downloads, a quarter of a service's servers reject half");
+  CHECK(rejecting.earned > 0.949);
+  CHECK(rejecting.calls_failed < 500);
+}
+
 // Bytes between zones are paid for. Answers from other zones, of the requests: before 0.26 in the
 // bursts of the lookups and 0.08 at their usual load, now 0.03 and 0.01.
 TEST_CASE("the own zone's slots are asked for first") {
--- a/tests/egress/slot_search_test.cpp
+++ b/tests/egress/slot_search_test.cpp
@@ -31,6 +31,16 @@
   CHECK_FALSE(search.asksOwnZone());
 }
 
+TEST_CASE("a server that rejects much of its work is joined when all others are far longer") {
+  const SlotSearchSettings settings;
+  SlotSearch search(settings, false);
+  const auto rejecting = std::make_shared<Server>();
+  const auto full = std::make_shared<Server>();
+  search.onRejecting(rejecting, {0, 0, 4, milliseconds(100), false});
+  search.onNoRoom(full, makeLoad(8));
+  CHECK(search.joinShortestQueue() == full);
+}
+
 TEST_CASE("a call of running work that a queue refused joins one more") {
   const SlotSearchSettings settings{.most_full_for_calls = 3};
   SlotSearch search(settings, true);
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -140,6 +140,26 @@
   checkRefused(*askForFreeSlot("r6"), "no_free_slot");
 }
 
+TEST_CASE("a server that rejects much of what it gets is for those that found no slot elsewhere") {
+  IngressFixture ingress;
+  AnswerHead rejected;
+  rejected.status = 503;
+  rejected.not_run = true;
+  for (int number = 0; number < 30; ++number) {
+    ingress.send("r" + std::to_string(number))->answer(rejected);
+    ingress.environment.advance(milliseconds(20));
+  }
+  int turned_away = 0;
+  for (int number = 0; number < 100; ++number) {
+    const auto exchange = ingress.send("a", 1, milliseconds(1000), false, 0, false);
+    if (exchange->io.answers.empty()) continue;
+    checkRefused(*exchange, "server_rejecting");
+    ++turned_away;
+  }
+  CHECK(turned_away > 90);
+  CHECK(ingress.send("w")->io.plans.size() == 1);
+}
+
 TEST_CASE("a request that would wait beyond its target is refused at once") {
   IngressFixture ingress;
   const auto first = ingress.send("r1");
