Bench: the hollow fleet goes, with its target, its test and its pages

Removed: bench/scale, tests/scale, make scale, gnuplot among the packages. tests/scale held the shapes and the report of that program alone; no promise of the product loses a check.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README. Each installs what is missing, builds, and runs.
-.PHONY: all build test lint format bench-proxy bench-control demo soak scale
+.PHONY: all build test lint format bench-proxy bench-control demo soak
 
 BUILD := build/release
 JOBS ?= 4
@@ -36,8 +36,3 @@
 # Convergence time and control bytes against two baselines; see docs/MEASUREMENTS.md.
 bench-control: build
 	$(BUILD)/bin/coursepond-bench-control
-
-# Hollow nodes beside real ones; prints what one node costs and how fast changes arrive.
-NODES ?= 300
-scale: build
-	NODES=$(NODES) BUILD=$(BUILD) bench/scale/run.sh
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -11,7 +11,7 @@
   libcxxopts-dev libgoogle-glog-dev doctest-dev nlohmann-json3-dev
   libtomlplusplus-dev prometheus-cpp-dev librapidcheck-dev
   libssl-dev libzstd-dev libbenchmark-dev
-  curl gnuplot-nox
+  curl
 )
 
 missing=()
