Drained zones, cold servers, starts under one id, entries of other writers

Entries were kept by id whatever start wrote them, an unreadable one left the earlier one in use, an odd key failed its whole page.

Ruled out: a bound at the egress, since no node knows what the others send; a topic of its own for drained zones, since each waiting read is paid for and versions pass within half of the bound.

Change: the topic of the configuration reads all that operators write; the drained zones travel with it to followers, are obeyed by egress and ingress alike, calls included, and refuse at once what no other zone can serve. ColdStart bounds what the ingress sends to its own server in any second while it is cold, or may be, and asks the server's health only then; questions count. The rate comes with the configuration, what is allowed beyond it from the promises. ServerEntry tells the start; what is kept of a server belongs to one start. Entries that lack a field, or hold another type or an unknown state, name no server; the own server is of the own service.

Tests: cold_start_test, and cases of ingress_flow, egress_flow, held_state, store_answers and node_on_store. In store_answers_test two entries got slots, and an unreadable entry counts as removed: the users' page now says that an entry with a field missing names no server.

--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -32,6 +32,8 @@
 inline constexpr char kCallerService[] = "X-Caller-Service";
 /// From a back end: its instance.
 inline constexpr char kInstance[] = "X-Instance-Id";
+/// From a back end, where it tells its health: for how many more milliseconds it is cold.
+inline constexpr char kColdLeftMs[] = "X-Cold-Left-Ms";
 /// From an egress to an ingress: "service,rank,target latency in ms,repeatable 0|1,
 /// call 0|1,share of a repeat in thousandths".
 inline constexpr char kHopClass[] = "X-Hop-Class";
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -212,6 +212,8 @@
     return send(server, now);
   }
   if (was_refused_) return joinQueue(now);
+  // Waiting would not help: a zone is drained for long.
+  if (state_.isDrained(service_)) return conclude(Reason::kZoneDrained);
   waitForServer(now);
 }
 
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -68,7 +68,7 @@
   Candidates far;
   Candidates leaving;
   for (const ServerPointer& server : directory_.usable(service)) {
-    if (server->avoided(now)) continue;
+    if (server->avoided(now) || isInDrainedZone(*server)) continue;
     if (std::find(tried.begin(), tried.end(), server->entry.id) != tried.end()) continue;
     const bool is_near = server->entry.zone == settings_.own_zone;
     (server->leaving(now) ? leaving : is_near ? near : far).push_back(&server);
@@ -84,6 +84,13 @@
   return cost(*farther, now) > near_cost - kCostTolerance ? nearest : farther;
 }
 
+bool EgressState::isDrained(const ServiceName& service) const {
+  const std::vector<ServerPointer>& servers = directory_.usable(service);
+  return !servers.empty() &&
+         std::all_of(servers.begin(), servers.end(),
+                     [this](const ServerPointer& server) { return isInDrainedZone(*server); });
+}
+
 ServerPointer EgressState::cheapestOfDrawn(Candidates& group, TimePoint now) const {
   ServerPointer best;
   double best_cost = std::numeric_limits<double>::max();
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/environment.h"
@@ -75,6 +76,12 @@
   /// Call after the directory changed.
   void onDirectoryChanged();
 
+  /// Nothing is sent to servers in these zones.
+  void setDrainedZones(std::set<ZoneId> zones) { drained_zones_ = std::move(zones); }
+  const std::set<ZoneId>& drainedZones() const { return drained_zones_; }
+  /// Whether all servers of `service`, at least one, stand in drained zones.
+  bool isDrained(const ServiceName& service) const;
+
   /// The cheapest of a few servers of `service`, drawn at random from those outside `tried` that
   /// are not avoided: some of the own zone, some of the others. One that is leaving only when there
   /// is no other. Null when there is none.
@@ -138,6 +145,9 @@
   std::vector<proxy::WarmServer> warmServers() const override { return {}; }
 
  private:
+  bool isInDrainedZone(const Server& server) const {
+    return drained_zones_.contains(server.entry.zone);
+  }
   using Candidates = std::vector<const ServerPointer*>;
   /// Draws servers_compared of each group.
   /// `busyness`: what its use costs; 1 is an idle server.
@@ -149,6 +159,7 @@
   proxy::RetryAccounts& retries_;
   Environment& environment_;
   ServerDirectory directory_;
+  std::set<ZoneId> drained_zones_;
   std::shared_ptr<const RoutingTable> routing_;
   TimePoint configuration_confirmed_;
   std::map<ServiceName, ServiceUse> uses_;
--- a/src/egress/server_directory.cpp
+++ b/src/egress/server_directory.cpp
@@ -50,10 +50,11 @@
   const bool was_listed = server && !server->lapsed_at;
   const bool was_draining = server && server->draining();
   const bool is_changed = !server || server->entry != entry;
-  if (!server || server->entry.address != entry.address) {
-    server = std::make_shared<Server>();
-    server->cold_until = now + entry.warm_up_left;
-  }
+  const bool is_another =
+      !server || server->entry.address != entry.address || !isSameStart(server->entry, entry);
+  const Duration cold_before = is_another ? Duration(0) : server->entry.warm_up_left;
+  if (is_another) server = std::make_shared<Server>();
+  if (entry.warm_up_left > cold_before) server->cold_until = now + entry.warm_up_left;
   server->entry = entry;
   if (is_changed) server->entry_since = now;
   server->lapsed_at.reset();
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -152,6 +152,7 @@
       return conclude(Reason::kConnectFailed, now);
     case AttemptFailure::kConnectFailed:
       ++state_.statistics().server_unreachable;
+      state_.suspectCold(now);
       state_.pause(state_.settings().unreachable_pause, now);
       return conclude(Reason::kConnectFailed, now);
     case AttemptFailure::kNoConnectionFree:
@@ -159,6 +160,7 @@
       return conclude(Reason::kConnectFailed, now);
     case AttemptFailure::kLostAfterSend:
       ++state_.statistics().server_lost;
+      state_.suspectCold(now);
       may_have_run_ = true;
       return conclude(Reason::kConnectionLost, now);
     case AttemptFailure::kMalformedAnswer:
@@ -285,6 +287,7 @@
       return;
     case Reason::kStopping:
     case Reason::kServerDraining:
+    case Reason::kZoneDrained:
     case Reason::kWrongService:
       ++statistics.refused_draining;
       return;
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -1,6 +1,8 @@
 #include "ingress/ingress_state.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace coursepond::ingress {
 
@@ -19,18 +21,57 @@
       retries_(retries),
       environment_(environment),
       service_time_us_(static_cast<double>(settings.first_service_time.count())),
-      deadlines_(environment) {}
+      deadlines_(environment) {
+  cold_start_.suspect(environment.now());
+}
 
 void IngressState::setServer(const std::optional<model::ServerEntry>& entry) {
-  const bool is_another = entry && (!server_ || server_->id != entry->id);
-  if (is_another) instance_ = entry->id.value();
-  server_ = entry;
   const TimePoint now = environment_.now();
+  const bool is_another = entry && (!server_ || !isSameStart(*server_, *entry));
+  if (is_another) {
+    instance_ = entry->id.value();
+    rejections_ = RejectionRate();
+    cold_start_.suspect(now);
+  }
+  const Duration cold_before = server_ && !is_another ? server_->warm_up_left : Duration(0);
+  if (entry && entry->warm_up_left > cold_before) cold_start_.onTold(entry->warm_up_left, now);
+  server_ = entry;
   // What waits could reach the server long after it said that it is leaving.
   if (isServerLeaving()) refuseWaiting(Reason::kServerDraining, now);
   dispatch(now);
 }
 
+void IngressState::setZoneDrained(bool is_drained) {
+  if (std::exchange(is_zone_drained_, is_drained) == is_drained) return;
+  const TimePoint now = environment_.now();
+  if (is_drained) return refuseWaiting(Reason::kZoneDrained, now);
+  // A server without work may have turned cold.
+  cold_start_.suspect(now);
+}
+
+void IngressState::setService(const model::Service& service) {
+  constexpr double kPerThousand = 1000.0;
+  connection_limit_ = service.connections_per_server;
+  cold_start_.setLimits(service.cold_rate_per_1000_s / kPerThousand, service.warm_up);
+}
+
+void IngressState::onHealth(const ServerHealth& health) {
+  if (!health.instance.empty()) learnInstance(health.instance);
+  const TimePoint now = environment_.now();
+  cold_start_.onTold(health.cold_left, now);
+  dispatch(now);
+}
+
+void IngressState::askHealthIfSuspected(TimePoint now) {
+  if (!ask_health_ || now < next_health_ || !cold_start_.isSuspected(settings_.cold_start, now))
+    return;
+  // The question is one more request for the server to bear.
+  if (!cold_start_.mayStart(settings_.cold_start, now)) return;
+  cold_start_.onStarted(settings_.cold_start, now);
+  next_health_ = now + settings_.health_pause;
+  ask_health_();
+}
+
 model::Endpoint IngressState::endpoint(const std::string& instance) const {
   return {EndpointId(instance), address_, ZoneId(), model::MachineState::kLive};
 }
@@ -39,6 +80,7 @@
   if (is_stopped_) return Reason::kStopping;
   // An address goes to a machine of another service after a while: nothing of the old one runs.
   if (hop && hop->service != settings_.own_service.value()) return Reason::kWrongService;
+  if (is_zone_drained_) return Reason::kZoneDrained;
   if (isServerLeaving()) return Reason::kServerDraining;
   return std::nullopt;
 }
@@ -54,16 +96,30 @@
   return server_->slots;
 }
 
+std::uint32_t IngressState::usableSlots() const {
+  if (!isCold(environment_.now())) return slots();
+  const double seconds = service_time_us_ / 1e6;
+  const double used = static_cast<double>(cold_start_.mostStarts(settings_.cold_start)) * seconds;
+  return std::clamp(static_cast<std::uint32_t>(std::ceil(used)), 1U, slots());
+}
+
 bool IngressState::hasFreeSlot(TimePoint now) const {
-  return running_ < slots() && now >= paused_until_;
+  return running_ < slots() && now >= paused_until_ &&
+         cold_start_.mayStart(settings_.cold_start, now);
+}
+
+void IngressState::startOne(Waiter& waiter, TimePoint now) {
+  ++running_;
+  cold_start_.onStarted(settings_.cold_start, now);
+  askHealthIfSuspected(now);
+  waiter.onSlot(now);
 }
 
 bool IngressState::hasSlotFor(TimePoint now) const { return queue_.empty() && hasFreeSlot(now); }
 
 std::optional<Reason> IngressState::admit(Waiter& waiter, const WaitBounds& bounds, TimePoint now) {
   if (hasSlotFor(now)) {
-    ++running_;
-    waiter.onSlot(now);
+    startOne(waiter, now);
     return std::nullopt;
   }
   const TimePoint slot = now + expectedWait(queue_.ahead(waiter) + 1);
@@ -79,7 +135,7 @@
   }
   ++statistics_.queued;
   queue_.add(waiter);
-  wakeAfterPause(now);
+  wakeWhenFree(now);
   return std::nullopt;
 }
 
@@ -103,16 +159,18 @@
   while (!queue_.empty() && hasFreeSlot(now)) {
     Waiter* const waiter = queue_.first();
     queue_.remove(*waiter);
-    ++running_;
-    waiter->onSlot(now);
+    startOne(*waiter, now);
   }
   is_dispatching_ = false;
-  wakeAfterPause(now);
+  wakeWhenFree(now);
 }
 
-void IngressState::wakeAfterPause(TimePoint now) {
-  if (wake_timer_ != 0 || queue_.empty() || now >= paused_until_) return;
-  wake_timer_ = environment_.schedule(paused_until_ - now, [this] {
+void IngressState::wakeWhenFree(TimePoint now) {
+  if (wake_timer_ != 0 || queue_.empty()) return;
+  const TimePoint free_at =
+      std::max(paused_until_, cold_start_.nextStart(settings_.cold_start, now));
+  if (now >= free_at) return;
+  wake_timer_ = environment_.schedule(free_at - now, [this] {
     wake_timer_ = 0;
     dispatch(environment_.now());
   });
@@ -138,7 +196,7 @@
 }
 
 Duration IngressState::expectedWait(std::size_t ahead) const {
-  const double turns = static_cast<double>(ahead) / slots();
+  const double turns = static_cast<double>(ahead) / usableSlots();
   return Duration(static_cast<Duration::rep>(turns * service_time_us_));
 }
 
@@ -146,7 +204,7 @@
   proxy::HopLoad load;
   load.running = running_;
   load.waiting = static_cast<std::uint32_t>(queue_.size());
-  load.slots = slots();
+  load.slots = usableSlots();
   load.service_time = Duration(static_cast<Duration::rep>(service_time_us_));
   load.draining = stop_end_.has_value() || is_stopped_ || isServerLeaving();
   return load;
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -2,16 +2,21 @@
 
 /// The one server of this machine, owned: who runs on it, who waits, whom it takes no more.
 ///
-/// Invariant: never more requests are at the server than it has slots, so that it need not queue,
-/// refuse or reset.
+/// Invariants:
+///   - never more requests are at the server than it has slots, so that it need not queue, refuse
+///     or reset;
+///   - while it is cold, it gets no more in any second than it bears (ColdStart).
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 
 #include "core/environment.h"
+#include "ingress/cold_start.h"
 #include "ingress/settings.h"
 #include "ingress/work_queue.h"
+#include "model/configuration.h"
 #include "model/server_entry.h"
 #include "proxy/connection_policy.h"
 #include "proxy/deadline_queue.h"
@@ -41,6 +46,12 @@
   std::uint64_t caller_gone = 0;
 };
 
+/// What the server says of itself when it is asked.
+struct ServerHealth {
+  std::string instance;  ///< Empty: it did not say.
+  Duration cold_left{};  ///< How much longer it is cold; zero: it is warm.
+};
+
 /// How long a request may wait for a slot.
 struct WaitBounds {
   TimePoint slot;    ///< It has its slot by then,
@@ -54,7 +65,16 @@
 
   /// What the server on this machine lists of itself; nothing when it is not listed.
   void setServer(const std::optional<model::ServerEntry>& entry);
-  void setConnectionLimit(std::uint32_t connections) { connection_limit_ = connections; }
+  /// Operators drained this machine's zone, or took that back.
+  void setZoneDrained(bool is_drained);
+  /// What the configuration in force says of the server's service.
+  void setService(const model::Service& service);
+  /// `ask` is called when the server should be asked how it is; onHealth() takes its answer.
+  void onHealthWanted(std::function<void()> ask) { ask_health_ = std::move(ask); }
+  void onHealth(const ServerHealth& health);
+  /// The server was lost or could not be reached: it may be a new start when it answers again.
+  void suspectCold(TimePoint now) { cold_start_.suspect(now); }
+  bool isCold(TimePoint now) const { return cold_start_.isCold(settings_.cold_start, now); }
   /// A planned stop of this node began: egresses are told to go elsewhere. What is still running
   /// at `end` will be cut.
   void announceStop(TimePoint end) { stop_end_ = end; }
@@ -123,13 +143,17 @@
 
  private:
   std::uint32_t slots() const;
+  /// Slots that can be used: of a cold server, what it may be sent in a second fills fewer.
+  std::uint32_t usableSlots() const;
+  void startOne(Waiter& waiter, TimePoint now);
+  void askHealthIfSuspected(TimePoint now);
   bool isServerLeaving() const;
   Duration expectedWait(std::size_t ahead) const;
   Duration expectedService(Duration target) const;
   bool hasFreeSlot(TimePoint now) const;
   void refuseWaiting(proxy::Reason reason, TimePoint now);
   void dispatch(TimePoint now);
-  void wakeAfterPause(TimePoint now);
+  void wakeWhenFree(TimePoint now);
 
   Settings settings_;
   proxy::RetryAccounts& retries_;
@@ -144,11 +168,15 @@
   /// and by target latency: requests of one target are mostly of one kind.
   std::map<Duration, double> service_time_by_target_us_;
   RejectionRate rejections_;
+  ColdStart cold_start_;
+  std::function<void()> ask_health_;
+  TimePoint next_health_;  ///< The server is not asked before this.
   TimePoint paused_until_;
   TimerId wake_timer_ = 0;
   bool is_dispatching_ = false;
   std::optional<TimePoint> stop_end_;  ///< Of a planned stop that began.
   bool is_stopped_ = false;
+  bool is_zone_drained_ = false;
   proxy::DeadlineQueue deadlines_;
   Statistics statistics_;
   proxy::DecisionLog* log_ = nullptr;
--- a/src/ingress/settings.h
+++ b/src/ingress/settings.h
@@ -6,6 +6,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "ingress/cold_start.h"
 #include "ingress/rejection_rate.h"
 
 namespace coursepond::ingress {
@@ -37,6 +38,10 @@
   Duration refused_pause = std::chrono::milliseconds(15);
   Duration unreachable_pause = std::chrono::milliseconds(100);
   RejectionRateSettings rejections;
+  ColdStartSettings cold_start;
+  /// Pause between two questions to the server whether it is cold. Each takes a slot for a moment;
+  /// a server that is cold is so for seconds.
+  Duration health_pause = std::chrono::milliseconds(500);
   /// Connections kept back from the server's limit.
   std::uint32_t spare_connections = 8;
   /// How often a request is tried again whose connection was found closed before it was sent.
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -77,6 +77,10 @@
   std::uint32_t queue_limit = 200;             ///< Requests that may wait on one node.
   std::uint32_t retry_budget_percent = 20;     ///< Retries allowed, of first attempts.
   std::uint32_t max_attempts = 3;
+  std::string health_path{};  ///< Where a server tells how it is; empty: it doesn't.
+  Duration warm_up{};         ///< How long a server that starts stays cold; zero: not known.
+  /// Requests that a cold server bears, in 1,000 seconds; zero: as many as a warm one.
+  std::uint32_t cold_rate_per_1000_s = 0;
   friend bool operator==(const Service&, const Service&) = default;
 };
 
--- a/src/model/document.h
+++ b/src/model/document.h
@@ -12,7 +12,8 @@
 ///                  "split"?: [{"service","weight"}], "longest_hold_ms"?, "target_latency_ms"?,
 ///                  "rank"?, "max_attempts"?}],
 ///    "services": [{"name", "slots_per_server"?, "connections_per_server"?, "queue_limit"?,
-///                  "retry_budget_percent"?, "max_attempts"?}],
+///                  "retry_budget_percent"?, "max_attempts"?, "health_path"?, "warm_up_ms"?,
+///                  "cold_rate_per_1000_s"?}],
 ///    "secrets":  [{"name", "value"}],
 ///    "limits"?:  {"head_bytes"?, "body_bytes"?, "head_timeout_ms"?, "idle_timeout_ms"?}}
 
--- a/src/model/server_entry.h
+++ b/src/model/server_entry.h
@@ -12,7 +12,10 @@
 namespace coursepond::model {
 
 struct ServerEntry {
-  EndpointId id;  ///< Of this start of the server; the next start has another.
+  EndpointId id;  ///< A server may start again under the same one: see `started_ms`.
+  /// When it started, in milliseconds of Unix time; zero: not told. With the id it names one start
+  /// of a server. What was seen of an earlier start says nothing about this one.
+  std::uint64_t started_ms = 0;
   ServiceName service;
   Address address;
   ZoneId zone;
@@ -23,4 +26,9 @@
   friend bool operator==(const ServerEntry&, const ServerEntry&) = default;
 };
 
+/// Whether both tell of the same start of the same server.
+inline bool isSameStart(const ServerEntry& left, const ServerEntry& right) {
+  return left.id == right.id && left.started_ms == right.started_ms;
+}
+
 }  // namespace coursepond::model
--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -49,11 +49,11 @@
 }
 
 std::string targetOf(const source::PeerQuestion& question) {
-  const std::string held =
-      question.topic == source::Topic::kServers
-          ? std::string(kServersPath) + "?after=" + std::to_string(question.after.value())
-          : std::string(kConfigurationPath) +
-                "?version=" + std::to_string(question.version.value());
+  const std::string after = "?after=" + std::to_string(question.after.value());
+  const std::string held = question.topic == source::Topic::kServers
+                               ? std::string(kServersPath) + after
+                               : std::string(kConfigurationPath) + after +
+                                     "&version=" + std::to_string(question.version.value());
   return held + "&wait_ms=" + std::to_string(toMilliseconds(question.wait)) +
          "&fresh=" + (question.only_fresh ? "1" : "0");
 }
@@ -110,8 +110,9 @@
 }
 
 bool PeerStateServer::hasNews(const source::PeerQuestion& question) const {
-  return question.topic == source::Topic::kServers ? held_.hasServersSince(question.after)
-                                                   : held_.hasConfigurationSince(question.version);
+  return question.topic == source::Topic::kServers
+             ? held_.hasServersSince(question.after)
+             : held_.hasConfigurationSince(question.version, question.after);
 }
 
 void PeerStateServer::answer(const runtime::HttpRequest& request,
@@ -160,7 +161,8 @@
   const bool is_servers = question.topic == source::Topic::kServers;
   EncodedAnswer& answer = is_servers ? servers_answer_ : configuration_answer_;
   const Generation held = held_.revision(question.topic);
-  const bool is_same = answer.asked_after == question.after &&
+  // What is told of the configuration does not depend on `after`: encoding it is what costs.
+  const bool is_same = (!is_servers || answer.asked_after == question.after) &&
                        answer.asked_version == question.version && answer.held_revision == held;
   if (is_same && !answer.bytes.empty()) return answer.bytes;
   answer.bytes = source::encodeStateUpdate(is_servers ? held_.serversSince(question.after)
--- /dev/null
+++ b/src/node/server_health.cpp
@@ -0,0 +1,50 @@
+#include "node/server_health.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace coursepond::node {
+namespace {
+
+/// An answer that takes longer is about a moment that has passed.
+constexpr Duration kHealthTimeout = std::chrono::milliseconds(600);
+
+std::optional<Duration> parseMilliseconds(std::string_view text) {
+  double milliseconds = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, status] = std::from_chars(text.data(), end, milliseconds);
+  const bool is_time = status == std::errc() && rest == end && milliseconds >= 0;
+  if (!is_time) return std::nullopt;
+  constexpr double kLongest = 3'600'000;
+  return Duration(static_cast<Duration::rep>(std::min(milliseconds, kLongest) * 1000));
+}
+
+}  // namespace
+
+std::optional<ingress::ServerHealth> healthOf(const runtime::HttpClientResponse& response,
+                                              const runtime::HeaderNames& names) {
+  const auto instance = runtime::findHeader(response.headers, names.instance);
+  if (!instance || instance->empty()) return std::nullopt;
+  ingress::ServerHealth health;
+  health.instance = *instance;
+  if (const auto cold = runtime::findHeader(response.headers, names.cold_left)) {
+    const std::optional<Duration> left = parseMilliseconds(*cold);
+    if (!left) return std::nullopt;
+    health.cold_left = *left;
+  }
+  return health;
+}
+
+void ServerHealthClient::ask(Callback callback) {
+  if (path_.empty()) return;
+  runtime::HttpClientRequest request;
+  request.target = path_;
+  client_.request(
+      server_, std::move(request), kHealthTimeout,
+      [this, callback = std::move(callback)](const Result<runtime::HttpClientResponse>& response) {
+        if (!response) return;
+        if (const auto health = healthOf(*response, names_)) callback(*health);
+      });
+}
+
+}  // namespace coursepond::node
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "egress/egress_flow.h"
@@ -12,6 +13,7 @@
 #include "node/decision_fold.h"
 #include "node/peer_state_exchange.h"
 #include "node/retry_report.h"
+#include "node/server_health.h"
 #include "node/two_hop_metrics.h"
 #include "runtime/asio_environment.h"
 #include "runtime/logging.h"
@@ -111,6 +113,7 @@
         retries_(environment_, settings_.retries),
         egress_(egressSettings(settings_), retries_, environment_),
         ingress_(ingressSettings(settings_), retries_, environment_),
+        server_health_(context, settings_.two_hop.server, settings_.headers),
         peer_client_(context, settings_.node.peer_listen.port, settings_.relay),
         servers_(makeReading(source::Topic::kServers, extensions)),
         configuration_(makeReading(source::Topic::kConfiguration, extensions)),
@@ -119,6 +122,7 @@
                  onPeerState(topic, update);
                }) {
     ingress_.setAddress(settings_.two_hop.server);
+    ingress_.onHealthWanted([this] { askServerHealth(); });
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
   }
@@ -159,9 +163,11 @@
   bool isFresh(source::Topic topic) const;
   void onFreshnessLost(source::Topic topic);
   void onConfiguration(const model::Configuration& configuration);
+  void applyDrainedZones();
   void onServers(const source::WatchBatch& batch, bool is_complete);
   void forgetLapsedServers();
   void updateOwnServer();
+  void askServerHealth();
   void onWatchFailed(source::Topic topic, const Error& error);
   void onPeerState(source::Topic topic, const source::StateUpdate& update);
   void chooseReaders();
@@ -185,6 +191,7 @@
   egress::EgressState egress_;
   ingress::IngressState ingress_;
   source::HeldState held_;
+  ServerHealthClient server_health_;
   HttpPeerStateClient peer_client_;
   Reading servers_;
   Reading configuration_;
@@ -338,10 +345,12 @@
   }
   bool has_news = false;
   if (topic == source::Topic::kConfiguration) {
+    has_news = held_.updateConfiguration(batch);
+    // First, since building a large configuration takes a small node a while.
+    applyDrainedZones();
     for (const source::ConfigurationPointer& configuration : batch.configurations) {
       onConfiguration(*configuration);
     }
-    has_news = held_.updateConfiguration(batch);
   } else {
     has_news = held_.updateServers(batch, is_complete);
     onServers(batch, is_complete);
@@ -362,15 +371,26 @@
   const model::CallerLimits limits = (*snapshot)->limits;
   if (!egress_.apply(std::move(*snapshot))) return;
   egress_server_->setCallerLimits(limits);
-  const auto service = configuration.services.find(settings_.two_hop.service);
-  if (service != configuration.services.end()) {
-    ingress_.setConnectionLimit(service->second.connections_per_server);
-  }
+  const auto found = configuration.services.find(settings_.two_hop.service);
+  const model::Service service =
+      found == configuration.services.end() ? model::Service() : found->second;
+  ingress_.setService(service);
+  server_health_.setPath(service.health_path);
   writeLog(runtime::LogLevel::kInfo, "configuration_in_force",
            {{"version", std::to_string(configuration.version.value())},
             {"routes", std::to_string(configuration.routes.size())}});
 }
 
+void Implementation::applyDrainedZones() {
+  const std::set<ZoneId>& zones = held_.drainedZones();
+  if (zones == egress_.drainedZones()) return;
+  std::string names;
+  for (const ZoneId& zone : zones) names += (names.empty() ? "" : ",") + zone.value();
+  writeLog(runtime::LogLevel::kInfo, "drained_zones", {{"zones", names}});
+  egress_.setDrainedZones(zones);
+  ingress_.setZoneDrained(zones.contains(settings_.node.zone));
+}
+
 void Implementation::onServers(const source::WatchBatch& batch, bool is_complete) {
   if (batch.servers.empty() && batch.removed_servers.empty() && !is_complete) return;
   const TimePoint now = environment_.now();
@@ -404,6 +424,7 @@
   for (const auto& [id, server] : egress_.directory().all()) {
     const model::ServerEntry& entry = server->entry;
     if (entry.address != settings_.two_hop.server) continue;
+    if (entry.service != settings_.two_hop.service) continue;
     if (!newest || entry.revision > newest->revision) newest = entry;
   }
   const bool is_older = newest && own_server_ && newest->revision < own_server_->revision;
@@ -415,6 +436,17 @@
   ingress_.setServer(own_server_);
 }
 
+void Implementation::askServerHealth() {
+  server_health_.ask([this](const ingress::ServerHealth& health) {
+    if (health.cold_left > Duration(0)) {
+      writeLog(runtime::LogLevel::kInfo, "server_cold",
+               {{"server", health.instance},
+                {"left_ms", std::to_string(toMilliseconds(health.cold_left))}});
+    }
+    ingress_.onHealth(health);
+  });
+}
+
 void Implementation::onWatchFailed(source::Topic topic, const Error& error) {
   writeLog(runtime::LogLevel::kWarning, "source_trouble",
            {{"topic", std::string(source::topicWord(topic))}, {"error", describe(error)}});
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -32,6 +32,8 @@
       return "deadline";
     case Reason::kServerDraining:
       return "server_draining";
+    case Reason::kZoneDrained:
+      return "zone_drained";
     case Reason::kWrongService:
       return "wrong_service";
     case Reason::kRetryBudget:
--- a/src/proxy/reason.h
+++ b/src/proxy/reason.h
@@ -22,6 +22,7 @@
   kQueueTimeout,        ///< Waited for a slot as long as the settings allow.
   kDeadline,            ///< The deadline passed.
   kServerDraining,      ///< The server or its ingress is leaving.
+  kZoneDrained,         ///< Operators drained the server's zone, or all zones of the service.
   kWrongService,        ///< This machine's server is of another service.
   kRetryBudget,         ///< A repeat, and the calls it would make may not be repeated now.
   kOtherInstance,       ///< Another start of the server has the address: ask again for that one.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -426,6 +426,7 @@
       ++statistics.refused_deadline;
       return;
     case Reason::kServerDraining:
+    case Reason::kZoneDrained:
     case Reason::kWrongService:
     case Reason::kRetryBudget:
     case Reason::kOtherInstance:
--- a/src/runtime/header_names.h
+++ b/src/runtime/header_names.h
@@ -23,6 +23,8 @@
   std::string caller_service = http_headers::kCallerService;
   /// On a server's answer: its own instance.
   std::string instance = http_headers::kInstance;
+  /// On a server's health answer: for how many more milliseconds it is cold. Absent: it is warm.
+  std::string cold_left = http_headers::kColdLeftMs;
 };
 
 }  // namespace coursepond::runtime
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -84,11 +84,17 @@
   retries.burst = kRepeatsUsed * promises.repeat_burst;
 }
 
+void deriveColdStart(const Promises& promises, ingress::ColdStartSettings& cold_start) {
+  cold_start.overshoot = promises.cold_overshoot;
+  cold_start.burst = promises.cold_burst;
+}
+
 }  // namespace
 
 void deriveTimings(Settings& settings) {
   const Promises& promises = settings.promises;
   deriveRetries(promises, settings.retries);
+  deriveColdStart(promises, settings.ingress.cold_start);
   if (promises.settled > Duration(0)) deriveRepair(promises.settled, settings.watch);
   const bool bounds_changes = promises.leaving > Duration(0) || promises.in_force > Duration(0);
   if (bounds_changes) deriveTakingIn(promises, settings);
--- a/src/runtime/promises.h
+++ b/src/runtime/promises.h
@@ -24,6 +24,11 @@
   double repeat_ratio = 0.2;
   /// and so many in a burst.
   double repeat_burst = 60;
+  /// A cold server gets, in any second, at most this multiple of what its service says that it
+  /// bears,
+  double cold_overshoot = 1.0;
+  /// and so many beyond that.
+  double cold_burst = 0;
 };
 
 /// Sets what follows from `settings.promises`:
@@ -37,6 +42,7 @@
 ///   - relay: a reader that fell silent is left for another path before the shorter of the two is
 ///   over;
 ///   - node.stop_*: a planned stop ends by itself before `stop` is over;
+///   - ingress.cold_start: what a cold server gets stays within `cold_overshoot` and `cold_burst`;
 ///   - egress.retry_*: what nodes repeat on purpose stays below `repeat_ratio` and `repeat_burst`.
 void deriveTimings(Settings& settings);
 
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -78,6 +78,12 @@
                             FIELD(promises.repeat_ratio)));
   keys.push_back(numberKey(section, "repeat_burst", {0, 100'000}, "", "And so many in a burst.",
                            FIELD(promises.repeat_burst)));
+  keys.push_back(percentKey(section, "cold_overshoot_percent", {0, 10'000},
+                            "Requests in any second that a cold server may get, of those that its "
+                            "service says it bears.",
+                            FIELD(promises.cold_overshoot)));
+  keys.push_back(numberKey(section, "cold_burst", {0, 100'000}, "", "And so many beyond that.",
+                           FIELD(promises.cold_burst)));
 }
 
 void addPlatformKeys(Keys& keys) {
@@ -464,6 +470,8 @@
   add("caller_service", "Towards a server: the service whose machine the request began on.",
       FIELD(headers.caller_service));
   add("instance", "On a server's answer: its instance.", FIELD(headers.instance));
+  add("cold_left", "On a server's health answer: for how many more milliseconds it is cold.",
+      FIELD(headers.cold_left));
 }
 
 void addAdminKeys(Keys& keys) {
--- a/src/source/held_state.cpp
+++ b/src/source/held_state.cpp
@@ -13,7 +13,7 @@
 }  // namespace
 
 bool HeldState::updateConfiguration(const WatchBatch& batch) {
-  bool has_changed = false;
+  bool has_changed = updateZones(batch);
   for (const ConfigurationPointer& configuration : batch.configurations) {
     if (hold(configuration)) has_changed = true;
   }
@@ -36,6 +36,21 @@
   return has_changed;
 }
 
+bool HeldState::updateZones(const WatchBatch& batch) {
+  std::set<ZoneId> drained = batch.lists_zones ? std::set<ZoneId>() : drained_zones_;
+  for (const ZoneChange& change : batch.zone_changes) {
+    if (change.is_drained) {
+      drained.insert(change.zone);
+    } else {
+      drained.erase(change.zone);
+    }
+  }
+  if (drained == drained_zones_) return false;
+  drained_zones_ = std::move(drained);
+  zones_changed_ = std::max(zones_changed_, batch.revision);
+  return true;
+}
+
 bool HeldState::put(const model::ServerEntry& entry) {
   model::ServerEntry& held = servers_[entry.id];
   if (entry.revision < held.revision || held == entry) return false;
@@ -107,7 +122,8 @@
 StateUpdate HeldState::configurationSince(Version version) const {
   StateUpdate update;
   update.revision = configuration_revision_;
-  if (!hasConfigurationSince(version)) return update;
+  update.drained_zones.emplace(drained_zones_.begin(), drained_zones_.end());
+  if (this->version() <= version) return update;
   if (const ConfigurationPointer base = find(version)) {
     update.delta = model::makeDelta(*base, *newest(), model::DeltaCheck::kVersions);
   } else {
--- a/src/source/peer_reader.h
+++ b/src/source/peer_reader.h
@@ -20,7 +20,7 @@
 /// What a node asks another.
 struct PeerQuestion {
   Topic topic = Topic::kServers;
-  Generation after;  ///< kServers: all of them are known up to here.
+  Generation after;  ///< The servers, or the drained zones, are known up to here.
   Version version;   ///< kConfiguration: this one is held.
   /// How long the answer may wait for a change.
   Duration wait{};
--- a/src/source/state_update.cpp
+++ b/src/source/state_update.cpp
@@ -20,6 +20,7 @@
           {"zone", server.zone.value()},
           {"slots", server.slots},
           {"leaving", server.state == model::MachineState::kLeaving},
+          {"started_ms", server.started_ms},
           {"warm_up_left_ms", toMilliseconds(server.warm_up_left)},
           {"revision", server.revision.value()}};
 }
@@ -34,6 +35,7 @@
   server.slots = json.at("slots").get<std::uint32_t>();
   const bool is_leaving = json.at("leaving").get<bool>();
   server.state = is_leaving ? model::MachineState::kLeaving : model::MachineState::kLive;
+  server.started_ms = json.at("started_ms").get<std::uint64_t>();
   server.warm_up_left =
       std::chrono::milliseconds(json.at("warm_up_left_ms").get<std::chrono::milliseconds::rep>());
   server.revision = Generation(json.at("revision").get<std::uint64_t>());
@@ -64,6 +66,10 @@
   for (const Json& id : json.at("removed")) {
     update.removed_servers.emplace_back(id.get<std::string>());
   }
+  if (const auto zones = json.find("drained_zones"); zones != json.end()) {
+    update.drained_zones.emplace();
+    for (const Json& zone : *zones) update.drained_zones->emplace_back(zone.get<std::string>());
+  }
   readConfiguration(json, update);
   return update;
 }
@@ -79,6 +85,11 @@
                {"complete", update.is_complete},
                {"servers", std::move(servers)},
                {"removed", std::move(removed)}};
+  if (update.drained_zones) {
+    Json zones = Json::array();
+    for (const ZoneId& zone : *update.drained_zones) zones.push_back(zone.value());
+    json["drained_zones"] = std::move(zones);
+  }
   if (update.configuration) {
     json["version"] = update.configuration->version.value();
     json["configuration"] = model::canonicalText(*update.configuration);
@@ -108,6 +119,12 @@
   batch.is_complete = update.is_complete;
   batch.servers = std::move(update.servers);
   batch.removed_servers = std::move(update.removed_servers);
+  if (update.drained_zones) {
+    batch.lists_zones = true;
+    for (ZoneId& zone : *update.drained_zones) {
+      batch.zone_changes.push_back({std::move(zone), true});
+    }
+  }
   if (update.configuration) {
     batch.configurations.push_back(std::move(update.configuration));
   } else if (update.delta) {
--- a/src/source/state_update.h
+++ b/src/source/state_update.h
@@ -21,6 +21,8 @@
   bool is_complete = false;  ///< `servers` lists all there are; nothing else is held any more.
   std::vector<model::ServerEntry> servers;
   std::vector<EndpointId> removed_servers;
+  /// With what is told of the configuration: all zones that are drained.
+  std::optional<std::vector<ZoneId>> drained_zones;
   /// At most one of the two: the whole configuration, or how it differs from the one that the asker
   /// holds. Neither: it has not changed.
   ConfigurationPointer configuration;
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -30,6 +30,13 @@
 /// For logs.
 std::string_view topicWord(Topic topic);
 
+/// Operators drain a zone, or take that back. Nothing is sent to the servers of a drained zone.
+struct ZoneChange {
+  ZoneId zone;
+  bool is_drained = true;
+  friend bool operator==(const ZoneChange&, const ZoneChange&) = default;
+};
+
 /// What one read gave. A list holds everything; a watch what changed, in order. A server is in one
 /// of the two lists of servers at most, by its last change: use put() and remove(). A list of any
 /// length has nothing removed, so that taking it in costs no search.
@@ -38,9 +45,13 @@
   bool is_complete = false;  ///< `servers` lists all there are, also where changes were asked for.
   bool is_relayed = false;   ///< Another node told it, and pauses between its reads itself.
   std::vector<ConfigurationPointer> configurations;
+  std::vector<ZoneChange> zone_changes;  ///< Of the configuration's topic, in order.
+  bool lists_zones = false;              ///< `zone_changes` names all zones that are drained.
   std::vector<model::ServerEntry> servers;
   std::vector<EndpointId> removed_servers;
-  std::vector<Error> rejected;  ///< Items that could not be read; what was held stays in force.
+  /// Items that could not be read. A configuration that was held stays in force; a server whose
+  /// entry cannot be read counts as removed.
+  std::vector<Error> rejected;
 
   /// `entry` was written: an earlier end of this server no longer counts.
   void put(model::ServerEntry entry);
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -86,8 +86,8 @@
       settings_.relist > Duration(0) && environment_.now() - last_list_ >= settings_.relist;
   if (is_due) return list();
   const bool has_changes =
-      !is_stale && (!answer->configurations.empty() || !answer->servers.empty() ||
-                    !answer->removed_servers.empty());
+      !is_stale && (!answer->configurations.empty() || !answer->zone_changes.empty() ||
+                    !answer->servers.empty() || !answer->removed_servers.empty());
   // What another node told comes no faster than that node reads.
   has_changes && !answer->is_relayed ? watchLater(settings_.gather) : watch();
 }
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -774,4 +774,48 @@
   for (int number = 0; number < 6; ++number) CHECK(egress.send("/stock")->server() == "s2");
 }
 
+TEST_CASE("nothing is sent to a drained zone, calls included") {
+  EgressFixture egress;
+  egress.apply(1);
+  egress.list({EgressFixture::entry("s1", "a"), EgressFixture::entry("s2", "b")});
+  egress.state.setDrainedZones({ZoneId("a")});
+  for (const char* parent : {"", "", "", "parent"}) {
+    const auto exchange = egress.send("/stock", parent);
+    REQUIRE(exchange->io.plans.size() == 1);
+    CHECK(exchange->io.plans[0].target_instance == "s2");
+  }
+  SUBCASE("a service without servers elsewhere is refused at once") {
+    egress.state.setDrainedZones({ZoneId("a"), ZoneId("b")});
+    const auto refused = egress.send("/seat");
+    REQUIRE(refused->io.answers.size() == 1);
+    CHECK(refused->io.answers[0].status == 503);
+    CHECK(refused->io.answers[0].reason == "zone_drained");
+    CHECK(refused->io.plans.empty());
+  }
+  SUBCASE("a zone that is taken back is used again") {
+    egress.state.setDrainedZones({});
+    CHECK(egress.send("/stock")->io.plans[0].target_instance == "s1");
+  }
+}
+
+TEST_CASE("what was seen of a server says nothing about its next start under the same id") {
+  EgressFixture egress;
+  egress.begin(1);
+  const TimePoint now = egress.environment.now();
+  const ServerPointer before = egress.state.directory().usable(ServiceName("stock"))[0];
+  egress.state.onUnreachable(*before, now);
+  egress.state.onLoad(*before, proxy::HopLoad{4, 6, 4, seconds(1), true}, now);
+
+  model::ServerEntry again = EgressFixture::entry("s1", "a");
+  again.started_ms = 1791000000123;
+  again.warm_up_left = seconds(3);
+  again.revision = Generation(5);
+  egress.list({again});
+  const ServerPointer after = egress.state.directory().usable(ServiceName("stock"))[0];
+  CHECK_FALSE(after->avoided(now));
+  CHECK_FALSE(after->leaving(now));
+  CHECK(after->load.slots == 0);
+  CHECK(after->cold_until == now + seconds(3));
+}
+
 }  // namespace coursepond::egress
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -356,4 +356,110 @@
   CHECK(first->io.answers.at(0).outcome == proxy::Outcome::kUnknown);
 }
 
+namespace {
+
+/// A service whose cold servers bear 4 requests a second, for 3 s.
+model::Service serviceThatWarmsUp() {
+  model::Service service;
+  service.name = ServiceName("stock");
+  service.warm_up = seconds(3);
+  service.cold_rate_per_1000_s = 4000;
+  return service;
+}
+
+/// Sends short requests as fast as slots come free, for `length`; returns how many reached the
+/// server.
+std::size_t sendShortRequests(IngressFixture& ingress, milliseconds length) {
+  constexpr milliseconds kStep(5);
+  std::size_t reached = 0;
+  for (milliseconds at(0); at < length; at += kStep) {
+    const auto exchange = ingress.send("short", 1, milliseconds(40));
+    if (exchange->io.plans.size() == 1) {
+      ++reached;
+      exchange->answerWhole();
+    }
+    ingress.environment.advance(kStep);
+  }
+  return reached;
+}
+
+}  // namespace
+
+// All machines lost power and the servers came back cold: each was sent what its slots took,
+// several times what it bore, fell over, came back cold and was driven over again, for the rest of
+// the day.
+TEST_CASE("a server that may be cold is sent no more than it bears, and is asked how it is") {
+  IngressFixture ingress;
+  int asked = 0;
+  ingress.state.onHealthWanted([&] { ++asked; });
+  ingress.state.setService(serviceThatWarmsUp());
+  // Questions reach the server like requests.
+  CHECK(sendShortRequests(ingress, milliseconds(1000)) + asked == 4);
+  CHECK(asked == 1);
+
+  ingress.state.onHealth({"i-1", seconds(1)});
+  CHECK(sendShortRequests(ingress, milliseconds(990)) <= 4);
+  ingress.environment.advance(milliseconds(10));
+  CHECK(sendShortRequests(ingress, milliseconds(1000)) == 200);
+}
+
+TEST_CASE("a request that waits for a cold server is sent when the server bears it") {
+  IngressFixture ingress;
+  ingress.state.setService(serviceThatWarmsUp());
+  ingress.state.onHealth({"i-1", seconds(2)});
+  for (int number = 0; number < 4; ++number) ingress.send("r")->answerWhole();
+  const auto waiting = ingress.send("w", 1, seconds(20));
+  CHECK(waiting->io.plans.empty());
+  ingress.environment.advance(milliseconds(900));
+  CHECK(waiting->io.plans.empty());
+  ingress.environment.advance(milliseconds(200));
+  CHECK(waiting->io.plans.size() == 1);
+}
+
+TEST_CASE("a server that starts again under its id, or is lost, counts as cold until it says so") {
+  IngressFixture ingress;
+  ingress.state.setService(serviceThatWarmsUp());
+  ingress.state.onHealth({"i-1", Duration(0)});
+  CHECK_FALSE(ingress.state.isCold(ingress.environment.now()));
+  SUBCASE("its entry names another start") {
+    model::ServerEntry entry = *ingress.state.server();
+    entry.started_ms = 1791000000123;
+    ingress.state.setServer(entry);
+  }
+  SUBCASE("its entry says that it turned cold") {
+    model::ServerEntry entry = *ingress.state.server();
+    entry.warm_up_left = seconds(2);
+    ingress.state.setServer(entry);
+  }
+  SUBCASE("a connection to it cannot be made") {
+    const auto exchange = ingress.send("r");
+    exchange->flow->onAttemptFailed(1, AttemptFailure::kConnectFailed);
+  }
+  SUBCASE("a connection to it is lost") {
+    const auto exchange = ingress.send("r");
+    exchange->flow->onAttemptFailed(1, AttemptFailure::kLostAfterSend);
+  }
+  SUBCASE("its zone was drained") {
+    ingress.state.setZoneDrained(true);
+    ingress.state.setZoneDrained(false);
+  }
+  CHECK(ingress.state.isCold(ingress.environment.now()));
+}
+
+TEST_CASE("in a drained zone nothing begins, what waits is refused as not run, what runs ends") {
+  IngressFixture ingress;
+  const auto running = ingress.send("r1");
+  const auto other = ingress.send("r2");
+  const auto waiting = ingress.send("r3");
+  const auto call = ingress.send("r4", 1, milliseconds(1000), true);
+  ingress.state.setZoneDrained(true);
+  checkRefused(*waiting, "zone_drained");
+  checkRefused(*call, "zone_drained");
+  checkRefused(*ingress.send("r5"), "zone_drained");
+  CHECK(running->io.answers.empty());
+  running->answerWhole();
+  ingress.state.setZoneDrained(false);
+  CHECK(ingress.send("r6")->io.plans.size() == 1);
+}
+
 }  // namespace coursepond::ingress
--- a/tests/platform/node_on_store_test.cpp
+++ b/tests/platform/node_on_store_test.cpp
@@ -76,4 +76,40 @@
   CHECK(bench.becomes("/later/x", 200));
 }
 
+// Operators emptied a zone and requests went on reaching its servers, by thousands: nobody read the
+// key that says so.
+TEST_CASE("a zone that operators drain gets nothing until they take that back") {
+  NodeOnStore bench;
+  bench.configure(1, "/");
+  bench.listServer("ready");
+  SUBCASE("also when it was drained before the node started") {
+    bench.store().put("op/evacuate/a", "{}");
+    bench.start();
+  }
+  SUBCASE("while the node serves") {
+    bench.start();
+    REQUIRE(bench.becomes("/x", 200));
+    bench.store().put("op/evacuate/a", "{}");
+  }
+  CHECK(bench.becomes("/x", 503));
+  const std::size_t runs = bench.runs();
+  CHECK(bench.send("/x").status == 503);
+  CHECK(bench.runs() == runs);
+  bench.store().remove("op/evacuate/a");
+  CHECK(bench.becomes("/x", 200));
+}
+
+// A node kept using a server whose entry another writer had overwritten.
+TEST_CASE("an entry that becomes unreadable names no server any more") {
+  NodeOnStore bench;
+  bench.configure(1, "/");
+  bench.listServer("ready");
+  bench.start();
+  REQUIRE(bench.becomes("/x", 200));
+  bench.store().put(kServerKey, R"({"service":"stock","state":"sleeping"})");
+  CHECK(bench.becomes("/x", 503));
+  bench.listServer("ready");
+  CHECK(bench.becomes("/x", 200));
+}
+
 }  // namespace coursepond::platform
