Egress: a stopping node takes no work away from a server at a silent ingress

Ruled out: the ingress's own stop, and the deadline; the trace shows the cut at the receipt's time. Change: a stopping node waits for the answer; what surely has not run is still tried elsewhere. Test first: red without the change (two plans, one cancelled).

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -344,9 +344,10 @@
     return;
   }
   const bool has_other = state_.pick(service_, tried_, now) != nullptr;
+  // A stop takes no work away from a server: its repeat may find no time before this node's end.
+  const bool may_leave = is_repeatable_ && !state_.isStopping();
   const bool may_go_on =
-      has_other &&
-      (surely_not_run || (is_repeatable_ && mayRepeat(RepeatReason::kIngressSilent, now)));
+      has_other && (surely_not_run || (may_leave && mayRepeat(RepeatReason::kIngressSilent, now)));
   if (!may_go_on) {
     state_.deadlines().arm(*this, latest());
     return;
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -134,6 +134,7 @@
   /// A planned stop of this node began: requests are answered before `end`, when the process goes
   /// and would cut them.
   void announceStop(TimePoint end);
+  bool isStopping() const { return latest_answer_ != TimePoint::max(); }
   /// By when every request is answered; the end of time without a stop.
   TimePoint latestAnswer() const { return latest_answer_; }
   std::size_t& inFlight() { return in_flight_; }
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -583,6 +583,27 @@
   CHECK(stock->isOpen());
 }
 
+// Nodes of a tenth of a core were stopped while a large configuration filled their links: receipts
+// came late, requests were taken away from servers at work on them, the repeats found no allowance
+// or no time, and the callers got a failure in place of the answer that was on its way.
+TEST_CASE("a stopping node waits for a silent ingress whose server may be at work") {
+  EgressFixture egress;
+  egress.begin(3);
+  const auto stock = egress.send("/stock");
+  egress.state.announceStop(egress.environment.now() + seconds(2));
+  egress.environment.advance(milliseconds(260));
+  CHECK(stock->io.plans.size() == 1);
+  CHECK(stock->io.cancelled.empty());
+  stock->answerWhole();
+  CHECK(stock->io.forwarded.size() == 1);
+
+  // What surely has not run is still tried elsewhere.
+  const auto seat = egress.send("/seat");
+  seat->io.bytes_sent = false;
+  egress.environment.advance(milliseconds(260));
+  CHECK(seat->io.plans.size() == 2);
+}
+
 TEST_CASE("a repeatable request leaves a silent ingress within its route's attempts") {
   EgressFixture egress;
   egress.begin(3);
