--- a/bench/data_path/fleet_load.h
+++ b/bench/data_path/fleet_load.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "cold_server.h"
 #include "core/time.h"
 #include "egress/settings.h"
 #include "ingress/settings.h"
@@ -69,6 +70,8 @@
   double servers_gone = 0;  ///< Part of each service's servers that end a third into the run.
   std::vector<Burst> bursts;
   RejectingServers rejecting;
+  ColdShape cold;
+  Duration power_loss{};  ///< When all servers end and start cold; zero: never.
   Duration length = std::chrono::seconds(20);
 };
 
@@ -77,6 +80,7 @@
   std::string name;
   egress::Settings egress = {};
   ingress::Settings ingress = {};
+  bool knows_cold_rate = true;  ///< The configuration tells what a cold server bears.
 };
 
 /// Of one kind, counted by requests as callers see them: a refused one that returns is the same.
@@ -100,6 +104,9 @@
   double remote_refusals = 0;    ///< By ingresses of another zone.
   double rejected = 0;           ///< By servers.
   double calls_failed = 0;       ///< Made by servers.
+  double fell_over = 0;          ///< Cold servers that got more than they bear.
+  std::vector<double> in_time_by_second;  ///< Of all kinds, by the second they were asked in.
+  std::vector<double> asked_by_second;
   double busiest = 0;  ///< Requests run at the busiest server over the mean of its service.
 
   double asked() const;
--- a/bench/data_path/fleet_scenarios.cpp
+++ b/bench/data_path/fleet_scenarios.cpp
@@ -182,6 +182,65 @@
   return fleet;
 }
 
+/// Grants that call, and reads that make two calls at once, on servers with few slots. A cold
+/// server bears about a fifth of its usual load for long, and three fifths in a single second.
+FleetScenario grants(std::string name) {
+  FleetScenario fleet;
+  fleet.name = std::move(name);
+  fleet.zones = 4;
+  fleet.services = {{"catalog", 22, 6, {0.6, 1.0, 1.4}},
+                    {"licensing", 34, 6, {0.7, 0.7, 1.6}},
+                    {"typeserve", 24, 6, {0.5, 1.0, 1.0, 1.5}}};
+  fleet.cold = {seconds(3), 2, 5.6, 16, seconds(1)};
+  const KindShape read{.name = "read",
+                       .service = "catalog",
+                       .per_second = 300,
+                       .work = milliseconds(220),
+                       .spread = 0.8,
+                       .target = milliseconds(600),
+                       .deadline = milliseconds(2000),
+                       .rank = 2,
+                       .returns = 2,
+                       .calls = {{"seat-check", 2, 0.7}}};
+  const KindShape grant{.name = "grant",
+                        .service = "licensing",
+                        .per_second = 330,
+                        .work = milliseconds(290),
+                        .spread = 0.3,
+                        .target = milliseconds(1000),
+                        .deadline = milliseconds(3000),
+                        .worth = 2,
+                        .late_worth = 0.6,
+                        .is_repeatable = false,
+                        .returns = 2,
+                        .calls = {{"metrics", 1, 0.7}}};
+  const KindShape specimen{.name = "specimen",
+                           .service = "typeserve",
+                           .per_second = 97,
+                           .work = milliseconds(550),
+                           .spread = 0.8,
+                           .target = milliseconds(1500),
+                           .deadline = milliseconds(5000),
+                           .rank = 2,
+                           .returns = 2};
+  const KindShape subset{.name = "subset",
+                         .service = "typeserve",
+                         .per_second = 224,
+                         .work = milliseconds(88),
+                         .spread = 0.8,
+                         .target = milliseconds(300),
+                         .deadline = milliseconds(1200),
+                         .worth = 2,
+                         .late_worth = 0.6,
+                         .returns = 2};
+  const KindShape seat_check =
+      calledKind("seat-check", "licensing", milliseconds(55), milliseconds(200), milliseconds(600));
+  const KindShape metrics =
+      calledKind("metrics", "typeserve", milliseconds(55), milliseconds(200), milliseconds(600));
+  fleet.kinds = {read, grant, specimen, subset, seat_check, metrics};
+  return fleet;
+}
+
 }  // namespace
 
 std::vector<FleetScenario> fleetScenarios() {
@@ -205,6 +264,14 @@
   scenarios.back().load = 0.9;
   scenarios.back().rejecting = {"typeserve", 0.25, 0.5, seconds(4), seconds(12)};
 
+  scenarios.push_back(grants("grants, usual load"));
+
+  scenarios.push_back(grants("grants, all servers lose power"));
+  scenarios.back().power_loss = seconds(6);
+
+  scenarios.push_back(grants("grants, all servers of the called service reject half"));
+  scenarios.back().rejecting = {"licensing", 1, 0.5, seconds(4), seconds(8)};
+
   scenarios.push_back(transfers("transfers, usual load"));
 
   scenarios.push_back(transfers("transfers, two bursts"));
--- a/bench/data_path/main.cpp
+++ b/bench/data_path/main.cpp
@@ -24,6 +24,16 @@
       "refusals per request | worst second |\n|---|---|---|---|---|---|---|---|---|\n");
 }
 
+void printSeconds(const FleetOutcome& outcome) {
+  std::printf("\nin time, of those asked in each second:");
+  for (std::size_t second = 0; second < outcome.asked_by_second.size(); ++second) {
+    const bool has_any = second < outcome.in_time_by_second.size();
+    const double in_time = has_any ? outcome.in_time_by_second[second] : 0;
+    std::printf(" %.2f", in_time / std::max(outcome.asked_by_second[second], 1.0));
+  }
+  std::printf("; servers that fell over: %.0f\n", outcome.fell_over);
+}
+
 void printFleet(const FleetScenario& scenario, const FleetPolicy& policy, std::uint64_t seed) {
   const FleetOutcome outcome = playFleet(scenario, policy, seed);
   std::printf("\n**%s**, %s, seed %llu\n\n", scenario.name.c_str(), policy.name.c_str(),
@@ -41,6 +51,7 @@
                 kind.in_time / kind.asked, kind.late / kind.asked, kind.refused / kind.asked,
                 kind.failed / kind.asked);
   }
+  printSeconds(outcome);
 }
 
 int run(int argc, char** argv) {
--- a/bench/data_path/two_hop_fleet.cpp
+++ b/bench/data_path/two_hop_fleet.cpp
@@ -58,6 +58,8 @@
   model::ServerEntry entry;
   double speed = 1;
   bool is_gone = false;
+  ColdServer cold;
+  std::uint64_t lives = 0;  ///< Of the server; work of an earlier one is lost.
   std::uint64_t ran = 0;
 };
 
@@ -88,6 +90,9 @@
   }
   Duration drawWork(const KindShape& kind);
   bool isRejected(const Node& node);
+  /// A request, or a question for its health, arrives at the node's server: false when it is down.
+  bool arriveAtServer(Node& node);
+  Duration workLength(Node& node, const KindShape& kind);
   bool drawChance(double probability) { return random_.chance(probability); }
   FleetOutcome& outcome() { return outcome_; }
   /// Keeps the exchange until it is released.
@@ -109,7 +114,11 @@
   };
 
   void makeNodes(const FleetPolicy& policy, std::uint64_t seed);
+  model::Service serviceOf(const ServiceName& name, const FleetPolicy& policy) const;
   void endServers();
+  void losePower();
+  void askHealth(Node& node);
+  void noteBySecond(const Caller& caller, bool is_in_time);
   double factor() const;
   void scheduleArrival(std::size_t kind);
   Node& anyServingNode();
@@ -238,6 +247,7 @@
 
  private:
   void reject();
+  void lose(AttemptFailure failure);
   void makeCalls();
   void onCallAnswered(int status);
   void work();
@@ -262,8 +272,9 @@
   std::unique_ptr<proxy::Exchange> flow_;
   std::vector<std::weak_ptr<EgressExchange>> calls_;
   std::uint32_t open_calls_ = 0;
-  std::uint32_t run_ = 0;  ///< Of the server's work; raised when it is stopped.
-  AttemptId attempt_ = 0;  ///< At the server.
+  std::uint32_t run_ = 0;   ///< Of the server's work; raised when it is stopped.
+  std::uint64_t life_ = 0;  ///< Of the server, at the run's begin.
+  AttemptId attempt_ = 0;   ///< At the server.
   bool has_call_failed_ = false;
   bool is_done_ = false;
   std::optional<proxy::HopLoad> forwarded_load_;
@@ -318,7 +329,13 @@
       if (!self->is_done_ && run == self->run_) self->reject();
     });
   }
+  if (!fleet_.arriveAtServer(node_)) {
+    return fleet_.after(Duration(0), [self = shared_from_this(), run = run_] {
+      if (!self->is_done_ && run == self->run_) self->lose(AttemptFailure::kConnectFailed);
+    });
+  }
   ++node_.ran;
+  life_ = node_.lives;
   makeCalls();
   if (open_calls_ == 0) work();
 }
@@ -330,6 +347,9 @@
   flow_->onAnswerHead(attempt_, head);
 }
 
+/// The server is down, or went down while it ran this.
+void IngressExchange::lose(AttemptFailure failure) { flow_->onAttemptFailed(attempt_, failure); }
+
 void IngressExchange::makeCalls() {
   for (const CallShape& call : fleet_.kind(kind_).calls) {
     if (!fleet_.drawChance(call.share)) continue;
@@ -355,14 +375,14 @@
 
 void IngressExchange::work() {
   if (has_call_failed_) return answer();
-  const Duration length = fromMicroseconds(
-      static_cast<double>(fleet_.drawWork(fleet_.kind(kind_)).count()) / node_.speed);
+  const Duration length = fleet_.workLength(node_, fleet_.kind(kind_));
   fleet_.after(length, [self = shared_from_this(), run = run_] {
     if (!self->is_done_ && run == self->run_) self->answer();
   });
 }
 
 void IngressExchange::answer() {
+  if (life_ != node_.lives) return lose(AttemptFailure::kLostAfterSend);
   AnswerHead head;
   head.status = has_call_failed_ ? kServerError : kOk;
   head.request_id = id_;
@@ -429,6 +449,17 @@
   makeNodes(policy, seed);
 }
 
+model::Service Fleet::serviceOf(const ServiceName& name, const FleetPolicy& policy) const {
+  constexpr double kPerThousand = 1000;
+  model::Service service;
+  service.name = name;
+  service.warm_up = scenario_.cold.warm_up;
+  if (policy.knows_cold_rate) {
+    service.cold_rate_per_1000_s = static_cast<std::uint32_t>(scenario_.cold.rate * kPerThousand);
+  }
+  return service;
+}
+
 void Fleet::makeNodes(const FleetPolicy& policy, std::uint64_t seed) {
   std::vector<model::ServerEntry> entries;
   for (std::size_t service = 0; service < scenario_.services.size(); ++service) {
@@ -448,6 +479,8 @@
       egress.ingress_port = kIngressPort;
       ingress::Settings ingress = policy.ingress;
       ingress.own_service = entry.service;
+      // What operators promise of cold servers is what they bear in any second.
+      ingress.cold_start.burst = static_cast<double>(scenario_.cold.most) - scenario_.cold.rate;
       nodes_.push_back(std::make_unique<Node>(time_, seed * 1000 + index, egress, ingress));
       Node& node = *nodes_.back();
       node.index = index;
@@ -455,6 +488,9 @@
       node.entry = entry;
       node.speed = shape.speeds[random_.below(shape.speeds.size())];
       node.ingress.setServer(entry);
+      node.ingress.setService(serviceOf(entry.service, policy));
+      node.ingress.onHealthWanted([this, &node] { askHealth(node); });
+      node.ingress.onHealth({entry.id.value(), Duration(0)});
       node_of_server_[entry.id] = index;
       entries.push_back(entry);
     }
@@ -510,6 +546,35 @@
   return true;
 }
 
+bool Fleet::arriveAtServer(Node& node) {
+  if (node.cold.isDown(now())) return false;
+  if (node.cold.takes(scenario_.cold, now())) return true;
+  ++outcome_.fell_over;
+  ++node.lives;
+  return false;
+}
+
+Duration Fleet::workLength(Node& node, const KindShape& kind) {
+  const double slowness = node.cold.isCold(now()) ? scenario_.cold.slowness : 1;
+  return fromMicroseconds(static_cast<double>(drawWork(kind).count()) * slowness / node.speed);
+}
+
+/// All servers start again, cold; what ran is lost.
+void Fleet::losePower() {
+  for (const auto& node : nodes_) {
+    ++node->lives;
+    node->cold.start(scenario_.cold, now());
+    node->ingress.suspectCold(now());
+  }
+}
+
+void Fleet::askHealth(Node& node) {
+  after(kSameZoneHop, [this, &node] {
+    if (!arriveAtServer(node)) return;
+    node.ingress.onHealth({node.entry.id.value(), node.cold.coldLeft(now())});
+  });
+}
+
 double Fleet::factor() const {
   double factor = scenario_.load;
   for (const Burst& burst : scenario_.bursts) {
@@ -528,6 +593,7 @@
     scheduleArrival(kind);
     outcome_.kinds[kind].asked += 1;
     outcome_.kinds[kind].owed += scenario_.kinds[kind].worth;
+    noteBySecond({kind, now(), 0}, false);
     ask({kind, now(), scenario_.kinds[kind].returns});
   });
 }
@@ -565,6 +631,7 @@
   if (status == kOk) {
     const bool is_in_time = now() - caller.first_at <= kind.target;
     (is_in_time ? outcome.in_time : outcome.late) += 1;
+    if (is_in_time) noteBySecond(caller, true);
     outcome.earned += is_in_time ? kind.worth : kind.late_worth;
     return;
   }
@@ -582,6 +649,14 @@
   after(retry_after.value_or(Duration(0)), [this, again] { ask(again); });
 }
 
+void Fleet::noteBySecond(const Caller& caller, bool is_in_time) {
+  const Duration at = caller.first_at - (now() - time_.elapsed());
+  const auto second = static_cast<std::size_t>(at / std::chrono::seconds(1));
+  std::vector<double>& counts = is_in_time ? outcome_.in_time_by_second : outcome_.asked_by_second;
+  if (counts.size() <= second) counts.resize(second + 1);
+  counts[second] += 1;
+}
+
 double Fleet::busiestOverMean() const {
   std::map<std::size_t, std::pair<double, double>> by_service;  // Most and sum.
   std::map<std::size_t, double> servers;
@@ -603,6 +678,7 @@
     if (scenario_.kinds[kind].per_second > 0) scheduleArrival(kind);
   }
   if (scenario_.servers_gone > 0) after(scenario_.length / 3, [this] { endServers(); });
+  if (scenario_.power_loss > Duration(0)) after(scenario_.power_loss, [this] { losePower(); });
   time_.runUntil(scenario_.length + kTail);
   outcome_.busiest = busiestOverMean();
   return outcome_;
