Routes may name the regions in which they are served

Cause: a route's regions were not read, so that its requests, and their bodies, went to any zone. Change: decoded, kept in the canonical form and in deltas, obeyed where a server is chosen; the second hop is beside that server, so that the body goes nowhere else. A zone whose region is not known is in none. What has no server there is refused at once. The regions of zones come from the settings. Test: egress_flow_test "a route that names regions is served in these alone", store_answers_test.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -34,6 +34,8 @@
 using NodeId = Name<struct NodeIdTag>;
 /// A zone: machines that are cut off together.
 using ZoneId = Name<struct ZoneIdTag>;
+/// Zones whose data may stay together; see Route::regions.
+using RegionId = Name<struct RegionIdTag>;
 /// One server of a service, unique in the mesh.
 using EndpointId = Name<struct EndpointIdTag>;
 using ServiceName = Name<struct ServiceNameTag>;
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -100,6 +100,7 @@
   /// By when it is answered: its deadline, or the end of a planned stop that began since.
   TimePoint latest() const { return std::min(deadline_, state_.latestAnswer()); }
 
+  EgressState::Destination destination() const { return {service_, route_->regions}; }
   AdmissionThrottle& throttle() { return state_.use(service_).throttles[route_->rank]; }
 
   /// How likely it is that the attempt that begins counts as a repeat.
@@ -205,15 +206,17 @@
 // ---- Attempts
 
 void EgressFlow::sendOrWait(TimePoint now) {
-  const ServerPointer server = state_.pick(service_, tried_, now, slots_->asksOwnZone());
+  const ServerPointer server = state_.pick(destination(), tried_, now, slots_->asksOwnZone());
   const bool is_own_zone = server && server->entry.zone == state_.settings().own_zone;
   if (server && slots_->mayAsk(is_own_zone)) {
     slots_->onAsk(is_own_zone);
     return send(server, now);
   }
   if (was_refused_) return joinQueue(now);
-  // Waiting would not help: a zone is drained for long.
-  if (state_.isDrained(service_)) return conclude(Reason::kZoneDrained);
+  // Waiting would not help: zones are drained for long, and regions stay.
+  if (state_.isBarred(destination())) {
+    return conclude(route_->regions.empty() ? Reason::kZoneDrained : Reason::kNoServer);
+  }
   waitForServer(now);
 }
 
@@ -310,7 +313,7 @@
   noteArrival();
   releaseServer();
   if (!mayRepeat(RepeatReason::kIngressLost, now)) return conclude(Reason::kConnectionLost);
-  if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
+  if (ServerPointer server = state_.pick(destination(), tried_, now)) return send(server, now);
   conclude(Reason::kConnectionLost);
 }
 
@@ -343,7 +346,7 @@
     state_.deadlines().arm(*this, latest());
     return;
   }
-  const bool has_other = state_.pick(service_, tried_, now) != nullptr;
+  const bool has_other = state_.pick(destination(), tried_, now) != nullptr;
   // A stop takes no work away from a server: its repeat may find no time before this node's end.
   const bool may_leave = is_repeatable_ && !state_.isStopping();
   const bool may_go_on =
@@ -402,7 +405,7 @@
   if (!is_repeatable_) return false;
   noteArrival();
   may_have_run_ = true;
-  if (!state_.pick(service_, tried_, now)) return false;
+  if (!state_.pick(destination(), tried_, now)) return false;
   return mayRepeat(RepeatReason::kServerFailed, now);
 }
 
@@ -474,7 +477,7 @@
   if (reason == Reason::kDeadline) is_late_ = true;
   if (!is_repeatable_ || reason == Reason::kDeadline) return conclude(reason);
   if (!mayRepeat(RepeatReason::kAnswerLost, now)) return conclude(reason);
-  if (ServerPointer server = state_.pick(service_, tried_, now)) return send(server, now);
+  if (ServerPointer server = state_.pick(destination(), tried_, now)) return send(server, now);
   conclude(reason);
 }
 
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -62,13 +62,22 @@
 
 void EgressState::onDirectoryChanged() { retries_.setNodes(directory_.all().size()); }
 
-ServerPointer EgressState::pick(const ServiceName& service, const std::vector<EndpointId>& tried,
+/// A zone of unknown region is no region's own: a body that may not go there stays here.
+bool EgressState::isAllowed(const Server& server, const Destination& to) const {
+  if (drained_zones_.contains(server.entry.zone)) return false;
+  if (to.regions.empty()) return true;
+  const auto region = settings_.zone_regions.find(server.entry.zone);
+  return region != settings_.zone_regions.end() &&
+         std::find(to.regions.begin(), to.regions.end(), region->second) != to.regions.end();
+}
+
+ServerPointer EgressState::pick(const Destination& to, const std::vector<EndpointId>& tried,
                                 TimePoint now, bool asks_own_zone) const {
   Candidates near;
   Candidates far;
   Candidates leaving;
-  for (const ServerPointer& server : directory_.usable(service)) {
-    if (server->avoided(now) || isInDrainedZone(*server)) continue;
+  for (const ServerPointer& server : directory_.usable(to.service)) {
+    if (server->avoided(now) || !isAllowed(*server, to)) continue;
     if (std::find(tried.begin(), tried.end(), server->entry.id) != tried.end()) continue;
     const bool is_near = server->entry.zone == settings_.own_zone;
     (server->leaving(now) ? leaving : is_near ? near : far).push_back(&server);
@@ -84,11 +93,11 @@
   return cost(*farther, now) > near_cost - kCostTolerance ? nearest : farther;
 }
 
-bool EgressState::isDrained(const ServiceName& service) const {
-  const std::vector<ServerPointer>& servers = directory_.usable(service);
+bool EgressState::isBarred(const Destination& to) const {
+  const std::vector<ServerPointer>& servers = directory_.usable(to.service);
   return !servers.empty() &&
          std::all_of(servers.begin(), servers.end(),
-                     [this](const ServerPointer& server) { return isInDrainedZone(*server); });
+                     [&](const ServerPointer& server) { return !isAllowed(*server, to); });
 }
 
 ServerPointer EgressState::cheapestOfDrawn(Candidates& group, TimePoint now) const {
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -79,17 +79,23 @@
   /// Nothing is sent to servers in these zones.
   void setDrainedZones(std::set<ZoneId> zones) { drained_zones_ = std::move(zones); }
   const std::set<ZoneId>& drainedZones() const { return drained_zones_; }
-  /// Whether all servers of `service`, at least one, stand in drained zones.
-  bool isDrained(const ServiceName& service) const;
-
-  /// The cheapest of a few servers of `service`, drawn at random from those outside `tried` that
-  /// are not avoided: some of the own zone, some of the others. One that is leaving only when there
+  /// Where a request may be sent.
+  struct Destination {
+    const ServiceName& service;
+    const std::vector<RegionId>& regions;  ///< Empty: all.
+  };
+  /// Whether all its servers, at least one, stand in drained zones or in regions that are not its
+  /// own.
+  bool isBarred(const Destination& to) const;
+
+  /// The cheapest of a few servers of `to`, drawn at random from those outside `tried` that are not
+  /// avoided: some of the own zone, some of the others. One that is leaving only when there
   /// is no other. Null when there is none.
   ///
   /// `asks_own_zone`: a free slot is asked for, which costs next to nothing in the own zone, so
   /// that a server there is chosen however busy it seems, unless it is too slow.
-  ServerPointer pick(const ServiceName& service, const std::vector<EndpointId>& tried,
-                     TimePoint now, bool asks_own_zone = false) const;
+  ServerPointer pick(const Destination& to, const std::vector<EndpointId>& tried, TimePoint now,
+                     bool asks_own_zone = false) const;
   /// How dear it is to send the next request there; 1 is an idle server of this zone.
   double cost(const Server& server, TimePoint now) const;
   /// The same if it has a free slot.
@@ -146,9 +152,7 @@
   std::vector<proxy::WarmServer> warmServers() const override { return {}; }
 
  private:
-  bool isInDrainedZone(const Server& server) const {
-    return drained_zones_.contains(server.entry.zone);
-  }
+  bool isAllowed(const Server& server, const Destination& to) const;
   using Candidates = std::vector<const ServerPointer*>;
   /// Draws servers_compared of each group.
   /// `busyness`: what its use costs; 1 is an idle server.
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -4,6 +4,7 @@
 /// to the ingress beside the server that is to run it.
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "core/ids.h"
@@ -15,6 +16,8 @@
 
 struct Settings {
   ZoneId own_zone;
+  /// Of every zone that has one, for routes that name regions.
+  std::map<ZoneId, RegionId> zone_regions;
   ServiceName own_service;         ///< Told to servers as the caller.
   std::uint16_t ingress_port = 0;  ///< The same on every machine.
 
--- a/src/model/codec.cpp
+++ b/src/model/codec.cpp
@@ -195,10 +195,11 @@
   return list;
 }
 
-boost::json::array zonesToJson(const std::vector<ZoneId>& zones, const storage_ptr& storage) {
+template <typename NameType>
+boost::json::array namesToJson(const std::vector<NameType>& names, const storage_ptr& storage) {
   boost::json::array list(storage);
-  list.reserve(zones.size());
-  for (const ZoneId& zone : zones) list.emplace_back(boost::json::string_view(zone.value()));
+  list.reserve(names.size());
+  for (const NameType& name : names) list.emplace_back(boost::json::string_view(name.value()));
   return list;
 }
 
@@ -225,6 +226,7 @@
   writer.add("path_prefix", route.match.path_prefix);
   writer.add("priority", kPriorityWords[static_cast<std::size_t>(route.priority)]);
   if (route.rank > 0) writer.add("rank", route.rank);
+  if (!route.regions.empty()) writer.addList("regions", namesToJson(route.regions, storage));
   writer.add("repeatable", kRepeatabilityWords[static_cast<std::size_t>(route.repeatability)]);
   writer.addList("secrets", secretUsesToJson(route.secrets, storage));
   writer.add("service", route.service.value());
@@ -233,7 +235,7 @@
     writer.addTime("target_latency_ms", route.target_latency);
   }
   writer.addTime("timeout_ms", route.timeout);
-  writer.addList("zones", zonesToJson(route.zones, storage));
+  writer.addList("zones", namesToJson(route.zones, storage));
   return writer.take();
 }
 
@@ -278,6 +280,9 @@
   for (std::string& zone : reader.sortedTexts("zones", rules::kName)) {
     route.zones.emplace_back(std::move(zone));
   }
+  for (std::string& region : reader.sortedTexts("regions", rules::kName)) {
+    route.regions.emplace_back(std::move(region));
+  }
   route.priority = static_cast<Priority>(reader.choiceOr("priority", 0, kPriorityWords));
   route.repeatability =
       static_cast<Repeatability>(reader.choiceOr("repeatable", 0, kRepeatabilityWords));
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -60,6 +60,9 @@
   std::vector<WeightedService> split;  ///< Empty: all requests go to `service`.
   std::vector<SecretUse> secrets;
   std::vector<ZoneId> zones;  ///< The zones whose proxies hold this route; empty means all.
+  /// The regions whose servers may run its requests, and where their bodies may go, sorted; empty
+  /// means all.
+  std::vector<RegionId> regions{};
   Priority priority = Priority::kInteractive;
   Repeatability repeatability = Repeatability::kByMethod;
   Duration timeout = std::chrono::seconds(5);  ///< When the caller names no deadline.
--- a/src/model/document.h
+++ b/src/model/document.h
@@ -6,7 +6,7 @@
 ///   {"version": 7,
 ///    "routes":   [{"name", "host"?, "path_prefix"?, "methods"?: [..], "headers"?:
 ///    [{"name","value"}],
-///                  "service", "secrets"?: [{"secret","header"}], "zones"?: [..],
+///                  "service", "secrets"?: [{"secret","header"}], "zones"?: [..], "regions"?: [..],
 ///                  "priority"?: "interactive"|"batch",
 ///                  "repeatable"?: "by_method"|"always"|"never", "timeout_ms"?,
 ///                  "split"?: [{"service","weight"}], "longest_hold_ms"?, "target_latency_ms"?,
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -86,6 +86,8 @@
 egress::Settings egressSettings(const runtime::Settings& settings) {
   egress::Settings egress = settings.egress;
   egress.own_zone = settings.node.zone;
+  egress.zone_regions = runtime::parseZoneRegions(settings.two_hop.zone_regions)
+                            .value_or(std::map<ZoneId, RegionId>());
   egress.own_service = settings.two_hop.service;
   egress.ingress_port = settings.two_hop.ingress_listen.port;
   egress.expects_signature = !settings.headers.signature.empty();
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -3,9 +3,11 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <charconv>
 #include <set>
 
+#include "model/json_document.h"
 #include "runtime/settings_keys.h"
 
 namespace coursepond::runtime {
@@ -312,6 +314,19 @@
 
 }  // namespace
 
+std::optional<std::map<ZoneId, RegionId>> parseZoneRegions(std::string_view text) {
+  std::map<ZoneId, RegionId> regions;
+  if (text.empty()) return regions;
+  constexpr std::size_t kFlat = 1;
+  const auto document = model::JsonDocument::parse(text, kFlat);
+  if (!document || !document->root().is_object()) return std::nullopt;
+  for (const auto& [zone, region] : document->root().get_object()) {
+    if (!region.is_string()) return std::nullopt;
+    regions[ZoneId(std::string(zone))] = RegionId(std::string(region.get_string()));
+  }
+  return regions;
+}
+
 std::string describe(const SettingMistake& mistake) {
   std::string text;
   if (mistake.line != 0) text += "line " + std::to_string(mistake.line) + ": ";
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -4,6 +4,8 @@
 /// settings_keys.h drives checking, printing and the test against docs/operators/SETTINGS.md.
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -88,6 +90,8 @@
                            ///< directly.
   Address server;          ///< This machine's server.
   ServiceName service;     ///< That server's service.
+  /// {"zone": "region"}, for routes that name regions; empty: none is known.
+  std::string zone_regions;
 
   bool enabled() const { return !ingress_listen.host.empty(); }
 };
@@ -136,6 +140,10 @@
   LogSettings log;
 };
 
+/// The regions of TwoHopSettings::zone_regions; nothing when the text is no JSON object of texts.
+/// An empty text names none.
+std::optional<std::map<ZoneId, RegionId>> parseZoneRegions(std::string_view text);
+
 /// One thing wrong with the settings, told so that it can be mended.
 struct SettingMistake {
   std::uint32_t line = 0;  ///< In the file, from 1; 0 for a flag or a key that is absent.
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -307,6 +307,12 @@
                                  FIELD(data_path.leaving_mark_hold)));
 }
 
+std::optional<Error> checkZoneRegions(const std::string& text) {
+  if (parseZoneRegions(text)) return std::nullopt;
+  return Error{ErrorKind::kInvalidArgument, "the text is not a JSON object of texts",
+               "write the region of each zone, as in '{\"north\": \"island\"}'"};
+}
+
 void addTwoHopKeys(Keys& keys) {
   const std::string section = "two_hop";
   keys.push_back(addressKey(section, "ingress_listen", AddressUse::kOptionalConnect,
@@ -317,6 +323,9 @@
                             "This machine's server.", FIELD(two_hop.server)));
   keys.push_back(nameKey<ServiceName>(section, "service", NameUse::kMayBeEmpty,
                                       "That server's service.", FIELD(two_hop.service)));
+  keys.push_back(textKey(section, "zone_regions", "a JSON object of texts, or nothing",
+                         "The region of each zone, for routes that name regions.", checkZoneRegions,
+                         FIELD(two_hop.zone_regions)));
 }
 
 void addWatchKeys(Keys& keys) {
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -839,4 +839,32 @@
   CHECK(after->cold_until == now + seconds(3));
 }
 
+TEST_CASE("a route that names regions is served in these alone") {
+  EgressFixture egress;
+  Settings settings = EgressFixture::makeSettings();
+  settings.zone_regions = {{ZoneId("a"), RegionId("east")}, {ZoneId("b"), RegionId("west")}};
+  egress.state.changeSettings(settings);
+  egress.list({EgressFixture::entry("s1", "a"), EgressFixture::entry("s2", "b"),
+               EgressFixture::entry("s3", "c")});
+  auto snapshot = std::make_shared<model::Snapshot>();
+  snapshot->version = Version(1);
+  snapshot->routes = {EgressFixture::makeRoute("/stock", model::Repeatability::kAlways),
+                      EgressFixture::makeRoute("/seat", model::Repeatability::kNever)};
+  snapshot->routes[0].regions = {RegionId("west")};
+  snapshot->routes[1].regions = {RegionId("north")};
+  REQUIRE(egress.state.apply(snapshot));
+  for (int number = 0; number < 20; ++number) {
+    CHECK(egress.send("/stock")->server() == "s2");
+  }
+  // Not even when the only one there cannot be reached.
+  const auto alone = egress.send("/stock");
+  alone->fail(AttemptFailure::kConnectFailed);
+  CHECK(alone->io.plans.size() == 1);
+  // No server is in the region: refused at once.
+  const auto refused = egress.send("/seat");
+  CHECK(refused->io.plans.empty());
+  REQUIRE(refused->io.answers.size() == 1);
+  CHECK(refused->io.answers[0].status == 503);
+}
+
 }  // namespace coursepond::egress
--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -13,7 +13,7 @@
   "max_attempts":2}},
  {"entry_type":"routes","metadata":{"name":"read"},"spec":{"host":"a.example","path_prefix":"/y/",
   "type":"safe","target_latency":"600ms","priority":2,"max_attempts":3,
-  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}},
+  "allowed_regions":["west","east"],"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}},
  {"entry_type":"services","metadata":{"name":"s1"},"spec":{"max_connections":130}},
  {"entry_type":"services","metadata":{"name":"s2"},"spec":{}},
  {"entry_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1048576,
@@ -51,6 +51,8 @@
   CHECK(read.longest_hold == Duration(0));
   REQUIRE(read.split.size() == 2);
   CHECK(read.split[1].weight == 10);
+  CHECK(read.regions == std::vector{RegionId("east"), RegionId("west")});
+  CHECK(seat.regions.empty());
   CHECK(configuration->limits.idle_timeout == std::chrono::seconds(15));
 }
 
