Ingress: an answer to what was sent before settles whether the server started anew

Cause: each lost connection let the server count as one that started anew, and so as cold, until its health was heard (at most twice a second). A server that loses a part of its answers by resets loses connections all the time, and got what a cold one bears. A health answer that says it was not run was taken for the server's word. Ruled out: asking more often, which is paid for; not doubting at a loss, since a server that fell over is found out by it first. Change: a doubt that a new start would explain ends with an answer to a request that was sent before it; what may have turned cold while it ran (an idle zone, another start's entry, a node that has just started) stays in doubt until the server says how it is.

--- a/src/ingress/cold_start.cpp
+++ b/src/ingress/cold_start.cpp
@@ -11,11 +11,19 @@
 
 }  // namespace
 
-void ColdStart::suspect(TimePoint now) {
+void ColdStart::suspect(ColdDoubt doubt, TimePoint now) {
+  // A doubt that no answer settles stands until the server says how it is.
+  const bool stands = is_suspected_ && now < coldUntil() && doubt_ == ColdDoubt::kTurnedCold;
+  if (!stands) doubt_ = doubt;
   is_suspected_ = true;
   suspected_at_ = now;
 }
 
+void ColdStart::onAnswered(TimePoint sent) {
+  if (!is_suspected_ || doubt_ != ColdDoubt::kStartedAnew || sent >= suspected_at_) return;
+  is_suspected_ = false;
+}
+
 void ColdStart::onTold(Duration left, TimePoint now) {
   is_suspected_ = false;
   cold_until_ = now + left;
--- a/src/ingress/cold_start.h
+++ b/src/ingress/cold_start.h
@@ -28,6 +28,12 @@
   double burst = 0;
 };
 
+/// Why a server may be cold.
+enum class ColdDoubt {
+  kStartedAnew,  ///< A connection to it was lost or refused: all that ran there would be lost.
+  kTurnedCold,   ///< It may have turned cold while it ran.
+};
+
 class ColdStart {
  public:
   /// What the service's configuration says: requests a second that a cold server bears (zero: as
@@ -36,8 +42,12 @@
   /// of power, requests of others arrive before the first configuration does.
   void setLimits(double rate, Duration warm_up) { limits_ = Limits{rate, warm_up}; }
 
-  /// The server may have started anew, or turned cold: it counts as cold until onTold().
-  void suspect(TimePoint now);
+  /// The server counts as cold until onTold().
+  void suspect(ColdDoubt doubt, TimePoint now);
+  /// It answered a request that was sent at `sent`: if that was before it was suspected of a new
+  /// start, it is the same one. Without this, servers that lose a part of their answers, at which
+  /// connections are lost all the time, would get no more than cold ones.
+  void onAnswered(TimePoint sent);
   /// It stays cold for `left` from now; zero: it is warm.
   void onTold(Duration left, TimePoint now);
   /// Nothing is known since suspect(): asking the server is worth it.
@@ -72,6 +82,7 @@
 
   std::optional<Limits> limits_;  ///< Nothing before the first configuration.
   bool is_suspected_ = false;
+  ColdDoubt doubt_ = ColdDoubt::kTurnedCold;
   TimePoint suspected_at_;
   TimePoint cold_until_;
   std::deque<TimePoint> starts_;  ///< The last mostStarts(), oldest first.
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -22,7 +22,7 @@
       environment_(environment),
       service_time_us_(static_cast<double>(settings.first_service_time.count())),
       deadlines_(environment) {
-  cold_start_.suspect(environment.now());
+  cold_start_.suspect(ColdDoubt::kTurnedCold, environment.now());
 }
 
 void IngressState::setServer(const std::optional<model::ServerEntry>& entry) {
@@ -31,7 +31,7 @@
   if (is_another) {
     instance_ = entry->id.value();
     rejections_ = RejectionRate();
-    cold_start_.suspect(now);
+    cold_start_.suspect(ColdDoubt::kTurnedCold, now);
   }
   const Duration cold_before = server_ && !is_another ? server_->warm_up_left : Duration(0);
   if (entry && entry->warm_up_left > cold_before) cold_start_.onTold(entry->warm_up_left, now);
@@ -46,7 +46,7 @@
   const TimePoint now = environment_.now();
   if (is_drained) return refuseWaiting(Reason::kZoneDrained, now);
   // A server without work may have turned cold.
-  cold_start_.suspect(now);
+  cold_start_.suspect(ColdDoubt::kTurnedCold, now);
 }
 
 void IngressState::setService(const model::Service& service) {
@@ -177,6 +177,7 @@
 }
 
 void IngressState::onAnswered(Duration target, Duration service_time) {
+  cold_start_.onAnswered(environment_.now() - service_time);
   const auto sample = static_cast<double>(service_time.count());
   service_time_us_ += settings_.sample_weight * (sample - service_time_us_);
   const bool is_new = !service_time_by_target_us_.contains(target);
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -73,7 +73,7 @@
   void onHealthWanted(std::function<void()> ask) { ask_health_ = std::move(ask); }
   void onHealth(const ServerHealth& health);
   /// The server was lost or could not be reached: it may be a new start when it answers again.
-  void suspectCold(TimePoint now) { cold_start_.suspect(now); }
+  void suspectCold(TimePoint now) { cold_start_.suspect(ColdDoubt::kStartedAnew, now); }
   bool isCold(TimePoint now) const { return cold_start_.isCold(settings_.cold_start, now); }
   /// A planned stop of this node began: egresses are told to go elsewhere. What is still running
   /// at `end` will be cut.
--- a/src/node/server_health.cpp
+++ b/src/node/server_health.cpp
@@ -23,6 +23,7 @@
 
 std::optional<ingress::ServerHealth> healthOf(const runtime::HttpClientResponse& response,
                                               const runtime::HeaderNames& names) {
+  if (runtime::findHeader(response.headers, names.not_run)) return std::nullopt;
   const auto instance = runtime::findHeader(response.headers, names.instance);
   if (!instance || instance->empty()) return std::nullopt;
   ingress::ServerHealth health;
--- a/tests/ingress/cold_start_test.cpp
+++ b/tests/ingress/cold_start_test.cpp
@@ -55,7 +55,7 @@
 
 TEST_CASE("a server that nobody has heard of counts as cold for the time it takes to warm up") {
   ColdFixture fixture;
-  fixture.cold.suspect(fixture.now);
+  fixture.cold.suspect(ColdDoubt::kTurnedCold, fixture.now);
   CHECK(fixture.cold.isSuspected(fixture.settings, fixture.now));
   CHECK(fixture.sendAll() == 8);
   SUBCASE("unless it says that it is warm") {
@@ -70,10 +70,35 @@
   }
 }
 
+// Servers that lost two of five answers by a reset counted as started anew at each of them, and got
+// no more than cold ones.
+TEST_CASE("an answer to what was sent before settles whether the server started anew") {
+  ColdFixture fixture;
+  fixture.cold.onTold(Duration(0), fixture.now);
+  const TimePoint before = fixture.now;
+  fixture.now += milliseconds(10);
+  fixture.cold.suspect(ColdDoubt::kStartedAnew, fixture.now);
+  fixture.cold.onAnswered(fixture.now + milliseconds(1));
+  CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
+  fixture.cold.onAnswered(before);
+  CHECK_FALSE(fixture.cold.isCold(fixture.settings, fixture.now));
+
+  // Not whether it turned cold, and not what it said of itself.
+  fixture.cold.suspect(ColdDoubt::kTurnedCold, fixture.now);
+  fixture.cold.suspect(ColdDoubt::kStartedAnew, fixture.now);
+  fixture.cold.onAnswered(before);
+  CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
+  fixture.cold.onTold(seconds(2), fixture.now);
+  fixture.cold.suspect(ColdDoubt::kStartedAnew, fixture.now);
+  fixture.cold.onAnswered(before);
+  CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
+  CHECK_FALSE(fixture.cold.isCold(fixture.settings, fixture.now + seconds(2)));
+}
+
 TEST_CASE("a service that names no rate for cold servers is not held back") {
   ColdFixture fixture;
   fixture.cold.setLimits(0, seconds(3));
-  fixture.cold.suspect(fixture.now);
+  fixture.cold.suspect(ColdDoubt::kTurnedCold, fixture.now);
   fixture.cold.onTold(seconds(3), fixture.now);
   CHECK_FALSE(fixture.cold.isCold(fixture.settings, fixture.now));
   CHECK(fixture.sendAll() == 1000);
@@ -85,7 +110,7 @@
   const TimePoint now{seconds(100)};
   const ColdStartSettings settings{1.5, 2};
   ColdStart cold;
-  cold.suspect(now);
+  cold.suspect(ColdDoubt::kTurnedCold, now);
   CHECK(cold.isCold(settings, now + seconds(60)));
   CHECK(cold.mostStarts(settings) == 2);
   cold.onStarted(settings, now);
