Ingress: an answer settles a doubt only if it was sent before all that was lost

Cause: let any answer to a request sent before the loss was *found* settle that the server had not started anew. Ruled out: the player, whose servers lose work at its end, as real ones do where nobody tells of a reset. Change: the doubt carries when what was lost had been sent; of several losses the earliest counts. Test: cold_start_test "an answer to what was sent after what was lost settles nothing"; the scenario of fleet_load_test as it stands.

--- a/bench/data_path/cold_server.h
+++ b/bench/data_path/cold_server.h
@@ -14,8 +14,8 @@
   Duration warm_up{};    ///< Cold for so long after a start.
   double slowness = 2;   ///< Work takes this many times as long while cold.
   double rate = 0;       ///< Requests a second that a cold server bears for long,
-  std::size_t most = 0;  ///< and the most in any second: at more it falls over. Zero: never.
-  Duration down_for{};   ///< After it fell over; then it starts cold.
+  std::size_t most = 0;  ///< and the most in any second: at more it crashes. Zero: never.
+  Duration down_for{};   ///< After a crash; then it starts cold.
 };
 
 class ColdServer {
--- a/bench/data_path/fleet_load.h
+++ b/bench/data_path/fleet_load.h
@@ -104,7 +104,7 @@
   double remote_refusals = 0;    ///< By ingresses of another zone.
   double rejected = 0;           ///< By servers.
   double calls_failed = 0;       ///< Made by servers.
-  double fell_over = 0;          ///< Cold servers that got more than they bear.
+  double cold_crashes = 0;       ///< Cold servers that got more than they bear.
   std::vector<double> in_time_by_second;  ///< Of all kinds, by the second they were asked in.
   std::vector<double> asked_by_second;
   double busiest = 0;  ///< Requests run at the busiest server over the mean of its service.
--- a/bench/data_path/main.cpp
+++ b/bench/data_path/main.cpp
@@ -31,7 +31,7 @@
     const double in_time = has_any ? outcome.in_time_by_second[second] : 0;
     std::printf(" %.2f", in_time / std::max(outcome.asked_by_second[second], 1.0));
   }
-  std::printf("; servers that fell over: %.0f\n", outcome.fell_over);
+  std::printf("; crashes of cold servers: %.0f\n", outcome.cold_crashes);
 }
 
 void printFleet(const FleetScenario& scenario, const FleetPolicy& policy, std::uint64_t seed) {
--- a/bench/data_path/two_hop_fleet.cpp
+++ b/bench/data_path/two_hop_fleet.cpp
@@ -549,7 +549,7 @@
 bool Fleet::arriveAtServer(Node& node) {
   if (node.cold.isDown(now())) return false;
   if (node.cold.takes(scenario_.cold, now())) return true;
-  ++outcome_.fell_over;
+  ++outcome_.cold_crashes;
   ++node.lives;
   return false;
 }
@@ -564,7 +564,7 @@
   for (const auto& node : nodes_) {
     ++node->lives;
     node->cold.start(scenario_.cold, now());
-    node->ingress.suspectCold(now());
+    node->ingress.onServerLost(now(), now());
   }
 }
 
--- a/src/ingress/cold_start.cpp
+++ b/src/ingress/cold_start.cpp
@@ -5,23 +5,31 @@
 namespace coursepond::ingress {
 namespace {
 
-/// The bound is one of arrivals in any second. A request may arrive later than it was sent: by the
-/// part beyond the second, twice what a node of a tenth of a core needs to write one.
+/// The bound is one of arrivals in any second. A twentieth is added for a request that was sent
+/// late in one second and arrives in the next: without a bound of its own on that delay, a margin.
 constexpr Duration kWindow = std::chrono::milliseconds(1050);
 
 }  // namespace
 
-void ColdStart::suspect(ColdDoubt doubt, TimePoint now) {
-  // A doubt that no answer settles stands until the server says how it is.
-  const bool stands = is_suspected_ && now < coldUntil() && doubt_ == ColdDoubt::kTurnedCold;
-  if (!stands) doubt_ = doubt;
+void ColdStart::suspectTurnedCold(TimePoint now) {
+  is_suspected_ = true;
+  suspected_at_ = now;
+  settled_before_.reset();
+}
+
+void ColdStart::suspectStartedAnew(TimePoint sent, TimePoint now) {
+  const bool stands = is_suspected_ && now < coldUntil();
+  if (!stands) {
+    settled_before_ = sent;
+  } else if (settled_before_) {
+    settled_before_ = std::min(*settled_before_, sent);
+  }
   is_suspected_ = true;
   suspected_at_ = now;
 }
 
 void ColdStart::onAnswered(TimePoint sent) {
-  if (!is_suspected_ || doubt_ != ColdDoubt::kStartedAnew || sent >= suspected_at_) return;
-  is_suspected_ = false;
+  if (settled_before_ && sent < *settled_before_) is_suspected_ = false;
 }
 
 void ColdStart::onTold(Duration left, TimePoint now) {
--- a/src/ingress/cold_start.h
+++ b/src/ingress/cold_start.h
@@ -4,10 +4,11 @@
 ///
 /// Answers the load of a server that has just started, or turned cold while it had nothing to do,
 /// when callers come at once: it bears only so many requests a second until it is warm, and well
-/// above that it falls over, starts cold again and is driven over again. A fleet that lost power
-/// never comes back that way. The bound is one of requests sent in any second, whatever slots are
-/// free and however short the requests are, and the ingress alone sends to its server: so it is
-/// kept here, exactly, on arrival and from the queue alike.
+/// above that it crashes, starts cold again and is overloaded again. A fleet that lost power never
+/// recovers that way: played in virtual time (fleet_load_test), 0.46 of the worth of twenty seconds
+/// without this bound, 0.87 with it. The bound is one of requests sent in any second, whatever
+/// slots are free and however short the requests are, and the ingress alone sends to its server: so
+/// it is kept here, exactly, on arrival and from the queue alike.
 ///
 /// Whether the server is cold is learned from its listed entry, from its own word where it is
 /// asked, and suspected where neither was heard since something may have changed: then it counts as
@@ -28,12 +29,6 @@
   double burst = 0;
 };
 
-/// Why a server may be cold.
-enum class ColdDoubt {
-  kStartedAnew,  ///< A connection to it was lost or refused: all that ran there would be lost.
-  kTurnedCold,   ///< It may have turned cold while it ran.
-};
-
 class ColdStart {
  public:
   /// What the service's configuration says: requests a second that a cold server bears (zero: as
@@ -42,10 +37,14 @@
   /// of power, requests of others arrive before the first configuration does.
   void setLimits(double rate, Duration warm_up) { limits_ = Limits{rate, warm_up}; }
 
-  /// The server counts as cold until onTold().
-  void suspect(ColdDoubt doubt, TimePoint now);
-  /// It answered a request that was sent at `sent`: if that was before it was suspected of a new
-  /// start, it is the same one. Without this, servers that lose a part of their answers, at which
+  /// The server may have turned cold while it ran: it counts as cold until onTold().
+  void suspectTurnedCold(TimePoint now);
+  /// What was sent to it at `sent` found that a connection was lost or refused, so that it may have
+  /// started anew since then: it counts as cold until onTold() or onAnswered() says otherwise.
+  void suspectStartedAnew(TimePoint sent, TimePoint now);
+  /// It answered a request that was sent at `sent`. If that was before all that was lost had been
+  /// sent, it is the same start. Requests sent later may have met the next start already, where a
+  /// loss is found late. Without this, servers that lose a part of their answers, at which
   /// connections are lost all the time, would get no more than cold ones.
   void onAnswered(TimePoint sent);
   /// It stays cold for `left` from now; zero: it is warm.
@@ -82,8 +81,9 @@
 
   std::optional<Limits> limits_;  ///< Nothing before the first configuration.
   bool is_suspected_ = false;
-  ColdDoubt doubt_ = ColdDoubt::kTurnedCold;
   TimePoint suspected_at_;
+  /// An answer to what was sent before this settles the doubt; nothing when none does.
+  std::optional<TimePoint> settled_before_;
   TimePoint cold_until_;
   std::deque<TimePoint> starts_;  ///< The last mostStarts(), oldest first.
 };
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -152,7 +152,7 @@
       return conclude(Reason::kConnectFailed, now);
     case AttemptFailure::kConnectFailed:
       ++state_.statistics().server_unreachable;
-      state_.suspectCold(now);
+      state_.onServerLost(attempt_started_, now);
       state_.pause(state_.settings().unreachable_pause, now);
       return conclude(Reason::kConnectFailed, now);
     case AttemptFailure::kNoConnectionFree:
@@ -160,7 +160,7 @@
       return conclude(Reason::kConnectFailed, now);
     case AttemptFailure::kLostAfterSend:
       ++state_.statistics().server_lost;
-      state_.suspectCold(now);
+      state_.onServerLost(attempt_started_, now);
       may_have_run_ = true;
       return conclude(Reason::kConnectionLost, now);
     case AttemptFailure::kMalformedAnswer:
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -22,7 +22,7 @@
       environment_(environment),
       service_time_us_(static_cast<double>(settings.first_service_time.count())),
       deadlines_(environment) {
-  cold_start_.suspect(ColdDoubt::kTurnedCold, environment.now());
+  cold_start_.suspectTurnedCold(environment.now());
 }
 
 void IngressState::setServer(const std::optional<model::ServerEntry>& entry) {
@@ -31,7 +31,7 @@
   if (is_another) {
     instance_ = entry->id.value();
     rejections_ = RejectionRate();
-    cold_start_.suspect(ColdDoubt::kTurnedCold, now);
+    cold_start_.suspectTurnedCold(now);
   }
   const Duration cold_before = server_ && !is_another ? server_->warm_up_left : Duration(0);
   if (entry && entry->warm_up_left > cold_before) cold_start_.onTold(entry->warm_up_left, now);
@@ -46,7 +46,7 @@
   const TimePoint now = environment_.now();
   if (is_drained) return refuseWaiting(Reason::kZoneDrained, now);
   // A server without work may have turned cold.
-  cold_start_.suspect(ColdDoubt::kTurnedCold, now);
+  cold_start_.suspectTurnedCold(now);
 }
 
 void IngressState::setService(const model::Service& service) {
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -72,8 +72,9 @@
   /// `ask` is called when the server should be asked how it is; onHealth() takes its answer.
   void onHealthWanted(std::function<void()> ask) { ask_health_ = std::move(ask); }
   void onHealth(const ServerHealth& health);
-  /// The server was lost or could not be reached: it may be a new start when it answers again.
-  void suspectCold(TimePoint now) { cold_start_.suspect(ColdDoubt::kStartedAnew, now); }
+  /// What was sent to the server at `sent` was lost, or found it out of reach: it may be another
+  /// start when it answers again.
+  void onServerLost(TimePoint sent, TimePoint now) { cold_start_.suspectStartedAnew(sent, now); }
   bool isCold(TimePoint now) const { return cold_start_.isCold(settings_.cold_start, now); }
   /// A planned stop of this node began: egresses are told to go elsewhere. What is still running
   /// at `end` will be cut.
--- a/tests/data_path/fleet_load_test.cpp
+++ b/tests/data_path/fleet_load_test.cpp
@@ -100,16 +100,16 @@
   CHECK(usual.earned > 0.965);
 }
 
-// All machines lost power. The servers came back cold, were sent what their slots took, fell over,
-// came back cold and were driven over again: 444 times in the 14 s after the loss, in which a fifth
-// of the requests was in time (before). Now none falls over, and four seconds after the loss the
+// All machines lost power. The servers came back cold, were sent what their slots took, crashed,
+// came back cold and crashed again: 444 times in the 14 s after the loss, in which a fifth of the
+// requests was in time (before). Now none crashes, and four seconds after the loss the
 // fleet is whole again. Mean of the seeds 1 to 3: 0.463 of the worth before, 0.866 now; 0.904 if
-// servers never fell over, which no decision can reach.
+// servers never crashed, which no decision can reach.
 TEST_CASE("a fleet that starts cold serves what it bears, and is whole again when it is warm") {
   const std::vector<FleetScenario> scenarios = fleetScenarios();
   const FleetScenario& loss = scenarioNamed(scenarios, "grants, all servers lose power");
   const FleetOutcome outcome = playFleet(loss, {"default"}, 1);
-  CHECK(outcome.fell_over == 0);
+  CHECK(outcome.cold_crashes == 0);
   CHECK(outcome.earnedPart() > 0.85);
   const auto inTime = [&](std::size_t second) {
     return outcome.in_time_by_second.at(second) / outcome.asked_by_second.at(second);
@@ -119,9 +119,9 @@
 
   FleetPolicy unbounded{"unbounded"};
   unbounded.knows_cold_rate = false;
-  const FleetOutcome driven_over = playFleet(loss, unbounded, 1);
-  CHECK(driven_over.fell_over > 100);
-  CHECK(driven_over.earnedPart() < 0.6);
+  const FleetOutcome overloaded = playFleet(loss, unbounded, 1);
+  CHECK(overloaded.cold_crashes > 100);
+  CHECK(overloaded.earnedPart() < 0.6);
 }
 
 }  // namespace coursepond::data_path
--- a/tests/ingress/cold_start_test.cpp
+++ b/tests/ingress/cold_start_test.cpp
@@ -55,7 +55,7 @@
 
 TEST_CASE("a server that nobody has heard of counts as cold for the time it takes to warm up") {
   ColdFixture fixture;
-  fixture.cold.suspect(ColdDoubt::kTurnedCold, fixture.now);
+  fixture.cold.suspectTurnedCold(fixture.now);
   CHECK(fixture.cold.isSuspected(fixture.settings, fixture.now));
   CHECK(fixture.sendAll() == 8);
   SUBCASE("unless it says that it is warm") {
@@ -76,29 +76,46 @@
   ColdFixture fixture;
   fixture.cold.onTold(Duration(0), fixture.now);
   const TimePoint before = fixture.now;
-  fixture.now += milliseconds(10);
-  fixture.cold.suspect(ColdDoubt::kStartedAnew, fixture.now);
-  fixture.cold.onAnswered(fixture.now + milliseconds(1));
+  const TimePoint sent = before + milliseconds(10);
+  fixture.now += milliseconds(20);
+  fixture.cold.suspectStartedAnew(sent, fixture.now);
   CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
   fixture.cold.onAnswered(before);
   CHECK_FALSE(fixture.cold.isCold(fixture.settings, fixture.now));
 
   // Not whether it turned cold, and not what it said of itself.
-  fixture.cold.suspect(ColdDoubt::kTurnedCold, fixture.now);
-  fixture.cold.suspect(ColdDoubt::kStartedAnew, fixture.now);
+  fixture.cold.suspectTurnedCold(fixture.now);
+  fixture.cold.suspectStartedAnew(sent, fixture.now);
   fixture.cold.onAnswered(before);
   CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
   fixture.cold.onTold(seconds(2), fixture.now);
-  fixture.cold.suspect(ColdDoubt::kStartedAnew, fixture.now);
+  fixture.cold.suspectStartedAnew(sent, fixture.now);
   fixture.cold.onAnswered(before);
   CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
   CHECK_FALSE(fixture.cold.isCold(fixture.settings, fixture.now + seconds(2)));
 }
 
+// A lost connection was found long after the loss. Requests that the next start of the server had
+// got meanwhile, and answered, settled the doubt: the cold server was overloaded and crashed again.
+TEST_CASE("an answer to what was sent after what was lost settles nothing") {
+  ColdFixture fixture;
+  fixture.cold.onTold(Duration(0), fixture.now);
+  const TimePoint lost = fixture.now;
+  const TimePoint later = lost + milliseconds(300);
+  fixture.now += milliseconds(500);
+  fixture.cold.suspectStartedAnew(lost, fixture.now);
+  fixture.cold.onAnswered(later);
+  CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
+  // Nor does the answer that would settle a second loss settle the first.
+  fixture.cold.suspectStartedAnew(later + milliseconds(50), fixture.now);
+  fixture.cold.onAnswered(later);
+  CHECK(fixture.cold.isCold(fixture.settings, fixture.now));
+}
+
 TEST_CASE("a service that names no rate for cold servers is not held back") {
   ColdFixture fixture;
   fixture.cold.setLimits(0, seconds(3));
-  fixture.cold.suspect(ColdDoubt::kTurnedCold, fixture.now);
+  fixture.cold.suspectTurnedCold(fixture.now);
   fixture.cold.onTold(seconds(3), fixture.now);
   CHECK_FALSE(fixture.cold.isCold(fixture.settings, fixture.now));
   CHECK(fixture.sendAll() == 1000);
@@ -110,7 +127,7 @@
   const TimePoint now{seconds(100)};
   const ColdStartSettings settings{1.5, 2};
   ColdStart cold;
-  cold.suspect(ColdDoubt::kTurnedCold, now);
+  cold.suspectTurnedCold(now);
   CHECK(cold.isCold(settings, now + seconds(60)));
   CHECK(cold.mostStarts(settings) == 2);
   cold.onStarted(settings, now);
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -386,7 +386,7 @@
 }  // namespace
 
 // All machines lost power and the servers came back cold: each was sent what its slots took,
-// several times what it bore, fell over, came back cold and was driven over again, for the rest of
+// several times what it bore, crashed, came back cold and was overloaded again, for the rest of
 // the day.
 TEST_CASE("a server that may be cold is sent no more than it bears, and is asked how it is") {
   IngressFixture ingress;
