Ingress: a comment names no function that is gone

isSuspected() spoke of suspect(), which became two functions. A comment alone; formatter clean, ingress_test passes.

--- a/src/ingress/cold_start.h
+++ b/src/ingress/cold_start.h
@@ -49,7 +49,7 @@
   void onAnswered(TimePoint sent);
   /// It stays cold for `left` from now; zero: it is warm.
   void onTold(Duration left, TimePoint now);
-  /// Nothing is known since suspect(): asking the server is worth it.
+  /// Nothing is known since it was suspected: asking the server is worth it.
   bool isSuspected(const ColdStartSettings& settings, TimePoint now) const {
     return is_suspected_ && isCold(settings, now);
   }
