--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-readonly layers=(core model membership distribution source admin control proxy egress ingress runtime node cli)
+readonly layers=(core model membership distribution source admin control proxy admission egress ingress runtime node cli)
 status=0
 
 for ((i = 0; i < ${#layers[@]}; i++)); do
@@ -17,9 +17,9 @@
 done
 
 # The data path does not know how configuration reaches it.
-if grep -rnE '#include "(membership|distribution|source|admin|control)/' src/proxy src/egress \
-    src/ingress; then
-  echo "layers: src/proxy, src/egress and src/ingress may include only core, model and proxy" >&2
+if grep -rnE '#include "(membership|distribution|source|admin|control)/' src/proxy src/admission \
+    src/egress src/ingress; then
+  echo "layers: src/proxy, src/admission, src/egress and src/ingress may include only core, model and each other" >&2
   status=1
 fi
 
--- /dev/null
+++ b/src/admission/quota_bucket.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <algorithm>
+
+#include "core/time.h"
+
+namespace coursepond::admission {
+
+/// Tokens that come at a rate and are kept up to a depth. Both may change at any time.
+class QuotaBucket {
+ public:
+  /// Starts with so many tokens.
+  QuotaBucket(double tokens, TimePoint now) : tokens_(tokens), filled_at_(now) {}
+
+  /// Adds what came since the last call. `rate`: tokens a second.
+  void fill(double rate, double depth, TimePoint now) {
+    const double seconds = std::chrono::duration<double>(now - filled_at_).count();
+    tokens_ = std::min(depth, tokens_ + rate * seconds);
+    filled_at_ = now;
+  }
+  /// As of the last call of fill().
+  double tokens() const { return tokens_; }
+  void take(double tokens) { tokens_ -= tokens; }
+  void giveBack(double tokens) { tokens_ += tokens; }
+
+ private:
+  double tokens_;
+  TimePoint filled_at_;
+};
+
+}  // namespace coursepond::admission
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -1,5 +1,6 @@
 #include "core/digest.h"
 
+#include <openssl/crypto.h>
 #include <openssl/evp.h>
 
 #include <algorithm>
@@ -45,6 +46,10 @@
   return text;
 }
 
+bool Digest::equalsInConstantTime(const Digest& other) const {
+  return CRYPTO_memcmp(bytes_.data(), other.bytes_.data(), kSize) == 0;
+}
+
 std::string Digest::bytes() const { return {bytes_.begin(), bytes_.end()}; }
 
 }  // namespace coursepond
--- a/src/core/digest.h
+++ b/src/core/digest.h
@@ -3,6 +3,8 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <cstring>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -28,11 +30,25 @@
   /// The 32 raw bytes, as sent between peers.
   std::string bytes() const;
   bool empty() const { return *this == Digest(); }
+  /// Takes as long whether they differ early, late or not at all: for digests of credentials, whose
+  /// bytes nobody shall be able to guess one after the other.
+  bool equalsInConstantTime(const Digest& other) const;
 
   friend auto operator<=>(const Digest&, const Digest&) = default;
 
  private:
+  friend struct std::hash<Digest>;
   std::array<std::uint8_t, kSize> bytes_{};
 };
 
 }  // namespace coursepond
+
+/// Digests are evenly distributed: their first bytes are as good a hash as any.
+template <>
+struct std::hash<coursepond::Digest> {
+  std::size_t operator()(const coursepond::Digest& digest) const noexcept {
+    std::size_t value = 0;
+    std::memcpy(&value, digest.bytes_.data(), sizeof value);
+    return value;
+  }
+};
--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -30,6 +30,10 @@
 inline constexpr char kTargetInstance[] = "X-Target-Instance";
 /// Towards a back end: the service whose machine the request began on.
 inline constexpr char kCallerService[] = "X-Caller-Service";
+/// From a caller: the API key of its tenant. Ends at the node that takes the request in.
+inline constexpr char kApiKey[] = "X-Api-Key";
+/// Towards a back end: the tenant whose request it is.
+inline constexpr char kTenant[] = "X-Tenant";
 /// From a back end: its instance.
 inline constexpr char kInstance[] = "X-Instance-Id";
 /// From a back end, where it tells its health: for how many more milliseconds it is cold.
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -41,6 +41,8 @@
 using ServiceName = Name<struct ServiceNameTag>;
 using RouteName = Name<struct RouteNameTag>;
 using SecretName = Name<struct SecretNameTag>;
+/// A customer of the mesh, told by the API key of its requests.
+using TenantName = Name<struct TenantNameTag>;
 /// A plan, unique in the mesh.
 using PlanId = Name<struct PlanIdTag>;
 
--- a/src/membership/rank.cpp
+++ b/src/core/rank.cpp
@@ -1,6 +1,6 @@
-#include "membership/rank.h"
+#include "core/rank.h"
 
-namespace coursepond::membership {
+namespace coursepond {
 namespace {
 
 constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325;
@@ -24,4 +24,4 @@
   return value ^ (value >> 31);
 }
 
-}  // namespace coursepond::membership
+}  // namespace coursepond
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -19,7 +19,9 @@
 using proxy::Reason;
 using proxy::RepeatReason;
 
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -28,6 +30,8 @@
 /// A request with less than this left is not begun again.
 constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
 
+const std::vector<RegionId> kAllRegions;
+
 /// Whether an ingress refused since its server is busy, not since it is leaving or another's.
 bool isForWantOfRoom(const AnswerHead& answer) {
   return answer.node_reason == reasonWord(Reason::kQueueFull) ||
@@ -36,7 +40,9 @@
          answer.node_reason == reasonWord(Reason::kDeadlineTooShort);
 }
 
-class EgressFlow final : public proxy::Exchange, private proxy::DeadlineEntry {
+class EgressFlow final : public proxy::Exchange,
+                         private proxy::DeadlineEntry,
+                         private admission::QuotaWaiter {
  public:
   EgressFlow(proxy::RequestHead head, EgressState& state, Environment& environment,
              proxy::RequestIo& io)
@@ -58,12 +64,17 @@
   }
 
  private:
-  enum class Phase { kNew, kWaiting, kAttempting, kForwarding, kFinished };
+  enum class Phase { kNew, kAskingQuota, kWaiting, kAttempting, kForwarding, kFinished };
 
   void onDeadline(TimePoint now) override;
+  void onQuota(bool may_pass) override;
 
   void route(TimePoint now);
   void waitForConfiguration(TimePoint now);
+  std::optional<Reason> identify();
+  bool hasQuota() const;
+  void askQuota(TimePoint now);
+  void admit(TimePoint now);
   bool isHeldBack(TimePoint now);
   void noteOutcome(bool is_accepted, TimePoint now);
   void sendOrWait(TimePoint now);
@@ -100,8 +111,14 @@
   /// By when it is answered: its deadline, or the end of a planned stop that began since.
   TimePoint latest() const { return std::min(deadline_, state_.latestAnswer()); }
 
-  EgressState::Destination destination() const { return {service_, route_->regions}; }
-  AdmissionThrottle& throttle() { return state_.use(service_).throttles[route_->rank]; }
+  EgressState::Destination destination() const {
+    return {service_, route_->regions, tenant_ != nullptr ? tenant_->regions : kAllRegions};
+  }
+  /// The tenant's goes before the route's.
+  std::uint32_t rank() const {
+    return tenant_ != nullptr ? tenant_->rank.value_or(route_->rank) : route_->rank;
+  }
+  AdmissionThrottle& throttle() { return state_.use(service_).throttles[rank()]; }
 
   /// How likely it is that the attempt that begins counts as a repeat.
   double repeatShare() const { return has_arrived_ ? 1 : first_repeat_share_; }
@@ -116,7 +133,8 @@
   Environment& environment_;
   proxy::RequestIo& io_;
   std::shared_ptr<const RoutingTable> routing_;
-  const model::Route* route_ = nullptr;  ///< Kept alive by routing_.
+  const model::Route* route_ = nullptr;    ///< Kept alive by routing_.
+  const model::Tenant* tenant_ = nullptr;  ///< Likewise; null: nobody's.
   ServiceName service_;
   ServerPointer server_;
   std::vector<EndpointId> tried_;
@@ -137,6 +155,7 @@
   bool outcome_noted_ = false;         ///< For the throttle.
   bool was_refused_ = false;
   bool is_late_ = false;       ///< The deadline ended it.
+  bool holds_quota_ = false;   ///< A token of its tenant's quota is used for it.
   bool holds_repeat_ = false;  ///< Charged for an arrival that has not been yet.
   std::optional<Duration> retry_after_;
   TimePoint deadline_;
@@ -173,6 +192,36 @@
   }
 
   route_ = &routing_->snapshot->routes[*index];
+  if (const std::optional<Reason> refusal = identify()) return conclude(*refusal);
+  hasQuota() ? askQuota(now) : admit(now);
+}
+
+/// Calls belong to a request that was counted.
+bool EgressFlow::hasQuota() const {
+  return tenant_ != nullptr && !is_call_ && tenant_->quota.isLimited() &&
+         state_.quotas() != nullptr;
+}
+
+void EgressFlow::askQuota(TimePoint now) {
+  switch (state_.quotas()->take(*tenant_, *this)) {
+    case admission::QuotaVerdict::kPasses:
+      holds_quota_ = true;
+      return admit(now);
+    case admission::QuotaVerdict::kRefused:
+      return conclude(Reason::kQuotaExceeded);
+    case admission::QuotaVerdict::kAsked:
+      phase_ = Phase::kAskingQuota;
+      return;
+  }
+}
+
+void EgressFlow::onQuota(bool may_pass) {
+  phase_ = Phase::kWaiting;
+  holds_quota_ = may_pass;
+  may_pass ? admit(environment_.now()) : conclude(Reason::kQuotaExceeded);
+}
+
+void EgressFlow::admit(TimePoint now) {
   is_repeatable_ = proxy::mayRunTwice(route_->repeatability, head_.method);
   max_attempts_ = route_->max_attempts > 0 ? route_->max_attempts : 1;
   const bool is_held = route_->longest_hold > Duration(0);
@@ -189,6 +238,25 @@
   sendOrWait(now);
 }
 
+/// Finds whose the request is, or why it may not be served. A call is its caller's tenant's.
+std::optional<Reason> EgressFlow::identify() {
+  const admission::TenantTable& tenants = routing_->tenants;
+  if (tenants.empty()) return std::nullopt;
+  const proxy::ServerRun* const caller = state_.retries().callerOf(head_.request_id);
+  if (head_.key_digest) {
+    tenant_ = tenants.findByKey(*head_.key_digest);
+  } else if (caller != nullptr) {
+    tenant_ = tenants.findByName(caller->tenant.value());
+    return std::nullopt;
+  }
+  if (tenant_ != nullptr || route_->is_public) return std::nullopt;
+  // Work that was given up, or began before this node did, may still make calls. They cannot be
+  // told from a caller's request, so that they are not run; nor are they said to lack a key.
+  const bool may_be_call = !head_.key_digest && proxy::RetryAccounts::namesParent(head_.request_id);
+  if (may_be_call) return Reason::kUnknownParent;
+  return state_.mayHaveMissedVersion() ? Reason::kStaleConfiguration : Reason::kUnknownApiKey;
+}
+
 /// Whether the service is so full that an ingress would most likely refuse the request. Calls are
 /// never held back: their parent's work would be lost.
 bool EgressFlow::isHeldBack(TimePoint now) {
@@ -215,7 +283,9 @@
   if (was_refused_) return joinQueue(now);
   // Waiting would not help: zones are drained for long, and regions stay.
   if (state_.isBarred(destination())) {
-    return conclude(route_->regions.empty() ? Reason::kZoneDrained : Reason::kNoServer);
+    const bool has_regions =
+        !destination().regions.empty() || !destination().tenant_regions.empty();
+    return conclude(has_regions ? Reason::kNoServer : Reason::kZoneDrained);
   }
   waitForServer(now);
 }
@@ -253,8 +323,10 @@
   plan.target_instance = server_->entry.id.value();
   plan.confirm = !is_repeatable_;
   plan.caller_service = state_.settings().own_service;
+  plan.replaces_tenant = !routing_->tenants.empty();
+  if (tenant_ != nullptr) plan.tenant = tenant_->name;
   plan.hop_class =
-      proxy::HopClass{service_.value(), route_->rank,  target(),         is_repeatable_,
+      proxy::HopClass{service_.value(), rank(),        target(),         is_repeatable_,
                       is_call_,         repeatShare(), slots_->mayWait()};
   return plan;
 }
@@ -536,7 +608,8 @@
   if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
   ++state_.statistics().caller_gone;
   note(proxy::DecisionKind::kCallerGone, "", 0);
-  if (phase_ != Phase::kWaiting) io_.cancelAttempt(attempt_);
+  const bool has_attempt = phase_ == Phase::kAttempting || phase_ == Phase::kForwarding;
+  if (has_attempt) io_.cancelAttempt(attempt_);
   finish();
 }
 
@@ -559,6 +632,7 @@
 }
 
 void EgressFlow::finish() {
+  if (phase_ == Phase::kAskingQuota) state_.quotas()->leave(*this);
   phase_ = Phase::kFinished;
   state_.deadlines().disarm(*this);
   releaseServer();
@@ -568,9 +642,13 @@
 void EgressFlow::conclude(Reason reason) {
   if (holds_repeat_ && !server_) state_.retries().giveBackRepeat(service_);
   const proxy::LocalAnswer answer = makeAnswer(reason);
+  const bool not_run = answer.outcome == proxy::Outcome::kNotRun;
+  if (not_run && holds_quota_) state_.quotas()->giveBack(tenant_->name);
   Statistics& statistics = state_.statistics();
   if (answer.status == kServiceUnavailable) ++statistics.refused;
   if (answer.status == kNotFound) ++statistics.no_route;
+  if (answer.status == kUnauthorized) ++statistics.unauthenticated;
+  if (answer.status == kTooManyRequests) ++statistics.over_quota;
   if (answer.outcome == proxy::Outcome::kUnknown) ++statistics.unknown;
   note(proxy::DecisionKind::kAnsweredItself, answer.reason, answer.status);
   finish();
@@ -582,6 +660,12 @@
   answer.reason = std::string(reasonWord(reason));
   if (reason == Reason::kNoRoute) {
     answer.status = kNotFound;
+  } else if (reason == Reason::kUnknownApiKey) {
+    answer.status = kUnauthorized;
+  } else if (reason == Reason::kQuotaExceeded) {
+    answer.status = kTooManyRequests;
+    answer.retry_after = std::max(state_.quotas()->retryAfter(tenant_->name),
+                                  state_.settings().shortest_retry_after);
   } else if (may_have_run_) {
     answer.status = is_late_ ? kGatewayTimeout : kBadGateway;
     answer.outcome = proxy::Outcome::kUnknown;
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -31,6 +31,11 @@
   return server.entry.slots > 0 ? server.entry.slots : kUnknownSlots;
 }
 
+/// No regions named are all.
+bool allows(const std::vector<RegionId>& regions, const RegionId& region) {
+  return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
 double toMillisecondsExact(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
 }
@@ -65,10 +70,10 @@
 /// A zone of unknown region is no region's own: a body that may not go there stays here.
 bool EgressState::isAllowed(const Server& server, const Destination& to) const {
   if (drained_zones_.contains(server.entry.zone)) return false;
-  if (to.regions.empty()) return true;
+  if (to.regions.empty() && to.tenant_regions.empty()) return true;
   const auto region = settings_.zone_regions.find(server.entry.zone);
-  return region != settings_.zone_regions.end() &&
-         std::find(to.regions.begin(), to.regions.end(), region->second) != to.regions.end();
+  return region != settings_.zone_regions.end() && allows(to.regions, region->second) &&
+         allows(to.tenant_regions, region->second);
 }
 
 ServerPointer EgressState::pick(const Destination& to, const std::vector<EndpointId>& tried,
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -9,6 +9,8 @@
 #include <set>
 #include <vector>
 
+#include "admission/quota_accounts.h"
+#include "admission/tenant_table.h"
 #include "core/environment.h"
 #include "egress/server_directory.h"
 #include "egress/settings.h"
@@ -39,15 +41,21 @@
   std::uint64_t throttled = 0;        ///< Of these, without asking an ingress: the service is full.
   std::uint64_t unknown = 0;          ///< 502 and 504.
   std::uint64_t no_route = 0;
+  std::uint64_t unauthenticated = 0;  ///< 401: no API key that a tenant holds.
+  std::uint64_t over_quota = 0;       ///< 429: beyond their tenant's quota.
   std::uint64_t caller_gone = 0;
 };
 
 /// A snapshot made ready for routing.
 struct RoutingTable {
   RoutingTable(model::SnapshotPointer held, TimePoint in_force_since)
-      : snapshot(std::move(held)), table(snapshot->routes), since(in_force_since) {}
+      : snapshot(std::move(held)),
+        table(snapshot->routes),
+        tenants(snapshot->tenants),
+        since(in_force_since) {}
   model::SnapshotPointer snapshot;
   proxy::RouteTable table;
+  admission::TenantTable tenants;
   TimePoint since;  ///< When this version came into force here.
 };
 
@@ -82,7 +90,8 @@
   /// Where a request may be sent.
   struct Destination {
     const ServiceName& service;
-    const std::vector<RegionId>& regions;  ///< Empty: all.
+    const std::vector<RegionId>& regions;         ///< Of the route. Empty: all.
+    const std::vector<RegionId>& tenant_regions;  ///< The same.
   };
   /// Whether all its servers, at least one, stand in drained zones or in regions that are not its
   /// own.
@@ -118,6 +127,9 @@
 
   ServiceUse& use(const ServiceName& service) { return uses_[service]; }
   proxy::RetryAccounts& retries() { return retries_; }
+  /// Where the quotas of tenants are kept; null: they are not.
+  void setQuotas(admission::QuotaAccounts* quotas) { quotas_ = quotas; }
+  admission::QuotaAccounts* quotas() { return quotas_; }
   TrafficSplit& split() { return split_; }
   proxy::DeadlineQueue& deadlines() { return deadlines_; }
   const Settings& settings() const { return settings_; }
@@ -162,6 +174,7 @@
 
   Settings settings_;
   proxy::RetryAccounts& retries_;
+  admission::QuotaAccounts* quotas_ = nullptr;
   Environment& environment_;
   ServerDirectory directory_;
   std::set<ZoneId> drained_zones_;
--- a/src/membership/rank.h
+++ b/src/membership/rank.h
@@ -1,32 +1,19 @@
 #pragma once
 
-/// Stable hashes that spread duties over nodes: every node computes the same order from the same
-/// members, and each duty has its own order.
-
-#include <cstdint>
-#include <string_view>
+/// The orders in which members take up their duties.
 
 #include "core/ids.h"
+#include "core/rank.h"
 
 namespace coursepond::membership {
 
-/// Separates the orders of different duties.
-using RankSalt = std::uint64_t;
+using coursepond::mixBits;
+using coursepond::rankOf;
+using coursepond::stableHash;
 
 inline constexpr RankSalt kReaderSalt = 0x1001;
 inline constexpr RankSalt kDistributorSalt = 0x1002;
 inline constexpr RankSalt kVoterSalt = 0x1003;
 inline constexpr RankSalt kRingSalt = 0x2000;  ///< Plus the number of the ring.
 
-/// FNV-1a of the text, well mixed.
-std::uint64_t stableHash(std::string_view text);
-
-/// Spreads the bits of `value` (the finalizer of SplitMix64).
-std::uint64_t mixBits(std::uint64_t value);
-
-/// The place of a hashed name in the order of a duty; lowest first.
-inline std::uint64_t rankOf(std::uint64_t name_hash, RankSalt salt) {
-  return mixBits(name_hash ^ mixBits(salt));
-}
-
 }  // namespace coursepond::membership
--- a/src/model/codec.cpp
+++ b/src/model/codec.cpp
@@ -14,7 +14,9 @@
 const std::vector<std::string_view> kRepeatabilityWords = {"by_method", "always", "never"};
 
 /// The most that a route has.
-constexpr std::size_t kRouteKeys = 16;
+constexpr std::size_t kRouteKeys = 17;
+/// The same for a tenant.
+constexpr std::size_t kTenantKeys = 6;
 
 constexpr NumberRange kTimeoutRange{1, 3'600'000};
 constexpr NumberRange kSlotRange{1, 100'000};
@@ -26,6 +28,7 @@
 constexpr NumberRange kRouteAttemptRange{0, 10};
 constexpr NumberRange kOptionalTimeRange{0, 3'600'000};
 constexpr NumberRange kRankRange{0, 1000};
+constexpr NumberRange kQuotaRange{0, 0xFFFFFFFF};
 constexpr NumberRange kWeightRange{0, 1'000'000};
 constexpr NumberRange kHeadBytesRange{0, 1U << 24U};
 constexpr NumberRange kBodyBytesRange{0, 1ULL << 40U};
@@ -138,6 +141,7 @@
     object_.emplace(key, boost::json::string_view(text));
   }
   void add(std::string_view key, std::uint64_t number) { object_.emplace(key, number); }
+  void addFlag(std::string_view key, bool flag) { object_.emplace(key, flag); }
   void addTime(std::string_view key, Duration time) { object_.emplace(key, toMilliseconds(time)); }
   void addList(std::string_view key, boost::json::array list) {
     object_.emplace(key, std::move(list));
@@ -211,6 +215,25 @@
   route.max_attempts = readSmallNumber(reader, "max_attempts", 0, kRouteAttemptRange);
 }
 
+std::vector<RegionId> readRegions(ObjectReader& reader) {
+  std::vector<RegionId> regions;
+  for (std::string& region : reader.sortedTexts("regions", rules::kName)) {
+    regions.emplace_back(std::move(region));
+  }
+  return regions;
+}
+
+boost::json::array digestsToJson(const std::vector<Digest>& digests, const storage_ptr& storage) {
+  boost::json::array list(storage);
+  list.reserve(digests.size());
+  for (const Digest& digest : digests) list.emplace_back(digest.toHex());
+  return list;
+}
+
+bool isDigest(std::string_view text) { return Digest::fromHex(text).has_value(); }
+
+constexpr TextRule kDigestRule = {"a SHA-256 digest of 64 hexadecimal digits", isDigest, true};
+
 }  // namespace
 
 /// Bounds that have their default are left out: configurations that don't use them keep their
@@ -225,6 +248,7 @@
   writer.add("name", route.name.value());
   writer.add("path_prefix", route.match.path_prefix);
   writer.add("priority", kPriorityWords[static_cast<std::size_t>(route.priority)]);
+  if (route.is_public) writer.addFlag("public", true);
   if (route.rank > 0) writer.add("rank", route.rank);
   if (!route.regions.empty()) writer.addList("regions", namesToJson(route.regions, storage));
   writer.add("repeatable", kRepeatabilityWords[static_cast<std::size_t>(route.repeatability)]);
@@ -255,6 +279,17 @@
   return writer.take();
 }
 
+Json tenantToJson(const Tenant& tenant, const storage_ptr& storage) {
+  ObjectWriter writer(storage, kTenantKeys);
+  if (tenant.quota.burst > 0) writer.add("burst", tenant.quota.burst);
+  writer.addList("key_digests", digestsToJson(tenant.key_digests, storage));
+  writer.add("name", tenant.name.value());
+  if (tenant.rank) writer.add("rank", *tenant.rank);
+  if (tenant.quota.isLimited()) writer.add("rate_per_1000_s", tenant.quota.rate_per_1000_s);
+  if (!tenant.regions.empty()) writer.addList("regions", namesToJson(tenant.regions, storage));
+  return writer.take();
+}
+
 Json limitsToJson(const CallerLimits& limits, const storage_ptr& storage) {
   ObjectWriter writer(storage, 4);
   writer.add("body_bytes", limits.body_bytes);
@@ -280,9 +315,8 @@
   for (std::string& zone : reader.sortedTexts("zones", rules::kName)) {
     route.zones.emplace_back(std::move(zone));
   }
-  for (std::string& region : reader.sortedTexts("regions", rules::kName)) {
-    route.regions.emplace_back(std::move(region));
-  }
+  route.regions = readRegions(reader);
+  route.is_public = reader.flagOr("public", false);
   route.priority = static_cast<Priority>(reader.choiceOr("priority", 0, kPriorityWords));
   route.repeatability =
       static_cast<Repeatability>(reader.choiceOr("repeatable", 0, kRepeatabilityWords));
@@ -320,6 +354,19 @@
   return service;
 }
 
+Tenant readTenant(ObjectReader& reader) {
+  Tenant tenant;
+  tenant.name = TenantName(reader.text("name", rules::kName));
+  for (const std::string& digest : reader.sortedTexts("key_digests", kDigestRule)) {
+    if (const Result<Digest> read = Digest::fromHex(digest)) tenant.key_digests.push_back(*read);
+  }
+  if (reader.has("rank")) tenant.rank = readSmallNumber(reader, "rank", 0, kRankRange);
+  tenant.quota.rate_per_1000_s = readSmallNumber(reader, "rate_per_1000_s", 0, kQuotaRange);
+  tenant.quota.burst = readSmallNumber(reader, "burst", 0, kQuotaRange);
+  tenant.regions = readRegions(reader);
+  return tenant;
+}
+
 SecretDescriptor readDescriptor(ObjectReader& reader) {
   SecretDescriptor descriptor;
   descriptor.name = SecretName(reader.text("name", rules::kName));
--- a/src/model/codec.h
+++ b/src/model/codec.h
@@ -17,6 +17,7 @@
 // on the text.
 boost::json::value routeToJson(const Route& route, const boost::json::storage_ptr& storage);
 boost::json::value serviceToJson(const Service& service, const boost::json::storage_ptr& storage);
+boost::json::value tenantToJson(const Tenant& tenant, const boost::json::storage_ptr& storage);
 boost::json::value limitsToJson(const CallerLimits& limits,
                                 const boost::json::storage_ptr& storage);
 boost::json::value descriptorToJson(const SecretDescriptor& descriptor,
@@ -24,6 +25,7 @@
 
 Route readRoute(ObjectReader& reader);
 Service readService(ObjectReader& reader);
+Tenant readTenant(ObjectReader& reader);
 CallerLimits readLimits(ObjectReader& reader);
 SecretDescriptor readDescriptor(ObjectReader& reader);
 
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,7 @@
   Duration target_latency{};  ///< Within which an answer has its full worth; zero: not known.
   std::uint32_t rank = 0;     ///< Among waiting requests, the lowest rank goes first.
   std::uint32_t max_attempts = 0;  ///< Servers one request may be sent to; zero: the service's.
+  bool is_public = false;          ///< Its requests need no API key, also where there are tenants.
   friend bool operator==(const Route&, const Route&) = default;
 };
 
@@ -109,6 +111,27 @@
 
 using SecretValues = std::map<SecretName, SecretValue>;
 
+/// How many requests of one tenant are served, by all nodes together. Zero: no limit.
+struct Quota {
+  std::uint32_t rate_per_1000_s = 0;  ///< Requests in 1,000 seconds.
+  std::uint32_t burst = 0;            ///< And so many above that at once.
+  bool isLimited() const { return rate_per_1000_s > 0; }
+  friend bool operator==(const Quota&, const Quota&) = default;
+};
+
+/// A customer whose requests carry one of its API keys.
+struct Tenant {
+  TenantName name;
+  /// Of its API keys, sorted. The keys themselves are kept nowhere: whoever reads a node's memory,
+  /// its messages to others or its logs learns none that a request could carry.
+  std::vector<Digest> key_digests;
+  std::optional<std::uint32_t> rank;  ///< In place of its routes' ranks.
+  Quota quota;
+  /// The regions whose servers may run its requests, sorted; empty means all.
+  std::vector<RegionId> regions{};
+  friend bool operator==(const Tenant&, const Tenant&) = default;
+};
+
 /// What callers may send and how long they may take. Zero: the node's own setting.
 struct CallerLimits {
   std::uint32_t head_bytes = 0;
@@ -124,6 +147,7 @@
   std::map<RouteName, Route> routes;
   std::map<ServiceName, Service> services;
   std::map<SecretName, SecretDescriptor> secrets;
+  std::map<TenantName, Tenant> tenants;  ///< None: requests need no API key.
   CallerLimits limits;
   friend bool operator==(const Configuration&, const Configuration&) = default;
 };
--- a/src/model/delta.cpp
+++ b/src/model/delta.cpp
@@ -91,7 +91,7 @@
 
 ConfigurationDiff diff(const Configuration& base, const Configuration& target) {
   return {compare(base.routes, target.routes), compare(base.services, target.services),
-          compare(base.secrets, target.secrets)};
+          compare(base.secrets, target.secrets), compare(base.tenants, target.tenants)};
 }
 
 Delta makeDelta(const Configuration& base, const Configuration& target, DeltaCheck check) {
@@ -109,6 +109,8 @@
   delta.removed_services = changes.services.removed;
   delta.upserted_secrets = upserts(changes.secrets, target.secrets);
   delta.removed_secrets = changes.secrets.removed;
+  delta.upserted_tenants = upserts(changes.tenants, target.tenants);
+  delta.removed_tenants = changes.tenants.removed;
   delta.limits = target.limits;
   return delta;
 }
@@ -128,6 +130,7 @@
   change(target.routes, delta.upserted_routes, delta.removed_routes);
   change(target.services, delta.upserted_services, delta.removed_services);
   change(target.secrets, delta.upserted_secrets, delta.removed_secrets);
+  change(target.tenants, delta.upserted_tenants, delta.removed_tenants);
   target.limits = delta.limits;
   if (by_digest && contentDigest(target) != delta.target_digest) {
     return Error{ErrorKind::kDigestMismatch,
@@ -148,6 +151,7 @@
   addUnlessEmpty(json, "removed_routes", namesToJson(delta.removed_routes, storage));
   addUnlessEmpty(json, "removed_secrets", namesToJson(delta.removed_secrets, storage));
   addUnlessEmpty(json, "removed_services", namesToJson(delta.removed_services, storage));
+  addUnlessEmpty(json, "removed_tenants", namesToJson(delta.removed_tenants, storage));
   json.emplace("target_digest", delta.target_digest.toHex());
   json.emplace("target_version", delta.target_version.value());
   addUnlessEmpty(json, "upserted_routes", itemsToJson(delta.upserted_routes, routeToJson, storage));
@@ -155,6 +159,8 @@
                  itemsToJson(delta.upserted_secrets, descriptorToJson, storage));
   addUnlessEmpty(json, "upserted_services",
                  itemsToJson(delta.upserted_services, serviceToJson, storage));
+  addUnlessEmpty(json, "upserted_tenants",
+                 itemsToJson(delta.upserted_tenants, tenantToJson, storage));
   return boost::json::serialize(json);
 }
 
@@ -175,6 +181,8 @@
   delta.removed_services = readNames<ServiceName>(reader, "removed_services");
   delta.upserted_secrets = readItems(reader, "upserted_secrets", readDescriptor);
   delta.removed_secrets = readNames<SecretName>(reader, "removed_secrets");
+  delta.upserted_tenants = readItems(reader, "upserted_tenants", readTenant);
+  delta.removed_tenants = readNames<TenantName>(reader, "removed_tenants");
   reader.optionalObject("limits",
                         [&delta](ObjectReader& element) { delta.limits = readLimits(element); });
   reader.refuseUnknownKeys();
--- a/src/model/delta.h
+++ b/src/model/delta.h
@@ -24,7 +24,10 @@
   NameChanges<RouteName> routes;
   NameChanges<ServiceName> services;
   NameChanges<SecretName> secrets;
-  bool empty() const { return routes.empty() && services.empty() && secrets.empty(); }
+  NameChanges<TenantName> tenants;
+  bool empty() const {
+    return routes.empty() && services.empty() && secrets.empty() && tenants.empty();
+  }
 };
 
 ConfigurationDiff diff(const Configuration& base, const Configuration& target);
@@ -41,6 +44,8 @@
   std::vector<ServiceName> removed_services;
   std::vector<SecretDescriptor> upserted_secrets;
   std::vector<SecretName> removed_secrets;
+  std::vector<Tenant> upserted_tenants;
+  std::vector<TenantName> removed_tenants;
   CallerLimits limits;  ///< Of the target.
   friend bool operator==(const Delta&, const Delta&) = default;
 };
--- a/src/model/document.cpp
+++ b/src/model/document.cpp
@@ -97,6 +97,12 @@
   });
 }
 
+void readTenants(ObjectReader& reader, Configuration& configuration) {
+  reader.optionalObjects("tenants", [&configuration](ObjectReader& element) {
+    insertOnce(configuration.tenants, readTenant(element), element);
+  });
+}
+
 void readCallerLimits(ObjectReader& reader, Configuration& configuration) {
   reader.optionalObject("limits", [&configuration](ObjectReader& element) {
     configuration.limits = readLimits(element);
@@ -167,6 +173,22 @@
                             "add '" + secret.value() + "' to secrets or change the route"}});
 }
 
+/// A key of two tenants could not tell whose a request is.
+void requireOwnKeys(const Configuration& configuration, Mistakes& mistakes) {
+  std::map<Digest, const Tenant*> holders;
+  for (const auto& [name, tenant] : configuration.tenants) {
+    for (const Digest& key : tenant.key_digests) {
+      const auto [holder, is_new] = holders.emplace(key, &tenant);
+      if (is_new) continue;
+      mistakes.push_back({"tenants['" + name.value() + "'].key_digests",
+                          Error{ErrorKind::kInvalidArgument,
+                                "tenants '" + holder->second->name.value() + "' and '" +
+                                    name.value() + "' hold the same API key",
+                                "give each tenant keys of its own"}});
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<DocumentMistake> checkDocument(std::string_view json) {
@@ -193,6 +215,7 @@
       requireSecret(configuration, route, use.secret, mistakes);
     }
   }
+  requireOwnKeys(configuration, mistakes);
   return mistakes;
 }
 
@@ -206,6 +229,10 @@
   json.emplace("routes", itemsToJson(configuration.routes, routeToJson, storage));
   json.emplace("secrets", itemsToJson(configuration.secrets, descriptorToJson, storage));
   json.emplace("services", itemsToJson(configuration.services, serviceToJson, storage));
+  // Left out where there are none, so that configurations without tenants keep their digest.
+  if (!configuration.tenants.empty()) {
+    json.emplace("tenants", itemsToJson(configuration.tenants, tenantToJson, storage));
+  }
   return boost::json::serialize(json);
 }
 
@@ -222,6 +249,7 @@
   reader.requiredObjects("secrets", [&configuration](ObjectReader& element) {
     insertOnce(configuration.secrets, readDescriptor(element), element);
   });
+  readTenants(reader, configuration);
   readCallerLimits(reader, configuration);
   reader.refuseUnknownKeys();
   if (mistakes.empty()) return configuration;
--- a/src/model/json_reader.cpp
+++ b/src/model/json_reader.cpp
@@ -265,6 +265,14 @@
   return texts;
 }
 
+bool ObjectReader::flagOr(std::string_view key, bool fallback) {
+  const Json* value = find(key);
+  if (value == nullptr) return fallback;
+  if (value->is_bool()) return value->get_bool();
+  refuse(key, ErrorKind::kInvalidArgument, "neither true nor false", "write true or false");
+  return fallback;
+}
+
 std::size_t ObjectReader::choiceOr(std::string_view key, std::size_t fallback,
                                    const std::vector<std::string_view>& words) {
   const Json* value = find(key);
--- a/src/model/json_reader.h
+++ b/src/model/json_reader.h
@@ -54,6 +54,10 @@
   Digest digest(std::string_view key);
   /// The strings of an optional array, sorted; one that stands twice is a mistake.
   std::vector<std::string> sortedTexts(std::string_view key, const TextRule& rule);
+  /// True or false; `fallback` when the key is absent.
+  bool flagOr(std::string_view key, bool fallback);
+  /// Whether the key is there, with any value.
+  bool has(std::string_view key) { return find(key) != nullptr; }
   /// The index of the string among `words`; `fallback` when the key is absent.
   std::size_t choiceOr(std::string_view key, std::size_t fallback,
                        const std::vector<std::string_view>& words);
--- a/src/model/snapshot.cpp
+++ b/src/model/snapshot.cpp
@@ -71,6 +71,8 @@
   snapshot->digest = digest;
   snapshot->services = configuration.services;
   snapshot->limits = configuration.limits;
+  snapshot->tenants.reserve(configuration.tenants.size());
+  for (const auto& [name, tenant] : configuration.tenants) snapshot->tenants.push_back(tenant);
   snapshot->routes.reserve(configuration.routes.size());
   for (const auto& [name, route] : configuration.routes) {
     if (!isUsedIn(route, zone)) continue;
--- a/src/model/snapshot.h
+++ b/src/model/snapshot.h
@@ -19,6 +19,8 @@
   std::vector<Route> routes;  ///< Only the routes of this proxy's zone, by name.
   std::map<ServiceName, Service> services;
   SecretValues secrets;  ///< Only those that `routes` use.
+  /// None: requests need no API key.
+  std::vector<Tenant> tenants;
   CallerLimits limits;
 };
 
--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -1,7 +1,8 @@
 #include "node/peer_state_exchange.h"
 
 #include <algorithm>
-#include <charconv>
+
+#include "node/query.h"
 
 namespace coursepond::node {
 namespace {
@@ -15,22 +16,6 @@
 /// Nobody may hold a question open for longer.
 constexpr std::uint64_t kLongestWaitMs = 30'000;
 
-/// The number of `name` in a query; zero when it names none.
-std::uint64_t numberOf(std::string_view query, std::string_view name) {
-  while (!query.empty()) {
-    const std::size_t end = std::min(query.find('&'), query.size());
-    const std::string_view item = query.substr(0, end);
-    query.remove_prefix(std::min(end + 1, query.size()));
-    const bool is_named =
-        item.size() > name.size() && item.starts_with(name) && item[name.size()] == '=';
-    if (!is_named) continue;
-    std::uint64_t number = 0;
-    std::from_chars(item.data() + name.size() + 1, item.data() + item.size(), number);
-    return number;
-  }
-  return 0;
-}
-
 /// What a path asks about; nothing when it is none of the two.
 std::optional<source::Topic> topicOf(std::string_view path) {
   if (path == kServersPath) return source::Topic::kServers;
@@ -117,6 +102,9 @@
 
 void PeerStateServer::answer(const runtime::HttpRequest& request,
                              runtime::HttpResponder responder) {
+  if (const auto other = others_.find(request.path()); other != others_.end()) {
+    return responder.respond(other->second(request));
+  }
   const std::optional<source::Topic> topic = topicOf(request.path());
   if (!topic || request.method != "GET") return responder.respond(plainAnswer(kNotFound));
   const source::PeerQuestion question = questionOf(*topic, request.query());
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -11,9 +11,11 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/address.h"
 #include "core/environment.h"
@@ -39,6 +41,9 @@
   ~PeerStateServer();
   Address address() const { return server_->address(); }
 
+  /// Answers questions on another path, which must outlive the server.
+  using Answerer = std::function<runtime::HttpResponse(const runtime::HttpRequest&)>;
+  void serve(std::string_view path, Answerer answerer) { others_[path] = std::move(answerer); }
   /// What is held of `topic` changed: answers who waits for it.
   void onNews(source::Topic topic);
   /// This node no longer reads `topic` from the source: who waits for it here shall ask another.
@@ -71,6 +76,7 @@
   const source::HeldState& held_;
   Environment& environment_;
   FreshnessCheck is_fresh_;
+  std::map<std::string_view, Answerer> others_;  ///< By path.
   WaitingList waiting_;
   EncodedAnswer servers_answer_;
   EncodedAnswer configuration_answer_;
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -34,6 +34,9 @@
         &S::throttled},
        {"egress_unknown_total", "Requests that may have run and have no answer.", &S::unknown},
        {"egress_no_route_total", "Requests without a route.", &S::no_route},
+       {"egress_unauthenticated_total", "Requests without an API key that a tenant holds.",
+        &S::unauthenticated},
+       {"egress_over_quota_total", "Requests beyond their tenant's quota.", &S::over_quota},
        {"egress_callers_gone_total", "Callers that left before their answer.", &S::caller_gone}},
       [&state] { return state.statistics(); });
   table.addGauge("configuration_version_in_force",
@@ -159,6 +162,21 @@
                  [&servers] { return servers.isReader() ? 1.0 : 0.0; });
 }
 
+void addQuotas(MetricTable& table, const admission::QuotaAccounts& quotas) {
+  using S = admission::QuotaStatistics;
+  addCounters<S>(
+      table,
+      {{"quota_passed_total", "Requests that their tenant's quota had room for.", &S::passed},
+       {"quota_refused_total", "Requests that it had no room for.", &S::refused},
+       {"quota_asked_total", "Questions for tokens to the owners of quotas.", &S::asked},
+       {"quota_ask_failures_total", "Those without an answer.", &S::ask_failures},
+       {"quota_unowned_total", "Requests judged by this node's even share, for want of an owner.",
+        &S::unowned}},
+      [&quotas] { return quotas.statistics(); });
+  table.addGauge("quota_tenants", "Tenants with a quota that are active at this node.",
+                 [&quotas] { return static_cast<double>(quotas.tenants()); });
+}
+
 void addLogLines(MetricTable& table) {
   table.addCounter("log_lines_dropped_total", "Log lines left out while their reader stood still.",
                    [] { return static_cast<double>(runtime::standardErrorLines().dropped()); });
@@ -178,6 +196,7 @@
                    [&peers] { return static_cast<double>(peers.asked()); });
   table.addCounter("peer_state_learned_total", "Answers of peers that told something newer.",
                    [&peers] { return static_cast<double>(peers.learned()); });
+  addQuotas(table, sources.quotas);
   addLogLines(table);
   sources.histograms.addTo(table);
   return table;
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -2,6 +2,7 @@
 
 /// The metrics of a two-hop node: what each part's statistics are called on /metrics.
 
+#include "admission/quota_accounts.h"
 #include "egress/egress_state.h"
 #include "ingress/ingress_state.h"
 #include "node/request_histograms.h"
@@ -25,6 +26,7 @@
   TopicSources servers;
   TopicSources configuration;
   const source::PeerReader& peers;
+  const admission::QuotaAccounts& quotas;
   const RequestHistograms& histograms;
 };
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -12,6 +12,7 @@
 #include "node/admin_server.h"
 #include "node/decision_fold.h"
 #include "node/peer_state_exchange.h"
+#include "node/quota_exchange.h"
 #include "node/retry_report.h"
 #include "node/server_health.h"
 #include "node/two_hop_metrics.h"
@@ -113,6 +114,9 @@
         log_(settings_.log.lines_per_second),
         fold_(settings_.log.equal_decisions_per_second),
         retries_(environment_, settings_.retries),
+        quota_pool_(settings_.quota),
+        quota_peers_(context, settings_.node.peer_listen.port),
+        quotas_(quota_pool_, quota_peers_, environment_, settings_.quota),
         egress_(egressSettings(settings_), retries_, environment_),
         ingress_(ingressSettings(settings_), retries_, environment_),
         server_health_(context, settings_.two_hop.server, settings_.headers),
@@ -125,6 +129,7 @@
                }) {
     ingress_.setAddress(settings_.two_hop.server);
     ingress_.onHealthWanted([this] { askServerHealth(); });
+    egress_.setQuotas(&quotas_);
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
   }
@@ -148,6 +153,7 @@
   Result<void> openIngress();
   Result<void> openPeers();
   Result<void> openAdmin();
+  runtime::HttpResponse answerQuota(const runtime::HttpRequest& request);
 
   /// How this node reads one topic of the source, by itself or through others.
   struct Reading {
@@ -173,6 +179,7 @@
   void onWatchFailed(source::Topic topic, const Error& error);
   void onPeerState(source::Topic topic, const source::StateUpdate& update);
   void chooseReaders();
+  void shareQuotas(const std::vector<source::NodeMachine>& machines);
 
   std::string unreadiness() const;
   std::string statusPage() const;
@@ -190,6 +197,9 @@
   DecisionFold fold_;
   proxy::RetryAccounts retries_;
   RetryReport retry_report_;
+  admission::QuotaPool quota_pool_;
+  HttpQuotaPeers quota_peers_;
+  admission::QuotaAccounts quotas_;
   egress::EgressState egress_;
   ingress::IngressState ingress_;
   source::HeldState held_;
@@ -224,6 +234,7 @@
                                 {*servers_.watch, *servers_.relay},
                                 {*configuration_.watch, *configuration_.relay},
                                 peers_,
+                                quotas_,
                                 histograms_});
   return openAdmin();
 }
@@ -266,9 +277,20 @@
                                         [this](source::Topic topic) { return isFresh(topic); });
   if (!server) return server.error();
   peer_server_ = std::move(*server);
+  peer_server_->serve(kQuotaPath,
+                      [this](const runtime::HttpRequest& request) { return answerQuota(request); });
   return {};
 }
 
+runtime::HttpResponse Implementation::answerQuota(const runtime::HttpRequest& request) {
+  const Result<admission::QuotaAsk> ask = readQuotaAsk(request);
+  const std::shared_ptr<const egress::RoutingTable> routing = egress_.routing();
+  if (!ask || !routing || stopping_) return noQuotaAnswer();
+  const model::Tenant* const tenant = routing->tenants.findByName(ask->tenant.value());
+  if (tenant == nullptr || !tenant->quota.isLimited()) return noQuotaAnswer();
+  return quotaAnswer(quota_pool_.lend(tenant->quota, *ask, environment_.now()));
+}
+
 Result<void> Implementation::openAdmin() {
   AdminSources sources{nullptr, [this] { return metrics_.exposition(); },
                        [this] { return statusPage(); }, [this] { return unreadiness(); }};
@@ -471,6 +493,17 @@
   takeIn(topic, *batch, batch->is_complete);
 }
 
+/// Likewise, every node names the same owner of each tenant's quota.
+void Implementation::shareQuotas(const std::vector<source::NodeMachine>& machines) {
+  std::vector<std::string> hosts;
+  hosts.reserve(machines.size());
+  for (const source::NodeMachine& machine : machines) hosts.push_back(machine.host);
+  const std::size_t nodes = std::max(retries_.nodes(), hosts.size());
+  quota_pool_.setNodes(nodes);
+  quotas_.setNodes(nodes);
+  quotas_.setMachines(settings_.two_hop.server.host, std::move(hosts));
+}
+
 /// Every node computes the same readers from the same servers.
 void Implementation::chooseReaders() {
   std::map<std::string, ZoneId> zones;
@@ -480,6 +513,7 @@
   std::vector<source::NodeMachine> machines;
   machines.reserve(zones.size());
   for (const auto& [host, zone] : zones) machines.push_back({host, zone});
+  shareQuotas(machines);
   const source::NodeMachine own{settings_.two_hop.server.host, settings_.node.zone};
   const std::vector<source::NodeMachine> readers = source::chooseReaders(machines, {});
   const bool is_reader = std::find(readers.begin(), readers.end(), own) != readers.end();
@@ -582,6 +616,8 @@
   takeOver(settings_, settings);
   egress_.changeSettings(egressSettings(settings_));
   retries_.changeSettings(settings_.retries);
+  quota_pool_.changeSettings(settings_.quota);
+  quotas_.changeSettings(settings_.quota);
   ingress_.changeSettings(ingressSettings(settings_));
   log_.setLimit(settings_.log.lines_per_second);
   fold_.setLimit(settings_.log.equal_decisions_per_second);
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -10,6 +10,12 @@
       return "no_route";
     case Reason::kStaleConfiguration:
       return "stale_configuration";
+    case Reason::kUnknownApiKey:
+      return "unknown_api_key";
+    case Reason::kUnknownParent:
+      return "unknown_parent";
+    case Reason::kQuotaExceeded:
+      return "quota_exceeded";
     case Reason::kAmbiguousPath:
       return "ambiguous_path";
     case Reason::kStopping:
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -425,6 +425,9 @@
     case Reason::kDeadline:
       ++statistics.refused_deadline;
       return;
+    case Reason::kUnknownApiKey:
+    case Reason::kUnknownParent:
+    case Reason::kQuotaExceeded:
     case Reason::kServerDraining:
     case Reason::kZoneDrained:
     case Reason::kWrongService:
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "core/digest.h"
 #include "core/environment.h"
 #include "model/endpoint.h"
 #include "model/snapshot.h"
@@ -66,6 +67,8 @@
   std::optional<model::Priority> priority;
   std::optional<HopClass> hop_class;  ///< From an egress.
   std::string target_instance;        ///< The only instance that may run it; empty: any.
+  std::optional<Digest> key_digest;   ///< Of the API key that it carries.
+  std::string tenant;  ///< Whose it is, as the hop before says. Not to be trusted from a caller.
 };
 
 using AttemptId = std::uint32_t;
@@ -83,6 +86,9 @@
   // Of an egress: what the next hop is told.
   std::string target_instance;
   ServiceName caller_service;
+  /// The caller's API key and what it says of the tenant are left out, and `tenant` is told.
+  bool replaces_tenant = false;
+  TenantName tenant;  ///< Whose the request is; empty: nobody's.
   std::optional<HopClass> hop_class;
   /// The body is held back until the next hop says that it is about to run the request. Until
   /// then the request surely has not run.
@@ -121,10 +127,10 @@
 
 /// The node's own final answer to the caller.
 struct LocalAnswer {
-  int status = 0;  ///< 400, 404, 431, 503 (not run), 502 or 504 (unknown).
+  int status = 0;  ///< 400, 401, 404, 429, 431, 503 (not run), 502 or 504 (unknown).
   Outcome outcome = Outcome::kNotRun;
   std::string reason;                   ///< X-Reason: a stable word.
-  std::optional<Duration> retry_after;  ///< Always set with 503.
+  std::optional<Duration> retry_after;  ///< Always set with 429 and 503.
 };
 
 /// The I/O layer's side. Called from inside flow events, also from those of other requests (a slot
--- a/src/proxy/retry_accounts.cpp
+++ b/src/proxy/retry_accounts.cpp
@@ -100,6 +100,10 @@
   if (!std::exchange(knows_calls_, true)) profile_.forgetCalls();
 }
 
+bool RetryAccounts::namesParent(std::string_view request) {
+  return request.rfind(kChildSeparator) != std::string_view::npos;
+}
+
 ServerRun* RetryAccounts::parentOf(std::string_view request) const {
   const std::size_t separator = request.rfind(kChildSeparator);
   if (separator == std::string_view::npos) return nullptr;
--- a/src/proxy/retry_accounts.h
+++ b/src/proxy/retry_accounts.h
@@ -78,6 +78,7 @@
   double repeat_share = 0;  ///< See HopClass::repeat_share.
   bool is_call = false;     ///< See HopClass::is_call.
   bool is_running = false;  ///< The server has it.
+  TenantName tenant{};      ///< Whose it is; empty: nobody's. Its calls are the same tenant's.
   /// Charged already for calls that it has not made yet.
   std::map<ServiceName, double> held = {};
 };
@@ -92,6 +93,8 @@
   /// while: entries lapse while the source is away, and the parts of nodes that see few others
   /// would add up to more than the burst.
   void setNodes(std::size_t nodes);
+  /// By how many nodes the burst is divided; zero: not known yet.
+  std::size_t nodes() const { return nodes_; }
   /// For repeats from now on.
   void changeSettings(RetryAllowanceSettings settings);
 
@@ -102,6 +105,11 @@
   double onFirstAttempt(const ServiceName& service, std::string_view request);
   /// Whether a run of the own server makes this request.
   bool isCall(std::string_view request) const { return parentOf(request) != nullptr; }
+  /// Whether the request's id says that it is a call, of whatever work.
+  static bool namesParent(std::string_view request);
+  /// The run of the own server that makes this request; null when none is known to. Good until the
+  /// next call of remove().
+  const ServerRun* callerOf(std::string_view request) const { return parentOf(request); }
   /// Whether the request may go to a further server; if so it is charged.
   bool takeRepeat(const ServiceName& service, RepeatReason reason, RepeatUse use);
   /// What was taken last for this service reached no server.
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -114,6 +114,14 @@
   return std::nullopt;
 }
 
+/// The key itself goes no further than here. Of several, none can be told to be the caller's: the
+/// empty digest is no key's.
+std::optional<Digest> readApiKey(const MessageHead& head) {
+  const std::size_t keys = head.fields.count(FieldRole::kApiKey);
+  if (keys == 0) return std::nullopt;
+  return keys == 1 ? Digest::of(head.fields.find(FieldRole::kApiKey)) : Digest();
+}
+
 /// Takes the text up to the next comma off the front of `list`.
 std::string_view takeItem(std::string_view& list) {
   const std::size_t comma = std::min(list.find(','), list.size());
@@ -212,12 +220,15 @@
   if (head.fields.count(FieldRole::kHopClass) == 1) {
     flow_head.hop_class = parseHopClass(head.fields.find(FieldRole::kHopClass));
   }
+  flow_head.key_digest = readApiKey(head);
+  flow_head.tenant = head.fields.find(FieldRole::kTenant);
   flow_head.method = head.method;
   flow_head.path =
       std::string_view(request.origin_target).substr(0, request.origin_target.find('?'));
   flow_head.headers.reserve(head.fields.size());
   for (std::size_t index = 0; index < head.fields.size(); ++index) {
     const FieldView field = head.fields[index];
+    if (field.role == FieldRole::kApiKey) continue;
     flow_head.headers.push_back({std::string(field.name), std::string(field.value)});
   }
   return std::nullopt;
--- a/src/runtime/header_names.h
+++ b/src/runtime/header_names.h
@@ -21,6 +21,10 @@
   std::string target_instance = http_headers::kTargetInstance;
   /// Towards a server: the service whose machine the request began on.
   std::string caller_service = http_headers::kCallerService;
+  /// From a caller: the API key of its tenant.
+  std::string api_key = http_headers::kApiKey;
+  /// Towards a server: the tenant whose request it is.
+  std::string tenant = http_headers::kTenant;
   /// On a server's answer: its own instance.
   std::string instance = http_headers::kInstance;
   /// On a server's health answer: for how many more milliseconds it is cold. Absent: it is warm.
--- a/src/runtime/http_field.cpp
+++ b/src/runtime/http_field.cpp
@@ -55,6 +55,8 @@
       {names.signature, FieldRole::kSignature},
       {names.target_instance, FieldRole::kTargetInstance},
       {names.caller_service, FieldRole::kCallerService},
+      {names.api_key, FieldRole::kApiKey},
+      {names.tenant, FieldRole::kTenant},
       {names.instance, FieldRole::kInstance},
   };
   for (const KnownField& field : known) {
--- a/src/runtime/http_field.h
+++ b/src/runtime/http_field.h
@@ -37,12 +37,14 @@
   kNotRun,
   kTargetInstance,
   kCallerService,
+  kApiKey,
+  kTenant,
   kInstance,
   kHopClass,
   kHopLoad,
   kReason,
 };
-inline constexpr std::size_t kFieldRoleCount = 25;
+inline constexpr std::size_t kFieldRoleCount = 27;
 
 /// Which names play which role, for one set of header names.
 class FieldTable {
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -85,6 +85,8 @@
   switch (status) {
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
     case 404:
       return "Not Found";
     case 408:
@@ -93,6 +95,8 @@
       return "Content Too Large";
     case 417:
       return "Expectation Failed";
+    case 429:
+      return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
     case 501:
@@ -176,6 +180,7 @@
 bool isReplaced(FieldRole role, const proxy::AttemptPlan& plan) {
   if (role == FieldRole::kTargetInstance) return !plan.target_instance.empty();
   if (role == FieldRole::kCallerService) return !plan.caller_service.empty();
+  if (role == FieldRole::kApiKey || role == FieldRole::kTenant) return plan.replaces_tenant;
   return false;
 }
 
@@ -204,6 +209,7 @@
   if (!plan.caller_service.empty()) {
     appendField(out, names.caller_service, plan.caller_service.value());
   }
+  if (!plan.tenant.empty()) appendField(out, names.tenant, plan.tenant.value());
   if (plan.hop_class) appendHopClass(out, *plan.hop_class);
   if (plan.confirm && head.framing != BodyFraming::kNone)
     appendField(out, "Expect", "100-continue");
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -95,6 +95,7 @@
   const Promises& promises = settings.promises;
   deriveRetries(promises, settings.retries);
   deriveColdStart(promises, settings.ingress.cold_start);
+  settings.quota.overshoot = promises.quota_overshoot;
   if (promises.settled > Duration(0)) deriveRepair(promises.settled, settings.watch);
   const bool bounds_changes = promises.leaving > Duration(0) || promises.in_force > Duration(0);
   if (bounds_changes) deriveTakingIn(promises, settings);
--- a/src/runtime/promises.h
+++ b/src/runtime/promises.h
@@ -29,6 +29,8 @@
   double cold_overshoot = 1.0;
   /// and so many beyond that.
   double cold_burst = 0;
+  /// By what part of a tenant's quota all nodes together may exceed it.
+  double quota_overshoot = 0.25;
 };
 
 /// Sets what follows from `settings.promises`:
@@ -43,6 +45,7 @@
 ///   over;
 ///   - node.stop_*: a planned stop ends by itself before `stop` is over;
 ///   - ingress.cold_start: what a cold server gets stays within `cold_overshoot` and `cold_burst`;
+///   - quota: nodes that cannot reach each other together stay within `quota_overshoot`;
 ///   - egress.retry_*: what nodes repeat on purpose stays below `repeat_ratio` and `repeat_burst`.
 void deriveTimings(Settings& settings);
 
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/quota_settings.h"
 #include "control/control_settings.h"
 #include "core/address.h"
 #include "core/error.h"
@@ -130,6 +131,7 @@
   ProxyLimits proxy;
   proxy::Settings data_path;
   TwoHopSettings two_hop;
+  admission::QuotaSettings quota;
   egress::Settings egress;
   proxy::RetryAllowanceSettings retries;
   ingress::Settings ingress;
--- a/src/runtime/settings_change.cpp
+++ b/src/runtime/settings_change.cpp
@@ -8,8 +8,8 @@
 namespace coursepond::runtime {
 namespace {
 
-constexpr std::array<std::string_view, 7> kChangeablePrefixes = {
-    "promises.", "log.", "watch.", "relay.", "egress.", "ingress.", "node.stop_"};
+constexpr std::array<std::string_view, 8> kChangeablePrefixes = {
+    "promises.", "log.", "watch.", "relay.", "quota.", "egress.", "ingress.", "node.stop_"};
 /// The loop keeps the backoff it began with.
 constexpr std::string_view kWatchBackoff = "watch.backoff_";
 
@@ -43,6 +43,7 @@
   held.watch = newer.watch;
   held.watch.backoff_base = backoff_base;
   held.watch.backoff_limit = backoff_limit;
+  held.quota = newer.quota;
   held.egress = newer.egress;
   held.retries = newer.retries;
   held.ingress = newer.ingress;
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -82,6 +82,10 @@
                             "Requests in any second that a cold server may get, of those that its "
                             "service says it bears.",
                             FIELD(promises.cold_overshoot)));
+  keys.push_back(percentKey(section, "quota_overshoot_percent", {0, 100},
+                            "By what part of a tenant's quota all nodes together may exceed it, "
+                            "also while they are cut off from each other.",
+                            FIELD(promises.quota_overshoot)));
   keys.push_back(numberKey(section, "cold_burst", {0, 100'000}, "", "And so many beyond that.",
                            FIELD(promises.cold_burst)));
 }
@@ -463,6 +467,15 @@
                            FIELD(ingress.spare_connections)));
 }
 
+void addQuotaKeys(Keys& keys) {
+  keys.push_back(choiceKey<admission::QuotaSharing>(
+      "quota", "sharing",
+      "How nodes share a tenant's quota: lent by one node to those that need it, or in even shares "
+      "(for measurement).",
+      {{"lent", admission::QuotaSharing::kLent}, {"even", admission::QuotaSharing::kEven}},
+      FIELD(quota.sharing)));
+}
+
 void addHeaderKeys(Keys& keys) {
   const std::string section = "headers";
   const auto add = [&](const char* key, const char* meaning, auto field) {
@@ -478,6 +491,10 @@
       FIELD(headers.target_instance));
   add("caller_service", "Towards a server: the service whose machine the request began on.",
       FIELD(headers.caller_service));
+  add("api_key", "From a caller: the API key of its tenant. Not sent on where there are tenants.",
+      FIELD(headers.api_key));
+  add("tenant", "Towards a server: the tenant whose request it is, whatever the caller sent.",
+      FIELD(headers.tenant));
   add("instance", "On a server's answer: its instance.", FIELD(headers.instance));
   add("cold_left", "On a server's health answer: for how many more milliseconds it is cold.",
       FIELD(headers.cold_left));
@@ -545,6 +562,7 @@
   addTwoHopKeys(keys);
   addWatchKeys(keys);
   addRelayKeys(keys);
+  addQuotaKeys(keys);
   addEgressKeys(keys);
   addIngressKeys(keys);
   addHeaderKeys(keys);
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -47,14 +47,24 @@
     return route;
   }
 
-  bool apply(std::uint64_t version) {
+  bool apply(std::uint64_t version, std::vector<model::Tenant> tenants = {}) {
     auto snapshot = std::make_shared<model::Snapshot>();
     snapshot->version = Version(version);
     snapshot->routes = {makeRoute("/stock", model::Repeatability::kAlways),
-                        makeRoute("/seat", model::Repeatability::kNever)};
+                        makeRoute("/seat", model::Repeatability::kNever),
+                        makeRoute("/open", model::Repeatability::kAlways)};
+    snapshot->routes.back().is_public = true;
+    snapshot->tenants = std::move(tenants);
     return state.apply(snapshot);
   }
 
+  static model::Tenant makeTenant(const std::string& name, const std::string& key) {
+    model::Tenant tenant;
+    tenant.name = TenantName(name);
+    tenant.key_digests = {Digest::of(key)};
+    return tenant;
+  }
+
   static model::ServerEntry entry(const std::string& id, const std::string& zone) {
     model::ServerEntry entry;
     entry.id = EndpointId(id);
@@ -89,8 +99,14 @@
     state.onDirectoryChanged();
   }
 
-  std::unique_ptr<TestExchange> send(const std::string& path, const std::string& parent = "") {
+  std::unique_ptr<TestExchange> sendWithKey(const std::string& path, const std::string& key) {
+    return send(path, "", Digest::of(key));
+  }
+
+  std::unique_ptr<TestExchange> send(const std::string& path, const std::string& parent = "",
+                                     std::optional<Digest> key_digest = std::nullopt) {
     proxy::RequestHead head;
+    head.key_digest = key_digest;
     head.request_id = (parent.empty() ? "r" : parent + ".") + std::to_string(++last_request_);
     head.method = "POST";
     head.path = path;
@@ -152,6 +168,102 @@
   CHECK(egress.state.inFlight() == 0);
 }
 
+TEST_CASE("without tenants a request needs no key, and what it says of a tenant passes") {
+  EgressFixture egress;
+  egress.begin(1);
+  const auto exchange = egress.sendWithKey("/stock", "any");
+  REQUIRE(exchange->io.plans.size() == 1);
+  CHECK_FALSE(exchange->plan().replaces_tenant);
+  CHECK(exchange->plan().tenant.empty());
+}
+
+// Found with the first configuration that named tenants: keys were sent on to the servers, requests
+// with keys that nobody held were run, and no server was told whose a request was.
+TEST_CASE("with tenants, servers are told whose a request is and never its key") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  const auto known = egress.sendWithKey("/stock", "k1");
+  REQUIRE(known->io.plans.size() == 1);
+  CHECK(known->plan().replaces_tenant);
+  CHECK(known->plan().tenant == TenantName("farm"));
+  checkAnswered(*egress.sendWithKey("/stock", "k2"), 401, proxy::Outcome::kNotRun);
+  checkAnswered(*egress.send("/stock"), 401, proxy::Outcome::kNotRun);
+  CHECK(egress.state.statistics().unauthenticated == 2);
+}
+
+TEST_CASE("a public route needs no key, and tells the tenant of one that is known") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  const auto nobodys = egress.sendWithKey("/open", "k2");
+  REQUIRE(nobodys->io.plans.size() == 1);
+  CHECK(nobodys->plan().replaces_tenant);
+  CHECK(nobodys->plan().tenant.empty());
+  const auto farms = egress.sendWithKey("/open", "k1");
+  REQUIRE(farms->io.plans.size() == 1);
+  CHECK(farms->plan().tenant == TenantName("farm"));
+}
+
+TEST_CASE("a key comes and goes with its version, also on connections that are open") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  egress.apply(3, {EgressFixture::makeTenant("farm", "k2")});
+  checkAnswered(*egress.sendWithKey("/stock", "k1"), 401, proxy::Outcome::kNotRun);
+  CHECK(egress.sendWithKey("/stock", "k2")->io.plans.size() == 1);
+}
+
+TEST_CASE("a node that may have missed a version does not say that a key is unknown") {
+  EgressFixture egress;
+  Settings settings = EgressFixture::makeSettings();
+  settings.configuration_certain_for = seconds(2);
+  egress.state.changeSettings(settings);
+  egress.begin(1);
+  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  egress.environment.advance(seconds(3));
+  const auto exchange = egress.sendWithKey("/stock", "new");
+  checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
+  CHECK(exchange->io.answers[0].reason == "stale_configuration");
+}
+
+TEST_CASE(
+    "a call of a run needs no key and is its caller's tenant's, one of unknown work is not run") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  proxy::ServerRun run{.request = "parent", .tenant = TenantName("farm")};
+  REQUIRE(egress.retries.admit(run));
+  const auto call = egress.send("/stock", "parent");
+  REQUIRE(call->io.plans.size() == 1);
+  CHECK(call->plan().tenant == TenantName("farm"));
+  CHECK(call->plan().hop_class->is_call);
+  const auto orphan = egress.send("/stock", "unknown");
+  checkAnswered(*orphan, 503, proxy::Outcome::kNotRun);
+  CHECK(orphan->io.answers[0].reason == "unknown_parent");
+  egress.retries.remove(run);
+}
+
+TEST_CASE("a tenant's rank goes before its route's, and its regions narrow the route's") {
+  EgressFixture egress;
+  Settings settings = EgressFixture::makeSettings();
+  settings.zone_regions = {{ZoneId("a"), RegionId("west")}, {ZoneId("b"), RegionId("east")}};
+  egress.state.changeSettings(settings);
+  egress.begin(1);
+  model::Tenant urgent = EgressFixture::makeTenant("farm", "k1");
+  urgent.rank = 0;
+  model::Tenant eastern = EgressFixture::makeTenant("shop", "k2");
+  eastern.regions = {RegionId("east")};
+  egress.apply(2, {urgent, eastern});
+  CHECK(egress.sendWithKey("/stock", "k1")->plan().hop_class->rank == 0);
+  checkAnswered(*egress.sendWithKey("/stock", "k2"), 503, proxy::Outcome::kNotRun);
+  egress.list({EgressFixture::entry("s1", "a"), EgressFixture::entry("s2", "b")});
+  const auto exchange = egress.sendWithKey("/stock", "k2");
+  REQUIRE(exchange->io.plans.size() == 1);
+  CHECK(exchange->plan().target_instance == "s2");
+  CHECK(exchange->plan().hop_class->rank == 1);
+}
+
 TEST_CASE("without a configuration a request is refused as not run, without a route it is 404") {
   EgressFixture egress;
   const auto early = egress.send("/stock");
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -39,6 +39,12 @@
       relay_settings, source::Topic::kConfiguration, client, no_peers, held, environment};
   source::PeerReader peers{
       {}, no_peers, held, environment, [](source::Topic, const source::StateUpdate&) {}};
+  class NoQuotaPeers final : public admission::QuotaPeers {
+    void ask(const std::string&, const admission::QuotaAsk&, Callback) override {}
+  };
+  NoQuotaPeers no_quota_peers;
+  admission::QuotaPool pool;
+  admission::QuotaAccounts quotas{pool, no_quota_peers, environment};
   RequestHistograms histograms;
   runtime::MetricTable table() {
     return makeTwoHopMetrics({egress,
@@ -46,6 +52,7 @@
                               {servers_watch, servers_relay},
                               {configuration_watch, configuration_relay},
                               peers,
+                              quotas,
                               histograms});
   }
 };
--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -65,6 +65,69 @@
   CHECK(seat.repeatability == model::Repeatability::kNever);
 }
 
+TEST_CASE("a route for large answers may be repeated") {
+  std::string text = kConfiguration;
+  text.replace(text.find("\"safe\""), 6, "\"download\"");
+  const auto configuration = decodeConfiguration(text);
+  REQUIRE(configuration.has_value());
+  const model::Route& read = configuration->routes.at(RouteName("read"));
+  CHECK(read.repeatability == model::Repeatability::kAlways);
+}
+
+namespace {
+
+/// A configuration of these tenants, each as the fields of its spec.
+std::string withTenants(std::initializer_list<std::string> specs) {
+  std::string text = R"({"version":"r1","resources":[)";
+  int number = 0;
+  for (const std::string& spec : specs) {
+    if (++number > 1) text += ",";
+    text += R"({"entry_type":"tenants","metadata":{"name":"t)" + std::to_string(number) +
+            R"("},"spec":{)" + spec + "}}";
+  }
+  return text + "]}";
+}
+
+}  // namespace
+
+TEST_CASE("a tenant becomes its keys' digests, its rank, its quota and its regions") {
+  const auto configuration = decodeConfiguration(
+      withTenants({R"("api_keys":["k2","k1","k2"],"priority":1,"rate_per_s":25.5,"burst":30,
+                      "allowed_regions":["west","east"])",
+                   R"("api_keys":[])"}));
+  REQUIRE(configuration.has_value());
+  const model::Tenant& first = configuration->tenants.at(TenantName("t1"));
+  std::vector<Digest> expected = {Digest::of("k1"), Digest::of("k2")};
+  std::sort(expected.begin(), expected.end());
+  CHECK(first.key_digests == expected);
+  CHECK(first.rank == 1U);
+  CHECK(first.quota.rate_per_1000_s == 25'500);
+  CHECK(first.quota.burst == 30);
+  CHECK(first.regions == std::vector{RegionId("east"), RegionId("west")});
+  // One that lost its last key stays a tenant: nobody can use it.
+  const model::Tenant& second = configuration->tenants.at(TenantName("t2"));
+  CHECK(second.key_digests.empty());
+  CHECK_FALSE(second.rank.has_value());
+  CHECK_FALSE(second.quota.isLimited());
+}
+
+TEST_CASE("a wrong tenant is refused with the whole configuration, without telling a key") {
+  for (const char* spec :
+       {"", R"("api_keys":"secret")", R"("api_keys":[7])", R"("api_keys":[""])",
+        R"("api_keys":["secret"],"rate_per_s":-1)", R"("api_keys":["secret"],"rate_per_s":"9")",
+        R"("api_keys":["secret"],"burst":-3)", R"("api_keys":["secret"],"priority":"high")",
+        R"("api_keys":["secret"],"allowed_regions":[4])"}) {
+    CAPTURE(spec);
+    const auto configuration = decodeConfiguration(withTenants({spec}));
+    REQUIRE_FALSE(configuration.has_value());
+    CHECK(describe(configuration.error()).find("secret") == std::string::npos);
+  }
+  const auto shared = decodeConfiguration(
+      withTenants({R"("api_keys":["secret"])", R"("api_keys":["secret","own"])"}));
+  REQUIRE_FALSE(shared.has_value());
+  CHECK(shared.error().message == "tenants 't1' and 't2' hold the same API key");
+}
+
 TEST_CASE("a configuration that is cut, odd or names an unknown service is refused whole") {
   const std::string whole = kConfiguration;
   for (std::size_t size = 0; size < whole.size(); size += 7) {
