Ingress: tenants take turns in the queue within a rank

Cause: within a rank those whose target comes first went first, so that a tenant which sends many times its usual load filled the queue and every other waited behind all of it.

Change: each tenant's first waiting request goes before any one's second; of one turn, the earlier target first, as before. Requests of nobody have the first turn: nothing changes without tenants.

--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -100,7 +100,8 @@
   run_.request = head_.request_id;
   run_.repeat_share = hop.repeat_share;
   run_.is_call = hop.is_call;
-  run_.tenant = TenantName(head_.tenant);
+  tenant = TenantName(head_.tenant);
+  run_.tenant = tenant;
   if (!state_.retries().admit(run_)) return conclude(Reason::kRetryBudget, now);
   const WaitBounds bounds = waitBounds(now);
   if (!hop.may_wait && !state_.hasSlotFor(now)) return conclude(Reason::kNoFreeSlot, now);
--- a/src/ingress/work_queue.cpp
+++ b/src/ingress/work_queue.cpp
@@ -8,21 +8,22 @@
 namespace {
 
 /// The order of those that wait, but for the order of their arrival.
-auto urgency(const Waiter& waiter) {
-  return std::make_tuple(!waiter.is_call, waiter.rank, waiter.due);
+auto urgency(const Waiter& waiter, std::size_t turn) {
+  return std::make_tuple(!waiter.is_call, waiter.rank, turn, waiter.due);
 }
 
 }  // namespace
 
 bool WorkQueue::Order::operator()(const Waiter* left, const Waiter* right) const {
-  const auto left_urgency = urgency(*left);
-  const auto right_urgency = urgency(*right);
+  const auto left_urgency = urgency(*left, left->turn_);
+  const auto right_urgency = urgency(*right, right->turn_);
   if (left_urgency != right_urgency) return left_urgency < right_urgency;
   return left->number_ < right->number_;
 }
 
 void WorkQueue::add(Waiter& waiter) {
   waiter.number_ = ++last_number_;
+  waiter.turn_ = nextTurn(waiter);
   waiters_.insert(&waiter);
 }
 
@@ -32,15 +33,25 @@
   waiter.number_ = 0;
 }
 
+std::size_t WorkQueue::nextTurn(const Waiter& waiter) const {
+  if (waiter.tenant.empty()) return 0;
+  return static_cast<std::size_t>(
+      std::count_if(waiters_.begin(), waiters_.end(), [&](const Waiter* each) {
+        return each->tenant == waiter.tenant && each->rank == waiter.rank;
+      }));
+}
+
 std::size_t WorkQueue::ahead(const Waiter& waiter) const {
+  const auto own = urgency(waiter, nextTurn(waiter));
   return static_cast<std::size_t>(
       std::count_if(waiters_.begin(), waiters_.end(),
-                    [&](const Waiter* each) { return urgency(*each) <= urgency(waiter); }));
+                    [&](const Waiter* each) { return urgency(*each, each->turn_) <= own; }));
 }
 
 bool WorkQueue::goesBeforeLast(const Waiter& waiter) const {
   const Waiter* const last_waiter = last();
-  return last_waiter != nullptr && urgency(waiter) < urgency(*last_waiter);
+  return last_waiter != nullptr &&
+         urgency(waiter, nextTurn(waiter)) < urgency(*last_waiter, last_waiter->turn_);
 }
 
 }  // namespace coursepond::ingress
--- a/src/ingress/work_queue.h
+++ b/src/ingress/work_queue.h
@@ -1,11 +1,14 @@
 #pragma once
 
 /// The requests that wait for a slot of the ingress's server: calls of running work first, then the
-/// lowest rank, and within a rank the one whose target comes first.
+/// lowest rank, and within a rank the tenants in turn: each one's first request, then each one's
+/// second. Of those of one turn, the one goes first whose target comes first. A tenant that sends
+/// many times its usual load waits behind itself, not before others.
 
 #include <cstdint>
 #include <set>
 
+#include "core/ids.h"
 #include "core/time.h"
 #include "proxy/reason.h"
 
@@ -22,12 +25,14 @@
 
   bool is_call = false;  ///< Made for a request that holds a slot elsewhere: goes first.
   std::uint32_t rank = 0;
+  TenantName tenant;  ///< Empty: nobody's, and all such requests have the first turn.
   Duration target{};  ///< Its target latency.
   TimePoint due;      ///< When its answer should be there.
 
  private:
   friend class WorkQueue;
   std::uint64_t number_ = 0;  ///< Order of arrival; zero: not waiting.
+  std::size_t turn_ = 0;      ///< Of its tenant's requests.
 };
 
 class WorkQueue {
@@ -45,6 +50,7 @@
   bool goesBeforeLast(const Waiter& waiter) const;
 
  private:
+  std::size_t nextTurn(const Waiter& waiter) const;
   struct Order {
     bool operator()(const Waiter* left, const Waiter* right) const;
   };
