Source: few readers and relays behind them, found by a sample

Cause: one reader for 24 nodes, so that the reads of the source grew with the fleet, and a whole list by each node that starts, which grows with the square (984 nodes, five pages each).

Change: three readers, one for each 576 nodes beyond; relays of 24 nodes each wait at them, all others at a relay. A relay is as fresh as the reader that answered it last, and keeps who waits at it while it leaves one reader for another. A node that starts takes one stale page of the servers, asks a node found there where that was not all, and then waits at its own relay; a node asked before it knows anything answers when it does, within 300 ms, in place of turning the asker away to the source.

Ruled out: a larger number of nodes for each reader (moves the size, keeps the growth, and its connections grow), timers that spread the first reads (a node that restarts alone would wait, too).

--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -13,6 +13,9 @@
 constexpr int kServiceUnavailable = 503;
 constexpr std::string_view kServersPath = "/v1/state/servers";
 constexpr std::string_view kConfigurationPath = "/v1/state/configuration";
+/// A node that has just started knows the servers within some tenths of a second; who asks it waits
+/// for an answer for longer than this (RelaySettings::peer_slack).
+constexpr Duration kFirstWait = std::chrono::milliseconds(300);
 /// Nobody may hold a question open for longer.
 constexpr std::uint64_t kLongestWaitMs = 30'000;
 
@@ -108,20 +111,37 @@
   const std::optional<source::Topic> topic = topicOf(request.path());
   if (!topic || request.method != "GET") return responder.respond(plainAnswer(kNotFound));
   const source::PeerQuestion question = questionOf(*topic, request.query());
+  if (!knows(*topic)) return waitForFirst(question, std::move(responder));
   const bool is_unfit = question.only_fresh && !is_fresh_(*topic);
-  if (is_unfit || !knows(*topic)) return responder.respond(plainAnswer(kServiceUnavailable));
+  if (is_unfit) return responder.respond(plainAnswer(kServiceUnavailable));
   if (hasNews(question)) return responder.respond(makeAnswer(question));
   if (question.wait == Duration(0)) return responder.respond(plainAnswer(kNoContent));
   wait(question, std::move(responder));
 }
 
 void PeerStateServer::wait(const source::PeerQuestion& question, runtime::HttpResponder responder) {
+  keepWaiting(question, std::move(responder), question.wait,
+              [this, question] { return makeAnswer(question); });
+}
+
+/// This node has just started: it may know something in a moment. When a whole fleet starts, nodes
+/// that were turned away at once would all read the source.
+void PeerStateServer::waitForFirst(const source::PeerQuestion& question,
+                                   runtime::HttpResponder responder) {
+  keepWaiting(question, std::move(responder), kFirstWait,
+              [] { return plainAnswer(kServiceUnavailable); });
+}
+
+void PeerStateServer::keepWaiting(const source::PeerQuestion& question,
+                                  runtime::HttpResponder responder, Duration longest,
+                                  std::function<runtime::HttpResponse()> answer_at_end) {
   waiting_.push_back({question, std::move(responder), 0});
   const auto entry = std::prev(waiting_.end());
-  entry->timer = environment_.schedule(question.wait, [this, entry] {
-    entry->responder.respond(makeAnswer(entry->question));
-    waiting_.erase(entry);
-  });
+  entry->timer =
+      environment_.schedule(longest, [this, entry, answer_at_end = std::move(answer_at_end)] {
+        entry->responder.respond(answer_at_end());
+        waiting_.erase(entry);
+      });
 }
 
 void PeerStateServer::onNews(source::Topic topic) {
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -6,7 +6,7 @@
 ///     200 with a state update, without changes when there were none before the wait was over: the
 ///         asker then knows that it is current up to the update's revision;
 ///     204 to a question that does not wait, when nothing newer is known;
-///     503 when nothing is known yet, or `fresh` is asked of a node that does not read the source.
+///     503 when nothing is known soon, or `fresh` is asked of a node that does not read the source.
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -68,6 +68,9 @@
       : held_(held), environment_(environment), is_fresh_(std::move(is_fresh)) {}
   void answer(const runtime::HttpRequest& request, runtime::HttpResponder responder);
   void wait(const source::PeerQuestion& question, runtime::HttpResponder responder);
+  void waitForFirst(const source::PeerQuestion& question, runtime::HttpResponder responder);
+  void keepWaiting(const source::PeerQuestion& question, runtime::HttpResponder responder,
+                   Duration longest, std::function<runtime::HttpResponse()> answer_at_end);
   bool knows(source::Topic topic) const;
   bool hasNews(const source::PeerQuestion& question) const;
   const std::string& encodedAnswer(const source::PeerQuestion& question);
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -159,7 +159,9 @@
   add("relay_peer_reads_total", "Questions to nodes that read the source.", &S::peer_reads);
   add("relay_peer_failures_total", "Those that failed.", &S::peer_failures);
   table.addGauge("relay_reads_source", "1 when this node is one that reads the source for others.",
-                 [&servers] { return servers.isReader() ? 1.0 : 0.0; });
+                 [&servers] { return servers.role() == source::ReaderRole::kReader ? 1.0 : 0.0; });
+  table.addGauge("relay_relays", "1 when this node relays what readers read.",
+                 [&servers] { return servers.role() == source::ReaderRole::kRelay ? 1.0 : 0.0; });
 }
 
 void addQuotas(MetricTable& table, const admission::QuotaAccounts& quotas) {
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -21,6 +21,7 @@
 #include "runtime/proxy_server.h"
 #include "runtime/settings_change.h"
 #include "source/reader_choice.h"
+#include "source/reader_discovery.h"
 #include "source/relay_client.h"
 #include "source/watch_loop.h"
 
@@ -123,6 +124,8 @@
         peer_client_(context, settings_.node.peer_listen.port, settings_.relay),
         servers_(makeReading(source::Topic::kServers, extensions)),
         configuration_(makeReading(source::Topic::kConfiguration, extensions)),
+        discovery_({}, {settings_.two_hop.server.host, settings_.node.zone}, *servers_.client,
+                   peer_client_, environment_),
         peers_({}, peer_client_, held_, environment_,
                [this](source::Topic topic, const source::StateUpdate& update) {
                  onPeerState(topic, update);
@@ -178,7 +181,8 @@
   void askServerHealth();
   void onWatchFailed(source::Topic topic, const Error& error);
   void onPeerState(source::Topic topic, const source::StateUpdate& update);
-  void chooseReaders();
+  std::vector<source::NodeMachine> machinesOfNodes() const;
+  void chooseRoles(const std::vector<source::NodeMachine>& machines);
   void shareQuotas(const std::vector<source::NodeMachine>& machines);
 
   std::string unreadiness() const;
@@ -207,6 +211,7 @@
   HttpPeerStateClient peer_client_;
   Reading servers_;
   Reading configuration_;
+  source::ReaderDiscovery discovery_;
   source::PeerReader peers_;
   std::unique_ptr<PeerStateServer> peer_server_;
   std::unique_ptr<runtime::ProxyServer> egress_server_;
@@ -313,7 +318,11 @@
   environment_.schedule(kFoldInterval, [this] { tellFoldedDecisions(); });
   environment_.schedule(kRetryReportInterval, [this] { tellRetries(); });
   // The configuration follows when it is known who else could tell it.
-  servers_.watch->start();
+  discovery_.start([this](const std::vector<source::NodeMachine>& machines) {
+    for (const source::NodeMachine& machine : machines) peers_.notePeer(machine.host);
+    if (!machines.empty()) chooseRoles(machines);
+    servers_.watch->start();
+  });
 }
 
 // ---- What the source says
@@ -424,7 +433,7 @@
     egress_.directory().update(batch.servers, batch.removed_servers, now);
   }
   forgetLapsedServers();
-  chooseReaders();
+  chooseRoles(machinesOfNodes());
   for (const auto& [id, server] : egress_.directory().all()) {
     if (server->entry.address != settings_.two_hop.server)
       peers_.notePeer(server->entry.address.host);
@@ -493,19 +502,8 @@
   takeIn(topic, *batch, batch->is_complete);
 }
 
-/// Likewise, every node names the same owner of each tenant's quota.
-void Implementation::shareQuotas(const std::vector<source::NodeMachine>& machines) {
-  std::vector<std::string> hosts;
-  hosts.reserve(machines.size());
-  for (const source::NodeMachine& machine : machines) hosts.push_back(machine.host);
-  const std::size_t nodes = std::max(retries_.nodes(), hosts.size());
-  quota_pool_.setNodes(nodes);
-  quotas_.setNodes(nodes);
-  quotas_.setMachines(settings_.two_hop.server.host, std::move(hosts));
-}
-
-/// Every node computes the same readers from the same servers.
-void Implementation::chooseReaders() {
+/// Of all servers that are not leaving.
+std::vector<source::NodeMachine> Implementation::machinesOfNodes() const {
   std::map<std::string, ZoneId> zones;
   for (const auto& [id, server] : egress_.directory().all()) {
     if (!server->draining()) zones[server->entry.address.host] = server->entry.zone;
@@ -513,18 +511,38 @@
   std::vector<source::NodeMachine> machines;
   machines.reserve(zones.size());
   for (const auto& [host, zone] : zones) machines.push_back({host, zone});
+  return machines;
+}
+
+/// Every node computes the same roles from the same servers.
+void Implementation::chooseRoles(const std::vector<source::NodeMachine>& machines) {
   shareQuotas(machines);
   const source::NodeMachine own{settings_.two_hop.server.host, settings_.node.zone};
-  const std::vector<source::NodeMachine> readers = source::chooseReaders(machines, {});
-  const bool is_reader = std::find(readers.begin(), readers.end(), own) != readers.end();
-  if (is_reader != servers_.relay->isReader()) {
-    writeLog(runtime::LogLevel::kInfo, is_reader ? "reads_source" : "follows_readers",
-             {{"readers", std::to_string(readers.size())}});
+  const source::ReaderPlan plan = source::planReaders(machines, {});
+  const source::ReaderRole role = plan.roleOf(own);
+  if (role != servers_.relay->role()) {
+    writeLog(runtime::LogLevel::kInfo, "source_role",
+             {{"role", std::string(roleWord(role))},
+              {"readers", std::to_string(plan.readers.size())},
+              {"relays", std::to_string(plan.relays.size())}});
   }
-  const std::vector<std::string> others = source::askingOrder(own, readers);
-  servers_.relay->setReaders(others, is_reader, machines.size());
-  configuration_.relay->setReaders(others, is_reader, machines.size());
-  held_.rememberVersions(is_reader ? kVersionsOfReader : 1);
+  const std::vector<std::string> parents = source::askingOrder(own, plan.parentsOf(role));
+  const bool is_relay = role == source::ReaderRole::kRelay;
+  const std::size_t sharers = is_relay ? plan.relays.size() : machines.size();
+  servers_.relay->setReaders(parents, role, sharers);
+  configuration_.relay->setReaders(parents, role, sharers);
+  held_.rememberVersions(role == source::ReaderRole::kFollower ? 1 : kVersionsOfReader);
+}
+
+/// Likewise, every node names the same owner of each tenant's quota.
+void Implementation::shareQuotas(const std::vector<source::NodeMachine>& machines) {
+  std::vector<std::string> hosts;
+  hosts.reserve(machines.size());
+  for (const source::NodeMachine& machine : machines) hosts.push_back(machine.host);
+  const std::size_t nodes = std::max(retries_.nodes(), hosts.size());
+  quota_pool_.setNodes(nodes);
+  quotas_.setNodes(nodes);
+  quotas_.setMachines(settings_.two_hop.server.host, std::move(hosts));
 }
 
 // ---- What others may ask
--- a/src/source/reader_choice.cpp
+++ b/src/source/reader_choice.cpp
@@ -38,19 +38,53 @@
   return candidates;
 }
 
+/// How many parts of at most `size` make up `whole`.
+std::size_t partsOf(std::size_t whole, std::size_t size) { return (whole + size - 1) / size; }
+
+bool contains(const std::vector<NodeMachine>& machines, const NodeMachine& machine) {
+  return std::find(machines.begin(), machines.end(), machine) != machines.end();
+}
+
 }  // namespace
 
-std::vector<NodeMachine> chooseReaders(std::span<const NodeMachine> machines,
-                                       const ReaderChoiceSettings& settings) {
+std::string_view roleWord(ReaderRole role) {
+  switch (role) {
+    case ReaderRole::kReader:
+      return "reader";
+    case ReaderRole::kRelay:
+      return "relay";
+    case ReaderRole::kFollower:
+      return "follower";
+  }
+  return "unknown";
+}
+
+ReaderRole ReaderPlan::roleOf(const NodeMachine& machine) const {
+  if (contains(readers, machine)) return ReaderRole::kReader;
+  return contains(relays, machine) ? ReaderRole::kRelay : ReaderRole::kFollower;
+}
+
+const std::vector<NodeMachine>& ReaderPlan::parentsOf(ReaderRole role) const {
+  return role == ReaderRole::kFollower && !relays.empty() ? relays : readers;
+}
+
+ReaderPlan planReaders(std::span<const NodeMachine> machines,
+                       const ReaderChoiceSettings& settings) {
   const std::size_t per_reader = std::max<std::size_t>(settings.nodes_per_reader, 1);
-  const std::size_t needed = (machines.size() + per_reader - 1) / per_reader;
-  const std::size_t count = std::min(machines.size(), std::max(needed, settings.least_readers));
-  std::vector<NodeMachine> readers;
+  const std::size_t least = std::min(machines.size(), settings.least_readers);
+  const std::size_t needed = partsOf(machines.size(), per_reader);
+  const bool has_relays = needed > least;
+  const std::size_t relays = has_relays ? needed : 0;
+  const std::size_t readers = std::max(least, partsOf(relays, per_reader));
+  ReaderPlan plan;
   for (const Candidate& candidate : candidatesByRank(machines)) {
-    if (readers.size() == count) break;
-    readers.push_back(*candidate.machine);
+    if (plan.readers.size() < readers) {
+      plan.readers.push_back(*candidate.machine);
+    } else if (plan.relays.size() < relays) {
+      plan.relays.push_back(*candidate.machine);
+    }
   }
-  return readers;
+  return plan;
 }
 
 std::vector<std::string> askingOrder(const NodeMachine& own, std::span<const NodeMachine> readers) {
--- /dev/null
+++ b/src/source/reader_discovery.cpp
@@ -0,0 +1,78 @@
+#include "source/reader_discovery.h"
+
+#include <algorithm>
+#include <map>
+
+namespace coursepond::source {
+
+std::vector<NodeMachine> machinesOf(const std::vector<model::ServerEntry>& servers) {
+  std::map<std::string, ZoneId> zones;
+  for (const model::ServerEntry& server : servers) {
+    const bool is_leaving = server.state == model::MachineState::kLeaving;
+    if (!is_leaving) zones[server.address.host] = server.zone;
+  }
+  std::vector<NodeMachine> machines;
+  machines.reserve(zones.size());
+  for (const auto& [host, zone] : zones) machines.push_back({host, zone});
+  return machines;
+}
+
+ReaderDiscovery::ReaderDiscovery(const DiscoverySettings& settings, NodeMachine own,
+                                 WatchClient& source, PeerStateClient& peers,
+                                 Environment& environment)
+    : settings_(settings),
+      own_(std::move(own)),
+      source_(source),
+      peers_(peers),
+      environment_(environment) {}
+
+void ReaderDiscovery::start(FoundHandler on_found) {
+  on_found_ = std::move(on_found);
+  takeSample();
+}
+
+void ReaderDiscovery::takeSample() {
+  ++samples_;
+  source_.sample(settings_.sample_timeout,
+                 [this, alive = std::weak_ptr<int>(alive_)](const Result<WatchBatch>& sample) {
+                   if (!alive.expired()) onSample(sample);
+                 });
+}
+
+void ReaderDiscovery::onSample(const Result<WatchBatch>& sample) {
+  if (!sample) return finish({});
+  const std::vector<NodeMachine> machines = machinesOf(sample->servers);
+  if (machines.empty() && samples_ < settings_.most_samples) {
+    environment_.schedule(settings_.sample_again, [this, alive = std::weak_ptr<int>(alive_)] {
+      if (!alive.expired()) takeSample();
+    });
+    return;
+  }
+  if (sample->is_complete) return finish(machines);
+  const ReaderPlan plan = planReaders(machines, {});
+  const ReaderRole role = plan.roleOf(own_);
+  if (role == ReaderRole::kReader) return finish({});
+  to_ask_ = askingOrder(own_, plan.parentsOf(role));
+  askNext();
+}
+
+void ReaderDiscovery::askNext() {
+  if (asked_ >= std::min(to_ask_.size(), settings_.most_peers)) return finish({});
+  // Whatever it knows will do: whether that is the newest matters only to what is put in force.
+  peers_.read(
+      to_ask_[asked_++], PeerQuestion{}, settings_.peer_timeout,
+      [this, alive = std::weak_ptr<int>(alive_)](const Result<std::optional<StateUpdate>>& answer) {
+        if (!alive.expired()) onPeerAnswer(answer);
+      });
+}
+
+void ReaderDiscovery::onPeerAnswer(const Result<std::optional<StateUpdate>>& answer) {
+  if (!answer || !answer->has_value() || (*answer)->servers.empty()) return askNext();
+  finish(machinesOf((*answer)->servers));
+}
+
+void ReaderDiscovery::finish(const std::vector<NodeMachine>& machines) {
+  std::exchange(on_found_, nullptr)(machines);
+}
+
+}  // namespace coursepond::source
--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -36,27 +36,31 @@
   return topic_ == Topic::kConfiguration ? settings_.configuration_wait : settings_.peer_wait;
 }
 
-void RelayClient::setReaders(std::vector<std::string> others, bool is_reader, std::size_t nodes) {
-  others_ = std::move(others);
+void RelayClient::setReaders(std::vector<std::string> parents, ReaderRole role, std::size_t nodes) {
+  parents_ = std::move(parents);
   nodes_ = nodes;
-  is_reader_ = is_reader;
+  role_ = role;
   std::erase_if(avoided_until_, [this](const auto& item) {
-    return std::find(others_.begin(), others_.end(), item.first) == others_.end();
+    return std::find(parents_.begin(), parents_.end(), item.first) == parents_.end();
   });
 }
 
+Duration RelayClient::longestRead() const {
+  const bool asks_parent = role_ == ReaderRole::kRelay;
+  return asks_parent ? peerWait() + settings_.peer_slack : sourceWait() + settings_.source_slack;
+}
+
 bool RelayClient::isFresh() const {
   // A version may take long to arrive, and is still sooner here than at who would read it next.
   // That this process stood still shows by its reads of the servers.
   if (topic_ == Topic::kConfiguration) return is_fresh_;
-  const Duration longest_read = sourceWait() + settings_.source_slack;
   // Twice, for the pause between two reads. A process that was frozen finds itself stale by this.
-  return is_fresh_ && environment_.now() - last_source_answer_ <= 2 * longest_read;
+  return is_fresh_ && environment_.now() - last_fresh_answer_ <= 2 * longestRead();
 }
 
 void RelayClient::list(Duration timeout, WatchCallback callback) {
-  if (!is_reader_ && !others_.empty()) {
-    // Everything, from a reader: as a watch from before the first revision.
+  if (!isReader() && !parents_.empty()) {
+    // Everything, from a parent: as a watch from before the first revision.
     return watch(Generation(), Duration(0), timeout, std::move(callback));
   }
   ++statistics_.source_reads;
@@ -69,21 +73,29 @@
 }
 
 void RelayClient::watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) {
-  step(std::make_shared<Read>(
-      Read{after, wait, timeout, std::move(callback), held_.version(), false, std::nullopt}));
+  step(std::make_shared<Read>(Read{after, wait, timeout, std::move(callback), held_.version(),
+                                   environment_.now(), false, std::nullopt}));
 }
 
 void RelayClient::step(const ReadPointer& read) {
-  const bool reads_itself = is_reader_ && environment_.now() >= source_avoided_until_;
+  const TimePoint now = environment_.now();
+  const bool reads_itself = isReader() && now >= source_avoided_until_;
   if (reads_itself && !read->was_source_asked) return readSource(read);
-  // A node that has just started does not try one silent reader after the other. Those that answer
-  // that they do not read now cost no time, and the next one's answer is a tenth of the source's.
-  const bool is_in_haste = read->failure && read->failure->kind != ErrorKind::kOverloaded &&
-                           held_.configuration() == nullptr;
+  // A node that has just started does not try one silent parent after the other, nor one after the
+  // other that has just started itself. Those that answer at once that they do not know the newest
+  // cost no time, and the next one's answer is a tenth of the source's.
+  const bool has_waited = now - read->began > settings_.peer_slack;
+  const bool is_in_haste = read->failure && held_.configuration() == nullptr &&
+                           (has_waited || read->failure->kind != ErrorKind::kOverloaded);
   const std::optional<std::string> host = is_in_haste ? std::nullopt : nextPeer();
   if (host) return askPeer(read, *host);
   if (!read->was_source_asked && !leavesSourceToReaders() && standsIn()) return readSource(read);
+  fail(read);
+}
+
+void RelayClient::fail(const ReadPointer& read) {
   if (!read->failure) read->failure = noPathError();
+  loseFreshness();
   read->callback(*read->failure);
 }
 
@@ -92,7 +104,7 @@
 /// as current after its return.
 bool RelayClient::leavesSourceToReaders() const {
   const bool has_something = held_.configuration() != nullptr;
-  return !is_reader_ && has_something && environment_.now() < source_avoided_until_;
+  return !isReader() && has_something && environment_.now() < source_avoided_until_;
 }
 
 /// Whether this node reads the source in place of readers that fail. The source tells each version
@@ -101,7 +113,7 @@
 /// took 160 ms longer. Entries of servers are small, and needed sooner.
 bool RelayClient::standsIn() const {
   const bool must_read = topic_ == Topic::kServers || held_.configuration() == nullptr;
-  if (is_reader_ || must_read || nodes_ == 0) return true;
+  if (isReader() || must_read || nodes_ == 0) return true;
   return happens(environment_, kStandIns / static_cast<double>(nodes_));
 }
 
@@ -148,10 +160,17 @@
       !batch.configurations.empty() && batch.configurations.back()->version > held_.version();
   lists_next_ = is_new;
   is_fresh_ = true;
-  last_source_answer_ = environment_.now();
+  last_fresh_answer_ = environment_.now();
   source_avoided_until_ = TimePoint();
 }
 
+/// A parent answers only while what it holds is as new as the source's own.
+void RelayClient::noteParentAnswer() {
+  if (role_ != ReaderRole::kRelay) return;
+  is_fresh_ = true;
+  last_fresh_answer_ = environment_.now();
+}
+
 void RelayClient::loseFreshness() {
   if (std::exchange(is_fresh_, false) && on_freshness_lost_) on_freshness_lost_();
 }
@@ -160,7 +179,7 @@
 
 std::optional<std::string> RelayClient::nextPeer() {
   const TimePoint now = environment_.now();
-  for (const std::string& host : others_) {
+  for (const std::string& host : parents_) {
     const auto found = avoided_until_.find(host);
     if (found == avoided_until_.end() || found->second <= now) return host;
   }
@@ -169,7 +188,8 @@
 
 void RelayClient::askPeer(const ReadPointer& read, const std::string& host) {
   ++statistics_.peer_reads;
-  loseFreshness();
+  // Of a relay, others go on waiting here: it knows what its parent tells a moment later.
+  if (role_ != ReaderRole::kRelay) loseFreshness();
   PeerQuestion question;
   question.topic = topic_;
   question.after = read->after;
@@ -194,8 +214,9 @@
     read->failure = answer.error();
     return step(read);
   }
-  // What a reader holds is the newest: a list that was due is not any more.
+  // What a parent holds is the newest: a list that was due is not any more.
   lists_next_ = false;
+  noteParentAnswer();
   if (!answer->has_value()) {
     WatchBatch unchanged;
     unchanged.revision = read->after;
--- a/src/source/relay_client.h
+++ b/src/source/relay_client.h
@@ -1,9 +1,9 @@
 #pragma once
 
 /// Reads one topic of a source for a node of a mesh in which only a few nodes read it: those that
-/// were chosen (reader_choice.h) read the source itself, the others wait for changes at one of
-/// them. A node whose readers fail reads the source, and a reader that the source turns away asks
-/// other readers: nobody depends on one path.
+/// were chosen (reader_choice.h) read the source itself, relays wait for changes at one of them,
+/// and the others at a relay. A node whose parents fail reads the source, and a reader that the
+/// source turns away asks other readers: nobody depends on one path.
 ///
 /// Invariant: a read ends within the longest of its steps: one wait that went silent, then
 /// questions that are answered at once (Settings say how long each may take).
@@ -18,6 +18,7 @@
 #include "core/environment.h"
 #include "source/held_state.h"
 #include "source/peer_reader.h"
+#include "source/reader_choice.h"
 #include "source/watch_client.h"
 
 namespace coursepond::source {
@@ -60,9 +61,9 @@
   RelayClient(const RelaySettings& settings, Topic topic, WatchClient& source,
               PeerStateClient& peers, const HeldState& held, Environment& environment);
 
-  /// Who reads the source: the others in the order in which to ask them, and whether this node
-  /// does. `nodes` that follow the same readers, this one included; zero: not known.
-  void setReaders(std::vector<std::string> others, bool is_reader, std::size_t nodes = 0);
+  /// What this node does, and whom it asks: readers or relays, in the order in which to ask them.
+  /// `nodes` that ask the same ones, this one included; zero: not known.
+  void setReaders(std::vector<std::string> parents, ReaderRole role, std::size_t nodes = 0);
   /// Called when this node no longer reads the source itself.
   void onFreshnessLost(std::function<void()> callback) { on_freshness_lost_ = std::move(callback); }
   /// Called when a reader did not answer, or turned this node away; another path is taken.
@@ -71,7 +72,7 @@
   }
   /// Whether what is held is as new as the source's own: others may wait for changes here.
   bool isFresh() const;
-  bool isReader() const { return is_reader_; }
+  ReaderRole role() const { return role_; }
 
   void list(Duration timeout, WatchCallback callback) override;
   void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) override;
@@ -86,6 +87,7 @@
     Duration timeout{};
     WatchCallback callback;
     Version version;  ///< That is held; none to get the whole configuration.
+    TimePoint began;
     bool was_source_asked = false;
     std::optional<Error> failure;  ///< Of the last step.
   };
@@ -101,7 +103,11 @@
                     const Result<std::optional<StateUpdate>>& answer);
   std::optional<std::string> nextPeer();
   void noteSourceAnswer(const WatchBatch& batch);
+  void noteParentAnswer();
+  void fail(const ReadPointer& read);
   void loseFreshness();
+  bool isReader() const { return role_ == ReaderRole::kReader; }
+  Duration longestRead() const;
   Duration sourceWait() const;
   Duration peerWait() const;
 
@@ -115,16 +121,16 @@
   std::function<void(const std::string&, const Error&)> on_reader_failed_;
   /// Callbacks hold a weak reference: they end with the client.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
-  std::vector<std::string> others_;
-  std::map<std::string, TimePoint> avoided_until_;  ///< Of `others_`.
+  std::vector<std::string> parents_;
+  std::map<std::string, TimePoint> avoided_until_;  ///< Of `parents_`.
   std::size_t nodes_ = 0;
-  bool is_reader_ = true;
+  ReaderRole role_ = ReaderRole::kReader;
   bool is_fresh_ = false;
   /// The source's last answer brought a version: list next, since a list has the newest only and a
   /// watch each one of a storm, whole.
   bool lists_next_ = false;
   TimePoint source_avoided_until_;
-  TimePoint last_source_answer_;
+  TimePoint last_fresh_answer_;  ///< Of the source; of a relay, also of a reader.
   RelayStatistics statistics_;
 };
 
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -69,6 +69,11 @@
  public:
   virtual ~WatchClient() = default;
   virtual void list(Duration timeout, WatchCallback callback) = 0;
+  /// Some of the servers as they may have been seconds ago, at a fraction of a list's cost: to find
+  /// another node by. Complete when it holds all there were.
+  virtual void sample(Duration timeout, WatchCallback callback) {
+    list(timeout, std::move(callback));
+  }
   /// Answers at the first change after `after`, or without one after `wait`.
   virtual void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) = 0;
 };
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -83,7 +83,7 @@
     client.list(seconds(1), [this](Result<WatchBatch> answer) { take(std::move(answer)); });
     const std::uint64_t version = topic == Topic::kConfiguration ? 7 : 0;
     source.answer(makeBatch(10, version));
-    client.setReaders({"r1", "r2"}, is_reader);
+    client.setReaders({"r1", "r2"}, is_reader ? ReaderRole::kReader : ReaderRole::kFollower);
     // A list right after a version; then the source has nothing newer.
     if (is_reader) {
       watch();
@@ -152,7 +152,7 @@
   HeldState nothing;
   RelayClient client(fresh.settings, Topic::kConfiguration, fresh.source, fresh.peers, nothing,
                      fresh.environment);
-  client.setReaders({"r1", "r2"}, false);
+  client.setReaders({"r1", "r2"}, ReaderRole::kFollower);
   std::optional<Result<WatchBatch>> answer;
   const auto take = [&](Result<WatchBatch> received) { answer = std::move(received); };
   client.list(seconds(1), take);
@@ -354,7 +354,7 @@
 TEST_CASE("when all readers stop at once, a few nodes read the configuration in their place") {
   constexpr std::size_t kNodes = 60;
   RelayFixture fixture(false);
-  fixture.client.setReaders({"r1", "r2"}, false, kNodes);
+  fixture.client.setReaders({"r1", "r2"}, ReaderRole::kFollower, kNodes);
   std::size_t turns = 0;
   for (; turns < 10 * kNodes; ++turns) {
     const std::size_t answered = fixture.answers.size();
@@ -374,7 +374,7 @@
 
   // Servers that leave must be known soon, and their entries are small.
   RelayFixture servers(false, Topic::kServers);
-  servers.client.setReaders({"r1", "r2"}, false, kNodes);
+  servers.client.setReaders({"r1", "r2"}, ReaderRole::kFollower, kNodes);
   servers.watch();
   servers.peers.fail(ErrorKind::kOverloaded);
   servers.peers.fail(ErrorKind::kOverloaded);
@@ -386,7 +386,7 @@
   HeldState nothing;
   RelayClient client(fixture.settings, Topic::kConfiguration, fixture.source, fixture.peers,
                      nothing, fixture.environment);
-  client.setReaders({"r1", "r2"}, false, 60);
+  client.setReaders({"r1", "r2"}, ReaderRole::kFollower, 60);
   client.list(seconds(1), [](const Result<WatchBatch>&) {});
   fixture.peers.fail(ErrorKind::kOverloaded);
   REQUIRE(fixture.peers.reads.size() == 2);
@@ -395,4 +395,55 @@
   CHECK(fixture.source.reads.size() == 1);
 }
 
+TEST_CASE("a relay that a reader answers is fresh, and a follower is not") {
+  for (const ReaderRole role : {ReaderRole::kRelay, ReaderRole::kFollower}) {
+    CAPTURE(roleWord(role));
+    RelayFixture fixture(false, Topic::kServers);
+    fixture.client.setReaders({"r1", "r2"}, role);
+    fixture.watch();
+    fixture.peers.answer(std::optional<StateUpdate>());
+    CHECK(fixture.client.isFresh() == (role == ReaderRole::kRelay));
+  }
+}
+
+TEST_CASE("who waits at a relay goes on waiting while its reader is left for another") {
+  RelayFixture fixture(false, Topic::kServers);
+  fixture.client.setReaders({"r1", "r2"}, ReaderRole::kRelay);
+  fixture.watch();
+  fixture.peers.answer(std::optional<StateUpdate>());
+  fixture.freshness_lost = 0;
+  fixture.watch();
+  fixture.peers.fail(ErrorKind::kTimeout);
+  CHECK(fixture.client.isFresh());
+  fixture.peers.answer(std::optional<StateUpdate>());
+  CHECK(fixture.client.isFresh());
+  CHECK(fixture.freshness_lost == 0);
+}
+
+TEST_CASE("a relay whose readers and source all fail sends away who waits at it") {
+  RelayFixture fixture(false, Topic::kServers);
+  fixture.client.setReaders({"r1", "r2"}, ReaderRole::kRelay);
+  fixture.watch();
+  fixture.peers.answer(std::optional<StateUpdate>());
+  fixture.freshness_lost = 0;
+  fixture.watch();
+  fixture.peers.fail(ErrorKind::kTimeout);
+  fixture.peers.fail(ErrorKind::kTimeout);
+  REQUIRE(fixture.source.reads.size() == 1);
+  fixture.source.fail(ErrorKind::kUnavailable);
+  CHECK_FALSE(fixture.client.isFresh());
+  CHECK(fixture.freshness_lost == 1);
+}
+
+TEST_CASE("a relay that stood still finds itself stale by its reads of the servers") {
+  RelayFixture fixture(false, Topic::kServers);
+  fixture.client.setReaders({"r1", "r2"}, ReaderRole::kRelay);
+  fixture.watch();
+  fixture.peers.answer(std::optional<StateUpdate>());
+  fixture.environment.pause(2 * (fixture.settings.peer_wait + fixture.settings.peer_slack));
+  CHECK(fixture.client.isFresh());
+  fixture.environment.pause(milliseconds(1));
+  CHECK_FALSE(fixture.client.isFresh());
+}
+
 }  // namespace coursepond::source
