--- a/tests/node/peer_state_exchange_test.cpp
+++ b/tests/node/peer_state_exchange_test.cpp
@@ -154,6 +154,46 @@
   CHECK(fixture.answers[1].error().kind == ErrorKind::kOverloaded);
 }
 
+// When a whole fleet starts nobody knows anything at first. Nodes that were turned away at once all
+// read the source.
+TEST_CASE("who asks a node that has just started is answered as soon as that knows something") {
+  Fixture fixture;
+  source::HeldState nothing;
+  auto made = PeerStateServer::create(fixture.context(), Address{"127.0.0.1", 0}, nothing,
+                                      fixture.environment_, [](Topic) { return false; });
+  REQUIRE(made.has_value());
+  HttpPeerStateClient asker(fixture.context(), (*made)->address().port, fixture.relay_);
+  const auto ask = [&] {
+    const source::PeerQuestion question{Topic::kServers, Generation(), Version(), 0s, true};
+    asker.read("127.0.0.1", question, 10s,
+               [&fixture](const Answer& answer) { fixture.answers.push_back(answer); });
+  };
+  ask();
+  fixture.settle();
+  CHECK(fixture.answers.empty());
+  const auto known = source::toBatch(fixture.held_.serversSince(Generation()), nullptr);
+  REQUIRE(known.has_value());
+  nothing.updateServers(*known, true);
+  (*made)->onNews(Topic::kServers);
+  REQUIRE(fixture.isAnswered());
+  REQUIRE(fixture.answers[0].has_value());
+  CHECK((*fixture.answers[0])->servers.size() == 1);
+}
+
+TEST_CASE("a node that knows nothing for longer turns who asks it away") {
+  Fixture fixture;
+  const source::HeldState nothing;
+  auto made = PeerStateServer::create(fixture.context(), Address{"127.0.0.1", 0}, nothing,
+                                      fixture.environment_, [](Topic) { return true; });
+  REQUIRE(made.has_value());
+  HttpPeerStateClient asker(fixture.context(), (*made)->address().port, fixture.relay_);
+  const source::PeerQuestion question{Topic::kServers, Generation(), Version(), 0s, true};
+  asker.read("127.0.0.1", question, 10s,
+             [&fixture](const Answer& answer) { fixture.answers.push_back(answer); });
+  REQUIRE(fixture.isAnswered());
+  CHECK(fixture.answers[0].error().kind == ErrorKind::kOverloaded);
+}
+
 TEST_CASE("a path that names no topic is not found") {
   Fixture fixture;
   runtime::HttpClientRequest request;
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -137,6 +137,28 @@
     return request;
   }
 
+  /// A request with an API key that begins on this machine.
+  runtime::HttpClientResponse sendAs(std::size_t machine, const std::string& key) {
+    runtime::HttpClientRequest request = makeRequest("GET", "/read/1", "");
+    request.headers.push_back({"X-Api-Key", key});
+    request.headers.push_back({"X-Tenant", "forged"});
+    return call(machines_[machine]->node->addresses().caller, std::move(request));
+  }
+
+  void addTenant(const std::string& name, const std::string& key, const model::Quota& quota) {
+    model::Tenant& tenant = source_.configuration.tenants[TenantName(name)];
+    tenant.name = TenantName(name);
+    tenant.key_digests = {Digest::of(key)};
+    tenant.quota = quota;
+    publish();
+  }
+
+  std::string metricsPage(std::size_t machine) {
+    runtime::HttpClientRequest request;
+    request.target = "/metrics";
+    return call(machines_[machine]->node->addresses().admin, std::move(request)).body;
+  }
+
   int readiness(std::size_t machine) {
     runtime::HttpClientRequest request;
     request.target = "/ready";
@@ -324,6 +346,46 @@
   CHECK(mesh.arrivals() == 3);
 }
 
+// With tenants unread, keys went on to the servers, which were not told whose a request is.
+TEST_CASE("a tenant's key ends at its node, and only its name goes on") {
+  Fixture mesh;
+  mesh.addTenant("farm", "key-of-farm", {});
+  const auto answer = mesh.sendAs(0, "key-of-farm");
+  CHECK(answer.status == 200);
+  REQUIRE(mesh.arrivals() == 1);
+  Machine& server = mesh.machine(mesh.machine(1).received.empty() ? 2 : 1);
+  const runtime::HttpRequest& request = server.received.at(0);
+  CHECK(headerOf(request, "X-Tenant") == "farm");
+  CHECK(headerOf(request, "X-Api-Key").empty());
+  CHECK(mesh.sendAs(0, "key-of-nobody").status == 401);
+  CHECK(mesh.send("GET", "/read/1").status == 401);
+  CHECK(mesh.arrivals() == 1);
+  for (std::size_t index = 0; index < mesh.machineCount(); ++index) {
+    CHECK(mesh.statusPage(index).find("key-of") == std::string::npos);
+    CHECK(mesh.metricsPage(index).find("key-of") == std::string::npos);
+  }
+}
+
+TEST_CASE("a quota holds over the nodes at which a tenant's requests arrive") {
+  Fixture mesh;
+  // A token each 1,000 s beyond what the owner begins with: a quarter of the burst.
+  mesh.addTenant("farm", "key-of-farm", {.rate_per_1000_s = 1, .burst = 16});
+  std::size_t served = 0;
+  for (int round = 0; round < 8; ++round) {
+    for (const std::size_t machine : {0, 1, 2}) {
+      const auto answer = mesh.sendAs(machine, "key-of-farm");
+      if (answer.status == 200) {
+        ++served;
+        continue;
+      }
+      CHECK(answer.status == 429);
+      CHECK(runtime::findHeader(answer.headers, "Retry-After").has_value());
+    }
+  }
+  CHECK(served == 4);
+  CHECK(mesh.arrivals() == 4);
+}
+
 TEST_CASE("a cut answer is tried elsewhere only where that is allowed, and never passed on short") {
   Fixture mesh;
   mesh.setBehaviour(
