--- a/src/admission/quota_pool.cpp
+++ b/src/admission/quota_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <cmath>
 
+#include "core/time_arithmetic.h"
+
 namespace coursepond::admission {
 namespace {
 
@@ -9,6 +11,8 @@
 constexpr double kSharers = 4;
 /// A node that did not ask for so long is not counted among those that share a quota.
 constexpr Duration kAskerHold = std::chrono::seconds(2);
+/// What was lent ahead is used evenly over its lease: half of it in half of that time.
+constexpr Duration kLentHalfLife = kLeaseTime / 2;
 /// A bucket is full again and its leases are over long before this.
 constexpr Duration kIdleHold = std::chrono::seconds(15);
 /// Questions a second that an owner takes of the nodes which want more of a tenant than there is:
@@ -49,14 +53,19 @@
 
   QuotaBucket& bucket = ask.is_stand_in ? state.unowned : state.owned;
   bucket.giveBack(std::clamp(ask.returned, 0.0, depthOf(quota)));
-  bucket.fill(rate, std::max(1.0, share * depthOf(quota)), now);
+  state.lent_ahead *= leftAfter(now - state.lent_at, kLentHalfLife);
+  state.lent_at = now;
+  const double depth = share * depthOf(quota);
+  bucket.fill(rate, std::max(1.0, depth - state.lent_ahead), now);
   const double available = bucket.tokens();
   QuotaGrant grant;
   if (available >= 1) {
     const double needed = std::min(std::max(ask.needed, 0.0), available);
-    const double ahead = std::min(std::max(ask.ahead, 0.0), (available - needed) / kSharers);
-    grant.tokens = std::floor(needed + ahead);
+    const double room = std::max(0.0, depth - state.lent_ahead);
+    const double spare = std::min(room, (available - needed) / kSharers);
+    grant.tokens = std::floor(needed + std::min(std::max(ask.ahead, 0.0), spare));
     bucket.take(grant.tokens);
+    state.lent_ahead += std::max(0.0, grant.tokens - needed);
   }
   const bool is_short = grant.tokens < std::floor(ask.needed);
   if (!is_short) return grant;
--- a/src/admission/quota_pool.h
+++ b/src/admission/quota_pool.h
@@ -29,11 +29,15 @@
  private:
   struct TenantState {
     TenantState(double first_tokens, TimePoint now)
-        : owned(first_tokens, now), unowned(0, now), last_asked(now) {}
+        : owned(first_tokens, now), unowned(0, now), last_asked(now), lent_at(now) {}
     QuotaBucket owned;
     QuotaBucket unowned;                        ///< Lent while this node stands in.
     std::map<std::string, TimePoint> asked_at;  ///< By asker.
     TimePoint last_asked;
+    /// Lent for requests to come, and most likely not used yet. What is at the nodes may be used at
+    /// once with what is here: both together are the burst.
+    double lent_ahead = 0;
+    TimePoint lent_at;  ///< When that was so.
   };
 
   TenantState& stateOf(const TenantName& tenant, const model::Quota& quota, TimePoint now);
