--- a/src/admission/quota_accounts.cpp
+++ b/src/admission/quota_accounts.cpp
@@ -24,8 +24,6 @@
 /// one that is used seldom would never have any to stake.
 constexpr double kShareStockSeconds = 1.0;
 
-double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 }  // namespace
 
 QuotaAccounts::Account::Account(const model::Tenant& tenant, TimePoint now)
@@ -51,7 +49,6 @@
   const TimePoint now = environment_.now();
   Account& account = accountOf(tenant, now);
   count(account, now);
-  if (settings_.sharing == QuotaSharing::kEven) return noted(passesByShare(account, now));
   if (now < account.lease_end && takeLent(account)) return noted(true);
   if (now < account.refused_until) return noted(false);
   if (account.is_asking) {
@@ -128,9 +125,8 @@
 /// all nodes together pass what their shares add up to.
 bool QuotaAccounts::passesByShare(Account& account, TimePoint now) {
   ++statistics_.unowned;
-  const bool is_lent = settings_.sharing == QuotaSharing::kLent;
-  const double part = is_lent ? settings_.unownedPart() : 1.0;
-  const double share = part / static_cast<double>(std::max<std::size_t>(nodes_, 1));
+  const auto nodes = static_cast<double>(std::max<std::size_t>(nodes_, 1));
+  const double share = settings_.unownedPart() / nodes;
   const double rate = share * rateOf(account.quota);
   const double depth = share * depthOf(account.quota) + kShareStockSeconds * rate;
   account.even_share.fill(rate, depth, now);
--- a/src/admission/quota_bucket.h
+++ b/src/admission/quota_bucket.h
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "core/time.h"
+#include "core/time_arithmetic.h"
 
 namespace coursepond::admission {
 
@@ -14,8 +14,7 @@
 
   /// Adds what came since the last call. `rate`: tokens a second.
   void fill(double rate, double depth, TimePoint now) {
-    const double seconds = std::chrono::duration<double>(now - filled_at_).count();
-    tokens_ = std::min(depth, tokens_ + rate * seconds);
+    tokens_ = std::min(depth, tokens_ + rate * toSeconds(now - filled_at_));
     filled_at_ = now;
   }
   /// As of the last call of fill().
--- a/src/admission/quota_pool.cpp
+++ b/src/admission/quota_pool.cpp
@@ -22,10 +22,6 @@
 constexpr Duration kShortestWait = std::chrono::milliseconds(50);
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 
-Duration inSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 QuotaPool::TenantState& QuotaPool::stateOf(const TenantName& tenant, const model::Quota& quota,
--- a/src/admission/quota_settings.h
+++ b/src/admission/quota_settings.h
@@ -4,14 +4,7 @@
 
 namespace coursepond::admission {
 
-/// How nodes share the quota of a tenant.
-enum class QuotaSharing {
-  kLent,  ///< An owner lends tokens to the nodes that need them.
-  kEven,  ///< Each node keeps to its even share. For measurement.
-};
-
 struct QuotaSettings {
-  QuotaSharing sharing = QuotaSharing::kLent;
   /// By what part of itself all nodes together may exceed a quota, as operators are promised.
   double overshoot = 0.25;
 
--- a/src/core/time_arithmetic.h
+++ b/src/core/time_arithmetic.h
@@ -8,6 +8,15 @@
 
 namespace coursepond {
 
+inline double toSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// Rounded towards zero.
+inline Duration inSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /// `share` of `whole`, rounded towards zero.
 inline Duration part(Duration whole, double share) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -243,10 +243,9 @@
 std::optional<Reason> EgressFlow::identify() {
   const admission::TenantTable& tenants = routing_->tenants;
   if (tenants.empty()) return std::nullopt;
-  const proxy::ServerRun* const caller = state_.retries().callerOf(head_.request_id);
   if (head_.key_digest) {
     tenant_ = tenants.findByKey(*head_.key_digest);
-  } else if (caller != nullptr) {
+  } else if (const auto* const caller = state_.retries().callerOf(head_.request_id)) {
     tenant_ = tenants.findByName(caller->tenant.value());
     return std::nullopt;
   }
@@ -284,9 +283,7 @@
   if (was_refused_) return joinQueue(now);
   // Waiting would not help: zones are drained for long, and regions stay.
   if (state_.isBarred(destination())) {
-    const bool has_regions =
-        !destination().regions.empty() || !destination().tenant_regions.empty();
-    return conclude(has_regions ? Reason::kNoServer : Reason::kZoneDrained);
+    return conclude(destination().namesRegions() ? Reason::kNoServer : Reason::kZoneDrained);
   }
   waitForServer(now);
 }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -70,7 +70,7 @@
 /// A zone of unknown region is no region's own: a body that may not go there stays here.
 bool EgressState::isAllowed(const Server& server, const Destination& to) const {
   if (drained_zones_.contains(server.entry.zone)) return false;
-  if (to.regions.empty() && to.tenant_regions.empty()) return true;
+  if (!to.namesRegions()) return true;
   const auto region = settings_.zone_regions.find(server.entry.zone);
   return region != settings_.zone_regions.end() && allows(to.regions, region->second) &&
          allows(to.tenant_regions, region->second);
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -92,6 +92,7 @@
     const ServiceName& service;
     const std::vector<RegionId>& regions;         ///< Of the route. Empty: all.
     const std::vector<RegionId>& tenant_regions;  ///< The same.
+    bool namesRegions() const { return !regions.empty() || !tenant_regions.empty(); }
   };
   /// Whether all its servers, at least one, stand in drained zones or in regions that are not its
   /// own.
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -8,13 +8,6 @@
 
 using proxy::Reason;
 
-namespace {
-
-/// Targets come from the configuration's routes; more are not told apart.
-constexpr std::size_t kMostTargets = 64;
-
-}  // namespace
-
 IngressState::IngressState(const Settings& settings, proxy::RetryAccounts& retries,
                            Environment& environment)
     : settings_(settings),
@@ -180,15 +173,11 @@
   cold_start_.onAnswered(environment_.now() - service_time);
   const auto sample = static_cast<double>(service_time.count());
   service_time_us_ += settings_.sample_weight * (sample - service_time_us_);
-  const bool is_new = !service_time_by_target_us_.contains(target);
-  if (is_new && service_time_by_target_us_.size() >= kMostTargets) return;
-  double& average = service_time_by_target_us_.try_emplace(target, sample).first->second;
-  average += settings_.sample_weight * (sample - average);
+  service_time_by_target_us_.add(target, sample, settings_.sample_weight);
 }
 
 Duration IngressState::expectedService(Duration target) const {
-  const auto found = service_time_by_target_us_.find(target);
-  const double known = found == service_time_by_target_us_.end() ? service_time_us_ : found->second;
+  const double known = service_time_by_target_us_.valueOr(target, service_time_us_);
   return Duration(static_cast<Duration::rep>(known));
 }
 
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -9,10 +9,10 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 
 #include "core/environment.h"
+#include "ingress/average_by_target.h"
 #include "ingress/cold_start.h"
 #include "ingress/large_answers.h"
 #include "ingress/settings.h"
@@ -168,9 +168,8 @@
   std::uint32_t connection_limit_ = 100;
   WorkQueue queue_;
   std::uint32_t running_ = 0;
-  double service_time_us_;  ///< Moving average over all requests,
-  /// and by target latency: requests of one target are mostly of one kind.
-  std::map<Duration, double> service_time_by_target_us_;
+  double service_time_us_;                     ///< Moving average over all requests,
+  AverageByTarget service_time_by_target_us_;  ///< and apart.
   RejectionRate rejections_;
   ColdStart cold_start_;
   LargeAnswers large_answers_;
--- a/src/ingress/large_answers.h
+++ b/src/ingress/large_answers.h
@@ -10,9 +10,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 
 #include "core/time.h"
+#include "ingress/average_by_target.h"
 
 namespace coursepond::ingress {
 
@@ -28,11 +28,14 @@
 
 class LargeAnswers {
  public:
-  /// A request of this target latency was answered with so many bytes: requests of one target are
-  /// mostly of one kind.
-  void onAnswer(const LargeAnswerSettings& settings, Duration target, std::uint64_t bytes);
+  /// A request of this target latency was answered with so many bytes.
+  void onAnswer(const LargeAnswerSettings& settings, Duration target, std::uint64_t bytes) {
+    bytes_.add(target, static_cast<double>(bytes), settings.sample_weight);
+  }
   /// Whether requests of this target mostly have large answers.
-  bool expectsLarge(const LargeAnswerSettings& settings, Duration target) const;
+  bool expectsLarge(const LargeAnswerSettings& settings, Duration target) const {
+    return bytes_.valueOr(target, 0) >= static_cast<double>(settings.large_bytes);
+  }
 
   /// A request that is expected to have one runs at the server, or does no longer.
   void onRunning() { ++running_; }
@@ -47,7 +50,7 @@
   }
 
  private:
-  std::map<Duration, double> bytes_by_target_;
+  AverageByTarget bytes_;
   std::size_t running_ = 0;
   std::size_t sending_ = 0;
 };
--- a/src/node/request_histograms.cpp
+++ b/src/node/request_histograms.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "core/time_arithmetic.h"
+
 namespace coursepond::node {
 namespace {
 
@@ -15,8 +17,6 @@
 /// Series of one histogram; what comes after goes into one of its own.
 constexpr std::size_t kMostSeries = 2000;
 
-double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 std::string outcomeOf(const Decision& decision) {
   if (decision.kind == DecisionKind::kForwarded) return "answered";
   if (decision.kind == DecisionKind::kCallerGone) return "caller_gone";
@@ -45,9 +45,9 @@
 void RequestHistograms::observe(const Decision& decision) {
   if (!endsTheRequest(decision)) return;
   if (decision.side == proxy::kEgressSide) {
-    find(egress_seconds_, decision).Observe(inSeconds(decision.elapsed));
+    find(egress_seconds_, decision).Observe(toSeconds(decision.elapsed));
   } else {
-    find(queue_seconds_, decision).Observe(inSeconds(decision.inputs.queued));
+    find(queue_seconds_, decision).Observe(toSeconds(decision.inputs.queued));
   }
 }
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -504,14 +504,9 @@
 
 /// Of all servers that are not leaving.
 std::vector<source::NodeMachine> Implementation::machinesOfNodes() const {
-  std::map<std::string, ZoneId> zones;
-  for (const auto& [id, server] : egress_.directory().all()) {
-    if (!server->draining()) zones[server->entry.address.host] = server->entry.zone;
-  }
-  std::vector<source::NodeMachine> machines;
-  machines.reserve(zones.size());
-  for (const auto& [host, zone] : zones) machines.push_back({host, zone});
-  return machines;
+  source::MachineCollector collector;
+  for (const auto& [id, server] : egress_.directory().all()) collector.add(server->entry);
+  return collector.machines();
 }
 
 /// Every node computes the same roles from the same servers.
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -292,8 +292,14 @@
   answer_head_ = &head;
   collected_.clear();
   collecting_ = isCollectable(head);
-  if (collecting_) return;
-  flow_->onAnswerHead(plan_.id, summarizeAnswer(head));
+  if (!collecting_) tellAnswerHead();
+}
+
+/// With the size of its body, as far as that is known.
+void CallerExchange::tellAnswerHead() {
+  proxy::AnswerHead answer = summarizeAnswer(*answer_head_);
+  answer.body_bytes = std::max<std::uint64_t>(answer.body_bytes, collected_.size());
+  flow_->onAnswerHead(plan_.id, answer);
 }
 
 bool CallerExchange::isCollectable(const MessageHead& head) const {
@@ -305,9 +311,7 @@
 /// The answer is longer than what is held: from here on it is streamed.
 void CallerExchange::stopCollecting() {
   collecting_ = false;
-  proxy::AnswerHead answer = summarizeAnswer(*answer_head_);
-  answer.body_bytes = std::max<std::uint64_t>(answer.body_bytes, collected_.size());
-  flow_->onAnswerHead(plan_.id, answer);
+  tellAnswerHead();
   if (!forwarding_) return;
   const std::string held = std::move(collected_);
   collected_.clear();
@@ -375,9 +379,7 @@
   upstream_.reset();
   if (collecting_) {
     distrusted_ = false;
-    proxy::AnswerHead answer = summarizeAnswer(*answer_head_);
-    answer.body_bytes = collected_.size();
-    flow_->onAnswerHead(plan_.id, answer);
+    tellAnswerHead();
     collecting_ = false;
     if (!forwarding_) {  // Tried elsewhere, or answered by the flow itself.
       if (distrusted_ && upstream->isIdle()) upstream->close();
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -107,6 +107,7 @@
   bool isSurplusAnswer(const MessageHead& head) const;
   bool isCollectable(const MessageHead& head) const;
   void stopCollecting();
+  void tellAnswerHead();
   void refuseBody(RefusalReason reason);
   void writeLocal(const proxy::LocalAnswer& answer);
 
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "core/http_headers.h"
+#include "core/time_arithmetic.h"
 
 namespace coursepond::runtime {
 namespace {
@@ -175,7 +176,7 @@
   constexpr double kLongestSeconds = 86400;
   const auto seconds = parseNumber<double>(text);
   if (!seconds || !(*seconds >= 0 && *seconds <= kLongestSeconds)) return std::nullopt;
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*seconds));
+  return inSeconds(*seconds);
 }
 
 /// "busy/slots" as a number from 0.
@@ -237,7 +238,7 @@
 proxy::AnswerHead summarizeAnswer(const MessageHead& head) {
   proxy::AnswerHead answer;
   answer.status = static_cast<int>(head.status);
-  if (head.has_content_length) answer.body_bytes = head.content_length;
+  if (head.framing == BodyFraming::kLength) answer.body_bytes = head.content_length;
   for (std::size_t index = 0; index < head.fields.size(); ++index) {
     const FieldView field = head.fields[index];
     switch (field.role) {
--- a/src/runtime/settings_change.cpp
+++ b/src/runtime/settings_change.cpp
@@ -8,8 +8,8 @@
 namespace coursepond::runtime {
 namespace {
 
-constexpr std::array<std::string_view, 8> kChangeablePrefixes = {
-    "promises.", "log.", "watch.", "relay.", "quota.", "egress.", "ingress.", "node.stop_"};
+constexpr std::array<std::string_view, 7> kChangeablePrefixes = {
+    "promises.", "log.", "watch.", "relay.", "egress.", "ingress.", "node.stop_"};
 /// The loop keeps the backoff it began with.
 constexpr std::string_view kWatchBackoff = "watch.backoff_";
 
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -467,15 +467,6 @@
                            FIELD(ingress.spare_connections)));
 }
 
-void addQuotaKeys(Keys& keys) {
-  keys.push_back(choiceKey<admission::QuotaSharing>(
-      "quota", "sharing",
-      "How nodes share a tenant's quota: lent by one node to those that need it, or in even shares "
-      "(for measurement).",
-      {{"lent", admission::QuotaSharing::kLent}, {"even", admission::QuotaSharing::kEven}},
-      FIELD(quota.sharing)));
-}
-
 void addHeaderKeys(Keys& keys) {
   const std::string section = "headers";
   const auto add = [&](const char* key, const char* meaning, auto field) {
@@ -562,7 +553,6 @@
   addTwoHopKeys(keys);
   addWatchKeys(keys);
   addRelayKeys(keys);
-  addQuotaKeys(keys);
   addEgressKeys(keys);
   addIngressKeys(keys);
   addHeaderKeys(keys);
--- a/src/source/reader_choice.cpp
+++ b/src/source/reader_choice.cpp
@@ -47,6 +47,13 @@
 
 }  // namespace
 
+std::vector<NodeMachine> MachineCollector::machines() const {
+  std::vector<NodeMachine> machines;
+  machines.reserve(zones_.size());
+  for (const auto& [host, zone] : zones_) machines.push_back({host, zone});
+  return machines;
+}
+
 std::string_view roleWord(ReaderRole role) {
   switch (role) {
     case ReaderRole::kReader:
--- a/src/source/reader_choice.h
+++ b/src/source/reader_choice.h
@@ -10,12 +10,14 @@
 /// lists at each start, made 9,114.
 
 #include <cstddef>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/ids.h"
+#include "model/server_entry.h"
 
 namespace coursepond::source {
 
@@ -26,6 +28,19 @@
   friend bool operator==(const NodeMachine&, const NodeMachine&) = default;
 };
 
+/// Collects the machines of servers, one for each.
+class MachineCollector {
+ public:
+  /// A server that is leaving names no machine.
+  void add(const model::ServerEntry& server) {
+    if (server.state != model::MachineState::kLeaving) zones_[server.address.host] = server.zone;
+  }
+  std::vector<NodeMachine> machines() const;
+
+ private:
+  std::map<std::string, ZoneId> zones_;  ///< By IP number.
+};
+
 struct ReaderChoiceSettings {
   /// Nodes that one reader or relay answers. Each costs it a kept connection and one small answer
   /// per wait.
--- a/src/source/reader_discovery.cpp
+++ b/src/source/reader_discovery.cpp
@@ -1,22 +1,19 @@
 #include "source/reader_discovery.h"
 
 #include <algorithm>
-#include <map>
 
 namespace coursepond::source {
 
+namespace {
+
 std::vector<NodeMachine> machinesOf(const std::vector<model::ServerEntry>& servers) {
-  std::map<std::string, ZoneId> zones;
-  for (const model::ServerEntry& server : servers) {
-    const bool is_leaving = server.state == model::MachineState::kLeaving;
-    if (!is_leaving) zones[server.address.host] = server.zone;
-  }
-  std::vector<NodeMachine> machines;
-  machines.reserve(zones.size());
-  for (const auto& [host, zone] : zones) machines.push_back({host, zone});
-  return machines;
+  MachineCollector collector;
+  for (const model::ServerEntry& server : servers) collector.add(server);
+  return collector.machines();
 }
 
+}  // namespace
+
 ReaderDiscovery::ReaderDiscovery(const DiscoverySettings& settings, NodeMachine own,
                                  WatchClient& source, PeerStateClient& peers,
                                  Environment& environment)
--- a/src/source/reader_discovery.h
+++ b/src/source/reader_discovery.h
@@ -35,9 +35,6 @@
   std::size_t most_samples = 5;
 };
 
-/// The machines of servers that are not leaving, one for each.
-std::vector<NodeMachine> machinesOf(const std::vector<model::ServerEntry>& servers);
-
 class ReaderDiscovery {
  public:
   /// The machines that were found; none when the source has to be read.
--- a/tests/admission/quota_fleet_test.cpp
+++ b/tests/admission/quota_fleet_test.cpp
@@ -48,14 +48,18 @@
 
 class Fleet {
  public:
-  Fleet(std::size_t nodes, const model::Tenant& tenant, QuotaSettings settings = {})
+  /// `knows_owners`: otherwise nobody lends, and each node keeps to its even share.
+  Fleet(std::size_t nodes, const model::Tenant& tenant, bool knows_owners = true)
       : tenant_(tenant) {
+    // Even shares that all of the quota is divided into, not only the part beside an owner.
+    const QuotaSettings settings{.overshoot = knows_owners ? QuotaSettings().overshoot : 1.0};
     std::vector<std::string> hosts;
     for (std::size_t index = 0; index < nodes; ++index) hosts.push_back(hostOf(index));
     for (std::size_t index = 0; index < nodes; ++index) {
       auto node = std::make_unique<Node>(*this, index, settings);
       node->pool.setNodes(nodes);
-      node->accounts.setMachines(hostOf(index), hosts);
+      node->accounts.setNodes(nodes);
+      if (knows_owners) node->accounts.setMachines(hostOf(index), hosts);
       nodes_.push_back(std::move(node));
     }
   }
@@ -187,7 +191,7 @@
   lending.play(seconds(60), 5, kNodes);
   CHECK(lending.refusedShare() < kHardly);
   CHECK(lending.isWithinQuota());
-  Fleet even(kNodes, makeTenant(8, 8), {.sharing = QuotaSharing::kEven});
+  Fleet even(kNodes, makeTenant(8, 8), false);
   even.play(seconds(60), 5, kNodes);
   CHECK(even.refusedShare() > 10 * kHardly);
 }
@@ -198,7 +202,7 @@
     Fleet fleet(kNodes, makeTenant(258, 258));
     fleet.play(seconds(30), 161, nodes);
     CHECK(fleet.refusedShare() < kHardly);
-    Fleet even(kNodes, makeTenant(258, 258), {.sharing = QuotaSharing::kEven});
+    Fleet even(kNodes, makeTenant(258, 258), false);
     even.play(seconds(30), 161, nodes);
   }
 }
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -86,6 +86,12 @@
     earnBurst();
   }
 
+  /// The same with one server, and in version 2 a tenant "farm" that holds the key "k1".
+  void beginWithTenant() {
+    begin(1);
+    apply(2, {makeTenant("farm", "k1")});
+  }
+
   /// The node has served for a while: its part of the burst is earned.
   void earnBurst() {
     constexpr int kEnough = 1000;
@@ -181,8 +187,7 @@
 // with keys that nobody held were run, and no server was told whose a request was.
 TEST_CASE("with tenants, servers are told whose a request is and never its key") {
   EgressFixture egress;
-  egress.begin(1);
-  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  egress.beginWithTenant();
   const auto known = egress.sendWithKey("/stock", "k1");
   REQUIRE(known->io.plans.size() == 1);
   CHECK(known->plan().replaces_tenant);
@@ -194,8 +199,7 @@
 
 TEST_CASE("a public route needs no key, and tells the tenant of one that is known") {
   EgressFixture egress;
-  egress.begin(1);
-  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  egress.beginWithTenant();
   const auto nobodys = egress.sendWithKey("/open", "k2");
   REQUIRE(nobodys->io.plans.size() == 1);
   CHECK(nobodys->plan().replaces_tenant);
@@ -207,8 +211,7 @@
 
 TEST_CASE("a key comes and goes with its version, also on connections that are open") {
   EgressFixture egress;
-  egress.begin(1);
-  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  egress.beginWithTenant();
   egress.apply(3, {EgressFixture::makeTenant("farm", "k2")});
   checkAnswered(*egress.sendWithKey("/stock", "k1"), 401, proxy::Outcome::kNotRun);
   CHECK(egress.sendWithKey("/stock", "k2")->io.plans.size() == 1);
@@ -219,8 +222,7 @@
   Settings settings = EgressFixture::makeSettings();
   settings.configuration_certain_for = seconds(2);
   egress.state.changeSettings(settings);
-  egress.begin(1);
-  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  egress.beginWithTenant();
   egress.environment.advance(seconds(3));
   const auto exchange = egress.sendWithKey("/stock", "new");
   checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
@@ -230,8 +232,7 @@
 TEST_CASE(
     "a call of a run needs no key and is its caller's tenant's, one of unknown work is not run") {
   EgressFixture egress;
-  egress.begin(1);
-  egress.apply(2, {EgressFixture::makeTenant("farm", "k1")});
+  egress.beginWithTenant();
   proxy::ServerRun run{.request = "parent", .tenant = TenantName("farm")};
   REQUIRE(egress.retries.admit(run));
   const auto call = egress.send("/stock", "parent");
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -93,6 +93,14 @@
     answers.clear();
   }
 
+  /// A reader has just answered it.
+  void becomeFreshRelay() {
+    client.setReaders({"r1", "r2"}, ReaderRole::kRelay);
+    watch();
+    peers.answer(std::optional<StateUpdate>());
+    freshness_lost = 0;
+  }
+
   void watch(Duration wait = seconds(2)) {
     client.watch(held.revision(topic), wait, wait + milliseconds(700),
                  [this](Result<WatchBatch> answer) { take(std::move(answer)); });
@@ -408,10 +416,7 @@
 
 TEST_CASE("who waits at a relay goes on waiting while its reader is left for another") {
   RelayFixture fixture(false, Topic::kServers);
-  fixture.client.setReaders({"r1", "r2"}, ReaderRole::kRelay);
-  fixture.watch();
-  fixture.peers.answer(std::optional<StateUpdate>());
-  fixture.freshness_lost = 0;
+  fixture.becomeFreshRelay();
   fixture.watch();
   fixture.peers.fail(ErrorKind::kTimeout);
   CHECK(fixture.client.isFresh());
@@ -422,10 +427,7 @@
 
 TEST_CASE("a relay whose readers and source all fail sends away who waits at it") {
   RelayFixture fixture(false, Topic::kServers);
-  fixture.client.setReaders({"r1", "r2"}, ReaderRole::kRelay);
-  fixture.watch();
-  fixture.peers.answer(std::optional<StateUpdate>());
-  fixture.freshness_lost = 0;
+  fixture.becomeFreshRelay();
   fixture.watch();
   fixture.peers.fail(ErrorKind::kTimeout);
   fixture.peers.fail(ErrorKind::kTimeout);
@@ -437,9 +439,7 @@
 
 TEST_CASE("a relay that stood still finds itself stale by its reads of the servers") {
   RelayFixture fixture(false, Topic::kServers);
-  fixture.client.setReaders({"r1", "r2"}, ReaderRole::kRelay);
-  fixture.watch();
-  fixture.peers.answer(std::optional<StateUpdate>());
+  fixture.becomeFreshRelay();
   fixture.environment.pause(2 * (fixture.settings.peer_wait + fixture.settings.peer_slack));
   CHECK(fixture.client.isFresh());
   fixture.environment.pause(milliseconds(1));
