Sight: lines tell which requests are alike, and under which of them a server ended

It goes to the ingress with what the egress tells of a request anyway, and stands on the decision lines of both. A body that is still arriving is waited for, out of the caller's own time; a caller that waits for word to send it is told by its head. The ingress looks at its server's port when a connection is lost with a request on it: a closed port, or another start within 3 s, is an end, told in one line with the requests on it. No decision on a request hangs on either yet.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -324,8 +324,8 @@
   plan.replaces_tenant = !routing_->tenants.empty();
   if (tenant_ != nullptr) plan.tenant = tenant_->name;
   plan.hop_class =
-      proxy::HopClass{service_.value(), rank(),        target(),         is_repeatable_,
-                      is_call_,         repeatShare(), slots_->mayWait()};
+      proxy::HopClass{service_.value(), rank(),        target(),          is_repeatable_,
+                      is_call_,         repeatShare(), slots_->mayWait(), head_.fingerprint};
   return plan;
 }
 
@@ -617,6 +617,7 @@
   decision.kind = kind;
   decision.side = proxy::kEgressSide;
   decision.request = head_.request_id;
+  decision.fingerprint = head_.fingerprint;
   decision.service = service_.value();
   decision.attempt = attempt_;
   if (server_) decision.server = server_->entry.id.value();
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -51,6 +51,9 @@
   // DeadlineEntry
   void onDeadline(TimePoint now) override;
 
+  RequestFingerprint fingerprint() const {
+    return head_.hop_class ? head_.hop_class->fingerprint : RequestFingerprint();
+  }
   WaitBounds waitBounds(TimePoint now) const;
   void attempt(TimePoint now);
   bool expectsLarge() const {
@@ -175,6 +178,7 @@
     case AttemptFailure::kLostAfterSend:
       ++state_.statistics().server_lost;
       state_.onServerLost(attempt_started_, now);
+      state_.serverEnds().onLost(fingerprint(), attempt_started_, now);
       may_have_run_ = true;
       return conclude(Reason::kConnectionLost, now);
     case AttemptFailure::kMalformedAnswer:
@@ -247,9 +251,11 @@
 
 void IngressFlow::onAnswerCut(AttemptId attempt) {
   if (!isCurrent(attempt, Phase::kForwarding)) return;
+  const TimePoint now = environment_.now();
   ++state_.statistics().answers_cut;
   note(proxy::DecisionKind::kAnswerCut, "", 0);
-  finish(environment_.now());
+  state_.serverEnds().onLost(fingerprint(), attempt_started_, now);
+  finish(now);
 }
 
 void IngressFlow::onCallerGone() {
@@ -265,6 +271,7 @@
   decision.kind = kind;
   decision.side = proxy::kIngressSide;
   decision.request = head_.request_id;
+  decision.fingerprint = fingerprint();
   if (head_.hop_class) decision.service = head_.hop_class->service;
   decision.attempt = attempt_;
   decision.server = instance_;
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -14,6 +14,7 @@
       retries_(retries),
       environment_(environment),
       service_time_us_(static_cast<double>(settings.first_service_time.count())),
+      server_ends_(environment),
       deadlines_(environment) {
   cold_start_.suspectTurnedCold(environment.now());
 }
@@ -22,7 +23,7 @@
   const TimePoint now = environment_.now();
   const bool is_another = entry && (!server_ || !isSameStart(*server_, *entry));
   if (is_another) {
-    instance_ = entry->id.value();
+    learnInstance(entry->id.value());
     rejections_ = RejectionRate();
     cold_start_.suspectTurnedCold(now);
   }
@@ -34,6 +35,12 @@
   dispatch(now);
 }
 
+void IngressState::learnInstance(const std::string& instance) {
+  const bool is_another = !instance_.empty() && instance != instance_;
+  instance_ = instance;
+  if (is_another) server_ends_.onAnotherStart(environment_.now());
+}
+
 void IngressState::setZoneDrained(bool is_drained) {
   if (std::exchange(is_zone_drained_, is_drained) == is_drained) return;
   const TimePoint now = environment_.now();
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -15,6 +15,7 @@
 #include "ingress/average_by_target.h"
 #include "ingress/cold_start.h"
 #include "ingress/large_answers.h"
+#include "ingress/server_end_watch.h"
 #include "ingress/settings.h"
 #include "ingress/work_queue.h"
 #include "model/configuration.h"
@@ -77,6 +78,7 @@
   /// What was sent to the server at `sent` was lost, or found it out of reach: it may be another
   /// start when it answers again.
   void onServerLost(TimePoint sent, TimePoint now) { cold_start_.suspectStartedAnew(sent, now); }
+  ServerEndWatch& serverEnds() { return server_ends_; }
   bool isCold(TimePoint now) const { return cold_start_.isCold(settings_.cold_start, now); }
   /// A planned stop of this node began: egresses are told to go elsewhere. What is still running
   /// at `end` will be cut.
@@ -90,7 +92,7 @@
   std::optional<proxy::Reason> refusal(const std::optional<proxy::HopClass>& hop) const;
   /// The server said of itself which start of it has the address. It knows better than the source,
   /// whose entry of an earlier start may stand for seconds.
-  void learnInstance(const std::string& instance) { instance_ = instance; }
+  void learnInstance(const std::string& instance);
   /// The start of the server that requests are for; `fallback` while none is known.
   const std::string& instanceOr(const std::string& fallback) const {
     return instance_.empty() ? fallback : instance_;
@@ -171,6 +173,7 @@
   double service_time_us_;                     ///< Moving average over all requests,
   AverageByTarget service_time_by_target_us_;  ///< and apart.
   RejectionRate rejections_;
+  ServerEndWatch server_ends_;
   ColdStart cold_start_;
   LargeAnswers large_answers_;
   std::function<void()> ask_health_;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -15,6 +15,7 @@
 #include "node/quota_exchange.h"
 #include "node/retry_report.h"
 #include "node/server_health.h"
+#include "node/server_port_probe.h"
 #include "node/two_hop_metrics.h"
 #include "runtime/asio_environment.h"
 #include "runtime/logging.h"
@@ -121,6 +122,7 @@
         egress_(egressSettings(settings_), retries_, environment_),
         ingress_(ingressSettings(settings_), retries_, environment_),
         server_health_(context, settings_.two_hop.server, settings_.headers),
+        server_port_(context, settings_.two_hop.server),
         peer_client_(context, settings_.node.peer_listen.port, settings_.relay),
         servers_(makeReading(source::Topic::kServers, extensions)),
         configuration_(makeReading(source::Topic::kConfiguration, extensions)),
@@ -132,6 +134,7 @@
                }) {
     ingress_.setAddress(settings_.two_hop.server);
     ingress_.onHealthWanted([this] { askServerHealth(); });
+    watchServerEnds();
     egress_.setQuotas(&quotas_);
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
@@ -179,6 +182,8 @@
   void forgetLapsedServers();
   void updateOwnServer();
   void askServerHealth();
+  void watchServerEnds();
+  void onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests);
   void onWatchFailed(source::Topic topic, const Error& error);
   void onPeerState(source::Topic topic, const source::StateUpdate& update);
   std::vector<source::NodeMachine> machinesOfNodes() const;
@@ -208,6 +213,7 @@
   ingress::IngressState ingress_;
   source::HeldState held_;
   ServerHealthClient server_health_;
+  ServerPortProbe server_port_;
   HttpPeerStateClient peer_client_;
   Reading servers_;
   Reading configuration_;
@@ -480,6 +486,30 @@
   });
 }
 
+void Implementation::watchServerEnds() {
+  ingress::ServerEndWatch& ends = ingress_.serverEnds();
+  ends.onPortWanted([this] {
+    server_port_.look([this](ingress::ServerPort port) {
+      ingress_.serverEnds().onPort(port, environment_.now());
+    });
+  });
+  ends.onEnd([this](ServerEndId end, std::span<const RequestFingerprint> requests) {
+    onServerEnd(end, requests);
+  });
+}
+
+void Implementation::onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests) {
+  std::string fingerprints;
+  for (const RequestFingerprint request : requests) {
+    fingerprints += (fingerprints.empty() ? "" : ",") + request.toHex();
+  }
+  writeLog(runtime::LogLevel::kInfo, "server_ended",
+           {{"server", own_server_ ? own_server_->id.value() : std::string()},
+            {"end", RequestFingerprint(end).toHex()},
+            {"requests", std::to_string(requests.size())},
+            {"fingerprints", fingerprints}});
+}
+
 void Implementation::onWatchFailed(source::Topic topic, const Error& error) {
   writeLog(runtime::LogLevel::kWarning, "source_trouble",
            {{"topic", std::string(source::topicWord(topic))}, {"error", describe(error)}});
@@ -576,6 +606,7 @@
   std::vector<runtime::LogField> fields = {
       {"side", std::string(decision.side)},
       {"request", std::string(decision.request)},
+      {"fingerprint", decision.fingerprint.toHex()},
       {"attempt", std::to_string(decision.attempt)},
       {"server", std::string(decision.server)},
       {"reason", std::string(decision.reason)},
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "core/ids.h"
+#include "core/request_fingerprint.h"
 #include "core/time.h"
 
 namespace coursepond::proxy {
@@ -38,9 +39,10 @@
 /// One decision; the views last for the call.
 struct Decision {
   DecisionKind kind = DecisionKind::kForwarded;
-  std::string_view side;     ///< kEgressSide or kIngressSide.
-  std::string_view request;  ///< Its id.
-  std::string_view service;  ///< Empty while no route is found.
+  std::string_view side;           ///< kEgressSide or kIngressSide.
+  std::string_view request;        ///< Its id.
+  RequestFingerprint fingerprint;  ///< Equal for requests that servers cannot tell apart.
+  std::string_view service;        ///< Empty while no route is found.
   std::uint32_t attempt = 0;
   std::string_view server;  ///< Of the attempt; empty when there was none.
   std::string_view reason;  ///< A stable word; empty for kForwarded.
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -17,6 +17,7 @@
 
 #include "core/digest.h"
 #include "core/environment.h"
+#include "core/request_fingerprint.h"
 #include "model/endpoint.h"
 #include "model/snapshot.h"
 
@@ -45,6 +46,7 @@
   double repeat_share = 0;
   /// Whether it may wait for a slot; otherwise only a free one will do.
   bool may_wait = true;
+  RequestFingerprint fingerprint{};  ///< Empty: not known.
 };
 
 /// What an ingress tells egresses of its server, with every answer.
@@ -69,6 +71,7 @@
   std::string target_instance;        ///< The only instance that may run it; empty: any.
   std::optional<Digest> key_digest;   ///< Of the API key that it carries.
   std::string tenant;  ///< Whose it is, as the hop before says. Not to be trusted from a caller.
+  RequestFingerprint fingerprint{};  ///< Of what its caller sent; empty at an ingress.
 };
 
 using AttemptId = std::uint32_t;
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -16,6 +16,9 @@
 constexpr unsigned kContinueStatus = 100;
 /// Smaller bodies are one write, and go without a turn at the gate.
 constexpr std::uint64_t kLargeBody = 16384;
+/// Of a body, what tells its request from others. Enough for the requests of most interfaces to be
+/// told apart whole, and little to wait for.
+constexpr std::size_t kIdentifyingBytes = 4096;
 
 ParserLimits requestLimits(const ProxyServerShared& shared) {
   const ProxyServerSettings& settings = shared.settings;
@@ -63,11 +66,49 @@
 void CallerExchange::begin() {
   close_after_ = !parser_.head().keep_alive;
   if (close_after_) connection_.beginNothingMore();
+  if (shared_.settings.answer_style != AnswerStyle::kEgress) return startFlow();
+  head_read_ = shared_.environment.now();
+  identifyThenBegin();
+}
+
+void CallerExchange::startFlow() {
   flow_ = shared_.source.make(std::move(head_), static_cast<proxy::RequestIo&>(*this));
   flow_->start();
   if (shared_.settings.answer_style == AnswerStyle::kIngress) sendReceipt();
 }
 
+/// Takes the body's first part, which is part of what the request is. It is kept for the attempts.
+void CallerExchange::identifyThenBegin() {
+  if (!requestComplete() && !request_.expects_continue) {
+    ReceiveBuffer& received = connection_.received();
+    received.consume(parser_.parseBody(received.data(), *this));
+    if (parser_.failure() != ParseFailure::kNone) return refuseBody(refusalOf(parser_.failure()));
+  }
+  if (!isIdentified()) return awaitIdentity();
+  if (std::exchange(awaiting_identity_, false)) connection_.awaitCaller(*this);
+  // What was waited for the body is gone from the caller's time.
+  if (head_.deadline) *head_.deadline -= shared_.environment.now() - head_read_;
+  const std::string caller = head_.key_digest ? head_.key_digest->bytes() : std::string();
+  std::string body = replay_.substr(0, kIdentifyingBytes);
+  const MessageHead& head = parser_.head();
+  const bool is_longer = head.framing == BodyFraming::kLength && head.content_length > body.size();
+  if (is_longer) body.append(std::to_string(head.content_length));
+  head_.fingerprint =
+      fingerprintOf({head_.method, head_.host, request_.origin_target, caller, body});
+  startFlow();
+}
+
+/// A caller that waits for word to send its body is told from others by its head alone.
+bool CallerExchange::isIdentified() const {
+  return requestComplete() || request_.expects_continue || replay_.size() >= kIdentifyingBytes;
+}
+
+void CallerExchange::awaitIdentity() {
+  awaiting_identity_ = true;
+  connection_.awaitCaller(*this);
+  connection_.read();
+}
+
 /// Tells the hop before that its request is here: silence then means that this node is gone.
 void CallerExchange::sendReceipt() {
   if (!flow_ || !output_.empty() || connection_.isWriting() || continue_sent_) return;
@@ -77,7 +118,9 @@
 }
 
 void CallerExchange::onBytes() {
-  if (awaiting_go_) {
+  if (awaiting_identity_) {
+    identifyThenBegin();
+  } else if (awaiting_go_) {
     awaiting_go_ = false;
     connection_.awaitCaller(*this);
     openUpstream();
@@ -88,6 +131,10 @@
 
 Duration CallerExchange::callerTimeout() const {
   if (awaiting_go_) return kGoTimeout;
+  if (awaiting_identity_) {
+    const Duration body_timeout = shared_.settings.body_timeout;
+    return std::min(body_timeout, head_.deadline.value_or(body_timeout));
+  }
   return awaiting_body_ ? shared_.settings.body_timeout : Duration(0);
 }
 
@@ -207,14 +254,14 @@
 }
 
 void CallerExchange::onBody(std::string_view piece) {
-  if (!upstream_) return;  // The answer is made: the rest is only read off.
+  if (!upstream_ && flow_) return;  // The answer is made: the rest is only read off.
   if (!replay_lost_ && replay_.size() + piece.size() <= shared_.settings.replay_bytes) {
     replay_.append(piece);
   } else {
     replay_lost_ = true;
     replay_.clear();
   }
-  appendBody(piece);
+  if (upstream_) appendBody(piece);
 }
 
 void CallerExchange::appendBody(std::string_view piece) {
@@ -416,7 +463,7 @@
   }
   if (!requestComplete()) close_after_ = true;
   leaveGate();
-  awaiting_body_ = false;
+  awaiting_body_ = awaiting_identity_ = false;
   answer_complete_ = true;
   appendLocalAnswer(output_, answer, answerContext());
   connection_.flush(*this);
@@ -476,7 +523,7 @@
   answer_framing_ = BodyFraming::kNone;
   answer_head_ = nullptr;
   runs_beside_ = close_after_ = false;
-  replay_lost_ = request_sent_ = awaiting_body_ = continue_sent_ = false;
+  replay_lost_ = request_sent_ = awaiting_body_ = continue_sent_ = awaiting_identity_ = false;
   awaiting_confirmation_ = awaiting_go_ = false;
   collecting_ = distrusted_ = forwarding_ = answer_complete_ = false;
 }
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -83,6 +83,12 @@
 
   void onBody(std::string_view piece) override;  // BodySink: of the request
 
+  // What the request is, before it begins
+  bool isIdentified() const;
+  void awaitIdentity();
+  void identifyThenBegin();
+  void startFlow();
+
   // The request towards the server
   void sendReceipt();
   void openUpstream();
@@ -127,8 +133,10 @@
 
   bool runs_beside_ = false;
   bool close_after_ = false;
-  bool replay_lost_ = false;   ///< The body outgrew what is kept: no further attempt.
-  bool request_sent_ = false;  ///< All of the request went to the current attempt.
+  bool replay_lost_ = false;        ///< The body outgrew what is kept: no further attempt.
+  bool request_sent_ = false;       ///< All of the request went to the current attempt.
+  bool awaiting_identity_ = false;  ///< The body's first part is not here yet.
+  TimePoint head_read_;             ///< When its head was complete.
   bool awaiting_body_ = false;
   bool awaiting_confirmation_ = false;  ///< The next hop has the head; the body is held back.
   bool awaiting_gate_ = false;          ///< See BodyGate.
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -28,6 +28,15 @@
   return value;
 }
 
+/// Empty when `text` is no hexadecimal number.
+RequestFingerprint parseFingerprint(std::string_view text) {
+  constexpr int kHexadecimal = 16;
+  const char* const last = text.data() + text.size();
+  std::uint64_t value = 0;
+  const auto [end, status] = std::from_chars(text.data(), last, value, kHexadecimal);
+  return status == std::errc() && end == last ? RequestFingerprint(value) : RequestFingerprint();
+}
+
 /// Host names are compared in lower case and without the port.
 std::string hostWithoutPort(std::string_view host) {
   const bool is_ipv6 = host.starts_with('[');
@@ -147,8 +156,9 @@
   hop.is_call = call == "1";
   // A node of an earlier release does not tell this.
   hop.repeat_share = std::min(1.0, repeat_units.value_or(0) / proxy::kRepeatShareUnits);
-  // Nor this: its requests may wait.
+  // Nor this: its requests may wait, and cannot be told from others.
   hop.may_wait = takeItem(text) != "0";
+  hop.fingerprint = parseFingerprint(takeItem(text));
   return hop;
 }
 
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -141,7 +141,7 @@
   out.append(hop.is_call ? ",1," : ",0,");
   appendNumber(
       out, static_cast<std::uint64_t>(std::lround(hop.repeat_share * proxy::kRepeatShareUnits)));
-  out.append(hop.may_wait ? ",1" : ",0");
+  out.append(hop.may_wait ? ",1," : ",0,").append(hop.fingerprint.toHex());
   out.append(kLineEnd);
 }
 
--- /dev/null
+++ b/tests/runtime/request_identity_test.cpp
@@ -0,0 +1,90 @@
+#include <doctest/doctest.h>
+
+#include "runtime/proxy_server_fixture.h"
+
+namespace coursepond::runtime {
+namespace {
+
+/// A server that takes callers' requests as an egress does, and notes what each one is.
+struct IdentityFixture {
+  IdentityFixture() : state(ZoneId("z"), proxy::Settings{}, environment) {
+    ExchangeSource source = directExchanges(state, environment);
+    source.make = [this, make = source.make](proxy::RequestHead head, proxy::RequestIo& io) {
+      seen.push_back(head.fingerprint);
+      deadlines.push_back(head.deadline);
+      return make(std::move(head), io);
+    };
+    ProxyServerSettings settings;
+    settings.answer_style = AnswerStyle::kEgress;
+    settings.names.api_key = "X-Api-Key";
+    server =
+        std::move(ProxyServer::create(context, settings, std::move(source), environment).value());
+  }
+
+  /// Sends the bytes on a connection of their own, and returns what the request is.
+  RequestFingerprint identify(const std::string& bytes) {
+    RawCaller caller(context, server->address().port);
+    caller.send(bytes);
+    const std::size_t before = seen.size();
+    caller.runUntil([&] { return seen.size() > before; });
+    return seen.back();
+  }
+
+  boost::asio::io_context context;
+  AsioEnvironment environment{context};
+  proxy::ProxyState state;
+  std::unique_ptr<ProxyServer> server;
+  std::vector<RequestFingerprint> seen;
+  std::vector<std::optional<Duration>> deadlines;
+};
+
+std::string post(const std::string& body, const std::string& fields = "") {
+  return "POST /a HTTP/1.1\r\nHost: svc\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + fields + "\r\n" + body;
+}
+
+}  // namespace
+
+TEST_CASE("each try of a caller is the same request: ids, deadlines and framing do not count") {
+  IdentityFixture fixture;
+  const RequestFingerprint first = fixture.identify(simpleGet("/a?b=1", "X-Request-Id: 1\r\n"));
+  CHECK_FALSE(first.empty());
+  CHECK(fixture.identify(simpleGet("/a?b=1", "X-Request-Id: 2\r\nX-Deadline-Ms: 70\r\n")) == first);
+  const RequestFingerprint body = fixture.identify(post("abc"));
+  CHECK(fixture.identify("POST /a HTTP/1.1\r\nHost: svc\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n") == body);
+}
+
+TEST_CASE("method, query, body and the caller's API key tell requests apart") {
+  IdentityFixture fixture;
+  std::vector<RequestFingerprint> all;
+  all.push_back(fixture.identify(simpleGet("/a?b=1")));
+  all.push_back(fixture.identify(simpleGet("/a?b=2")));
+  all.push_back(fixture.identify(simpleGet("/a")));
+  all.push_back(fixture.identify(simpleGet("/a", "X-Api-Key: k1\r\n")));
+  all.push_back(fixture.identify(simpleGet("/a", "X-Api-Key: k2\r\n")));
+  all.push_back(fixture.identify(post("abc")));
+  all.push_back(fixture.identify(post("abd")));
+  // Beyond the part that is looked at, by its length.
+  all.push_back(fixture.identify(post(std::string(9000, 'x'))));
+  all.push_back(fixture.identify(post(std::string(9001, 'x'))));
+  std::sort(all.begin(), all.end());
+  CHECK(std::adjacent_find(all.begin(), all.end()) == all.end());
+}
+
+TEST_CASE("a body that is still arriving is waited for, and the caller's time runs meanwhile") {
+  IdentityFixture fixture;
+  const RequestFingerprint whole = fixture.identify(post("abcdef"));
+  RawCaller caller(fixture.context, fixture.server->address().port);
+  const std::string bytes = post("abcdef", "X-Deadline-Ms: 5000\r\n");
+  caller.send(bytes.substr(0, bytes.size() - 3));
+  fixture.context.run_for(std::chrono::milliseconds(60));
+  CHECK(fixture.seen.size() == 1);
+  caller.send(bytes.substr(bytes.size() - 3));
+  caller.runUntil([&] { return fixture.seen.size() == 2; });
+  CHECK(fixture.seen[1] == whole);
+  REQUIRE(fixture.deadlines[1].has_value());
+  CHECK(*fixture.deadlines[1] <= std::chrono::milliseconds(4940));
+}
+
+}  // namespace coursepond::runtime
