Red: a request that crashes servers goes on to servers after three have ended under it

What callers saw: most requests of a service refused or failed for minutes, while one request ended each server that ran it and was sent on, by its egress and by its caller through other nodes. The mesh in virtual time learns servers that end under a request and start anew after 3 s.

--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -2,12 +2,16 @@
 
 /// A mesh of two-hop nodes in virtual time: each has the egress and the ingress of the product and
 /// a model of the server beside it, which makes calls of its own through its node. No sockets: what
-/// one side sends arrives at the other after a fixed delay.
+/// one side sends arrives at the other after a fixed delay. A request of a path that crashes
+/// servers ends the server that runs it, with all that runs beside; the server starts anew after a
+/// while.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,8 +40,26 @@
   double rejected = 0;
 };
 
+/// What a request that crashes servers did, in the order of time.
+struct CrashRecord {
+  std::vector<TimePoint> arrivals;  ///< At servers.
+  std::vector<TimePoint> crashes;
+
+  /// Arrivals later than `settled` after the third server ended under it.
+  std::size_t arrivalsOnceKnown(Duration settled) const {
+    if (crashes.size() < 3) return 0;
+    const TimePoint known = crashes[2] + settled;
+    return static_cast<std::size_t>(std::count_if(
+        arrivals.begin(), arrivals.end(), [known](TimePoint arrival) { return arrival > known; }));
+  }
+};
+
 class SimulatedMesh {
  public:
+  /// From the start of a run that crashes its server to the server's end.
+  static constexpr Duration kCrashDelay = std::chrono::milliseconds(50);
+  /// Until the server is back, under another id.
+  static constexpr Duration kServerAway = std::chrono::seconds(3);
   static constexpr Duration kHopDelay = std::chrono::milliseconds(1);
   static constexpr std::uint32_t kSlots = 24;
   static constexpr std::uint32_t kMaxAttempts = 3;
@@ -61,17 +83,45 @@
   int answered(int status) { return answered_[status]; }
 
   /// Callers send `per_second` requests for `service`, evenly spaced, by turns at all nodes.
-  void load(const std::string& service, int per_second) {
+  /// `alike`: all have the same path, so that servers cannot tell one from another.
+  void load(const std::string& service, int per_second, bool alike = false) {
     const Duration gap = Duration(std::chrono::seconds(1)) / per_second;
-    environment_.schedule(gap, [this, service, per_second] {
+    environment_.schedule(gap, [this, service, per_second, alike] {
       Node& node = *nodes_[next_node_++ % nodes_.size()];
       const std::string id = "r" + std::to_string(++last_id_);
-      request(node, service, id, std::chrono::milliseconds(1500),
+      const std::string path = "/" + service + "/" + (alike ? "all" : id);
+      request(node, service, path, id, std::chrono::milliseconds(1500),
               [this](int status) { ++answered_[status]; });
-      load(service, per_second);
+      load(service, per_second, alike);
     });
   }
 
+  /// A caller sends a request for `service` that crashes each server that runs it, `gap` after
+  /// `gap`, each time as a new request through the next node.
+  void loadCrashing(const std::string& service, Duration gap) {
+    crash_records_["/" + service + "/crash"];
+    environment_.schedule(gap, [this, service, gap] {
+      sendCrashing(service, next_crashing_node_++ % nodes_.size());
+      loadCrashing(service, gap);
+    });
+  }
+  /// One such request, through the node of this index.
+  void sendCrashing(const std::string& service, std::size_t index) {
+    const std::string path = "/" + service + "/crash";
+    crash_records_[path];
+    const std::string id = "crash" + std::to_string(++last_id_);
+    request(*nodes_[index], service, path, id, std::chrono::milliseconds(1500),
+            [this](int status) { ++crashing_answered_[status]; });
+  }
+  const CrashRecord& crashRecord(const std::string& service) const {
+    return crash_records_.at("/" + service + "/crash");
+  }
+  /// Requests that crash servers that got this status.
+  int crashingAnswered(int status) { return crashing_answered_[status]; }
+
+  /// The server beside the node ends at once; it is back after kServerAway.
+  void crashServer(std::size_t index) { crash(*nodes_[index]); }
+
   void run(Duration span) { environment_.advance(span); }
 
   /// The node's process ends and starts again. What it began goes on to its end, as if it were
@@ -100,6 +150,8 @@
  private:
   static constexpr std::uint16_t kIngressPort = 8300;
 
+  class Hop;
+
   struct Node {
     Node(std::string its_service, model::ServerEntry its_entry, Environment& environment)
         : service(std::move(its_service)),
@@ -127,18 +179,19 @@
     proxy::RetryAccounts retries;
     egress::EgressState egress;
     ingress::IngressState ingress;
+    bool is_server_up = true;
+    int server_starts = 1;
+    std::set<Hop*> at_server;  ///< What runs there.
   };
 
-  class Hop;
-
   /// A request at the egress of the node where it begins.
   class Begun final : public proxy::RequestIo {
    public:
-    Begun(SimulatedMesh& mesh, Node& node, std::string service, std::string id,
+    Begun(SimulatedMesh& mesh, Node& node, std::string path, std::string id,
           std::function<void(int)> done, bool parent_is_repeat)
         : mesh_(mesh),
           node_(node),
-          service_(std::move(service)),
+          path_(std::move(path)),
           id_(std::move(id)),
           done_(std::move(done)),
           parent_is_repeat_(parent_is_repeat) {}
@@ -148,7 +201,7 @@
       head.request_id = id_;
       head.method = "GET";
       head.host = "mesh";
-      head.path = "/" + service_ + "/1";
+      head.path = path_;
       head.deadline = deadline;
       flow_ = egress::makeEgressFlow(std::move(head), node_.egress, mesh_.environment_, *this);
       flow_->start();
@@ -167,6 +220,7 @@
       mesh_.environment_.schedule(Duration(0), [this, status = answer.status] { finish(status); });
     }
 
+    const std::string& path() const { return path_; }
     void onReceived(proxy::AttemptId attempt) { flow_->onAttemptReceived(attempt); }
     void onHead(proxy::AttemptId attempt, const proxy::AnswerHead& head) {
       status_ = head.status;
@@ -180,7 +234,7 @@
 
     SimulatedMesh& mesh_;
     Node& node_;
-    std::string service_;
+    std::string path_;
     std::string id_;
     std::function<void(int)> done_;
     bool parent_is_repeat_;
@@ -221,13 +275,29 @@
 
     void startAttempt(const proxy::AttemptPlan& plan) override {
       run_ = plan.id;
+      if (!node_.is_server_up) return fail(plan.id, proxy::AttemptFailure::kConnectFailed);
+      node_.at_server.insert(this);
+      if (CrashRecord* const record = mesh_.recordOf(origin_.path())) {
+        record->arrivals.push_back(mesh_.now());
+        mesh_.environment_.schedule(kCrashDelay, [this, run = plan.id, record] {
+          if (run_ != run) return;
+          record->crashes.push_back(mesh_.now());
+          mesh_.crash(node_);
+        });
+        return;
+      }
       const std::string& service = node_.service;
       is_repeat_ = mesh_.ledger_.noteArrival(service, id_, parent_is_repeat_, mesh_.now());
       const ServiceModel& model = mesh_.models_[service];
       if (mesh_.chance(model.rejected)) return reject(plan.id);
       mesh_.environment_.schedule(model.work, [this, run = plan.id] { afterWork(run); });
     }
-    void cancelAttempt(proxy::AttemptId) override { run_ = 0; }
+    /// The server ended with the request on it.
+    void onServerCrashed() {
+      const proxy::AttemptId run = std::exchange(run_, 0);
+      flow_->onAttemptFailed(run, proxy::AttemptFailure::kLostAfterSend);
+    }
+    void cancelAttempt(proxy::AttemptId) override { leaveServer(); }
     void forwardAnswer(proxy::AttemptId attempt) override {
       proxy::AnswerHead head = answerHead(status_);
       head.is_signed = true;
@@ -260,9 +330,21 @@
       });
     }
 
+    void leaveServer() {
+      run_ = 0;
+      node_.at_server.erase(this);
+    }
+
+    void fail(proxy::AttemptId run, proxy::AttemptFailure failure) {
+      mesh_.environment_.schedule(Duration(0), [this, run, failure] {
+        if (run_ == run) flow_->onAttemptFailed(run, failure);
+      });
+    }
+
     void reject(proxy::AttemptId run) {
       mesh_.environment_.schedule(Duration(0), [this, run] {
         if (run_ != run) return;
+        node_.at_server.erase(this);
         proxy::AnswerHead head;
         head.status = 503;
         head.request_id = id_;
@@ -278,8 +360,9 @@
       calls_open_ = is_calling ? model.calls_per_run : 0;
       if (calls_open_ == 0) return end(run);
       for (int number = 0; number < model.calls_per_run; ++number) {
+        const std::string id = mesh_.idOfCall(id_);
         mesh_.request(
-            node_, model.calls, mesh_.idOfCall(id_), kCallDeadline,
+            node_, model.calls, "/" + model.calls + "/" + id, id, kCallDeadline,
             [this, run](int status) { onCallEnded(run, status); }, is_repeat_);
       }
     }
@@ -291,6 +374,7 @@
 
     void end(proxy::AttemptId run) {
       if (run_ != run) return;
+      node_.at_server.erase(this);
       if (mesh_.chance(mesh_.models_[node_.service].answers_lost)) {
         return flow_->onAttemptFailed(run, proxy::AttemptFailure::kLostAfterSend);
       }
@@ -355,14 +439,39 @@
     node.egress.onDirectoryChanged();
   }
 
-  void request(Node& node, const std::string& service, const std::string& id, Duration deadline,
-               std::function<void(int)> done, bool parent_is_repeat = false) {
+  void request(Node& node, const std::string& service, const std::string& path,
+               const std::string& id, Duration deadline, std::function<void(int)> done,
+               bool parent_is_repeat = false) {
     if (!parent_is_repeat) ledger_.noteRequest(service, now());
     begun_.push_back(
-        std::make_unique<Begun>(*this, node, service, id, std::move(done), parent_is_repeat));
+        std::make_unique<Begun>(*this, node, path, id, std::move(done), parent_is_repeat));
     begun_.back()->start(deadline);
   }
 
+  /// Null for a request that crashes nothing.
+  CrashRecord* recordOf(const std::string& path) {
+    const auto found = crash_records_.find(path);
+    return found == crash_records_.end() ? nullptr : &found->second;
+  }
+
+  void crash(Node& node) {
+    if (!node.is_server_up) return;
+    node.is_server_up = false;
+    for (Hop* const hop : std::exchange(node.at_server, {})) hop->onServerCrashed();
+    environment_.schedule(kServerAway, [this, &node] { startServerAnew(node); });
+  }
+
+  void startServerAnew(Node& node) {
+    node.is_server_up = true;
+    ++node.server_starts;
+    node.entry.id = EndpointId(node.entry.id.value().substr(0, node.entry.id.value().find('-')) +
+                               "-" + std::to_string(node.server_starts));
+    ++last_revision_;
+    node.entry.revision = Generation(last_revision_);
+    node.ingress.setServer(node.entry);
+    for (const auto& each : nodes_) list(*each, nodes_.size());
+  }
+
   Node& nodeAt(const std::string& host) {
     for (const auto& node : nodes_) {
       if (node->entry.address.host == host) return *node;
@@ -390,9 +499,13 @@
   std::vector<std::unique_ptr<Begun>> begun_;
   std::vector<std::unique_ptr<Hop>> hops_;
   ArrivalLedger ledger_;
+  std::map<std::string, CrashRecord> crash_records_;  ///< By path.
   std::map<int, int> answered_;
+  std::map<int, int> crashing_answered_;
   std::size_t next_node_ = 0;
+  std::size_t next_crashing_node_ = 0;
   std::uint64_t last_id_ = 0;
+  std::uint64_t last_revision_ = 1;
 };
 
 inline void SimulatedMesh::Begun::startAttempt(const proxy::AttemptPlan& plan) {
