Crash suspects: a request under which servers ended runs as a trial, and then no more

One request ended each server that ran it, with up to 18 beside it, and went on to the next: by its egress, which took an end for a lost answer, and by its caller, as a new request through any node.

Cause: what was learned of a request ended with its id. No node knew that two tries are the same request, nor what another node had seen. Class: a bound on the whole mesh that each place keeps for what passes through it.

An answer to any such request clears it everywhere. An ingress refuses what an egress that does not know yet sends. Within one request, no third server is asked after two lost its answer.

Why it holds: records only grow or are replaced by a later round, so that no order, loss or repetition of messages brings a run back; after the third end at most the trials are left. Innocent requests are told apart by being answered, not by time: also when many servers go at the same moment, a popular one waits for one run.

--- a/src/cli/request_story.cpp
+++ b/src/cli/request_story.cpp
@@ -34,6 +34,10 @@
     ReasonText{"server_rejecting",
                "the server rejects much of what it gets, and the request had another choice",
                "server_refused lines of that server"},
+    ReasonText{"crashes_servers",
+               "servers ended under this request, or under others with the same fingerprint",
+               "server_ended and crash_suspect lines with its fingerprint; suspect_cleared tells "
+               "that it was innocent"},
     ReasonText{"queue_timeout", "it waited for a slot as long as the settings allow", kIngressLoad},
     ReasonText{"batch_shed", "batch work made room for interactive work", kIngressLoad},
     ReasonText{"server_draining", "the server or its node is leaving",
--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -39,7 +39,8 @@
 /// From a back end, where it tells its health: for how many more milliseconds it is cold.
 inline constexpr char kColdLeftMs[] = "X-Cold-Left-Ms";
 /// From an egress to an ingress: "service,rank,target latency in ms,repeatable 0|1,
-/// call 0|1,share of a repeat in thousandths,may wait 0|1,fingerprint in hexadecimal digits".
+/// call 0|1,share of a repeat in thousandths,may wait 0|1,fingerprint in hexadecimal digits,
+/// trial 0|1".
 inline constexpr char kHopClass[] = "X-Hop-Class";
 /// From an ingress to an egress: "running,waiting,slots,mean service time in ms,draining 0|1".
 inline constexpr char kHopLoad[] = "X-Hop-Load";
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -13,6 +13,7 @@
 namespace coursepond::egress {
 namespace {
 
+using admission::CrashVerdict;
 using proxy::AnswerHead;
 using proxy::AttemptFailure;
 using proxy::AttemptId;
@@ -27,6 +28,9 @@
 constexpr int kGatewayTimeout = 504;
 constexpr int kLowestServerError = 500;
 constexpr Duration kLeastRemaining = std::chrono::milliseconds(1);
+/// A request whose answer two servers lost is not sent to a third: if they ended under it, each
+/// further one takes what runs beside it down as well.
+constexpr std::uint32_t kMostRunsLost = 2;
 /// A request with less than this left is not begun again.
 constexpr Duration kLeastForRepeat = std::chrono::milliseconds(20);
 
@@ -79,6 +83,8 @@
   bool isHeldBack(TimePoint now);
   void noteOutcome(bool is_accepted, TimePoint now);
   void sendOrWait(TimePoint now);
+  void sendTrial(TimePoint now);
+  CrashVerdict verdict(TimePoint now) const { return state_.verdict(head_.fingerprint, now); }
   void send(ServerPointer server, TimePoint now);
   proxy::AttemptPlan makePlan(TimePoint now) const;
   void waitForServer(TimePoint now);
@@ -107,7 +113,7 @@
   void finish();
   void conclude(Reason reason);
   void concludeFull(TimePoint now);
-  proxy::LocalAnswer makeAnswer(Reason reason) const;
+  proxy::LocalAnswer makeAnswer(Reason reason);
 
   /// By when it is answered: its deadline, or the end of a planned stop that began since.
   TimePoint latest() const { return std::min(deadline_, state_.latestAnswer()); }
@@ -145,6 +151,7 @@
   std::uint32_t arrivals_ = 0;          ///< Servers that may have seen the request.
   double first_repeat_share_ = 0;       ///< How likely the first attempt counts as a repeat.
   std::uint32_t silent_ingresses_ = 0;  ///< That did not say that they have it.
+  std::uint32_t runs_lost_ = 0;         ///< Answers that servers lost, by ending or otherwise.
   std::uint32_t max_attempts_ = 1;
   bool is_repeatable_ = false;
   bool is_call_ = false;  ///< This machine's server sent it, for a request that it runs.
@@ -155,6 +162,7 @@
   bool arrival_noted_ = false;         ///< Of the current attempt.
   bool outcome_noted_ = false;         ///< For the throttle.
   bool was_refused_ = false;
+  bool is_trial_ = false;      ///< See CrashVerdict.
   bool is_late_ = false;       ///< The deadline ended it.
   bool holds_quota_ = false;   ///< A token of its tenant's quota is used for it.
   bool holds_repeat_ = false;  ///< Charged for an arrival that has not been yet.
@@ -235,7 +243,8 @@
   patient_until_ = std::min(deadline_, now + part(target(), state_.settings().patience));
   service_ = state_.split().next(*route_);
   slots_.emplace(state_.settings().slots, is_call_);
-  if (isHeldBack(now)) return conclude(Reason::kQueueFull);
+  const bool may_run = verdict(now) == CrashVerdict::kMayRun;
+  if (may_run && isHeldBack(now)) return conclude(Reason::kQueueFull);
   sendOrWait(now);
 }
 
@@ -274,6 +283,7 @@
 // ---- Attempts
 
 void EgressFlow::sendOrWait(TimePoint now) {
+  if (verdict(now) != CrashVerdict::kMayRun) return sendTrial(now);
   const ServerPointer server = state_.pick(destination(), tried_, now, slots_->asksOwnZone());
   const bool is_own_zone = server && server->entry.zone == state_.settings().own_zone;
   if (server && slots_->mayAsk(is_own_zone)) {
@@ -288,6 +298,17 @@
   waitForServer(now);
 }
 
+/// Servers ended under such requests. One at a time shows whether this is why, at one server, so
+/// that the others go on; the rest are refused at once, here or by the ingress beside that server.
+void EgressFlow::sendTrial(TimePoint now) {
+  const bool may_try = verdict(now) == CrashVerdict::kTrialOnly && attempt_ == 0;
+  ServerPointer server =
+      may_try ? state_.pickForTrial(destination(), head_.fingerprint, now) : nullptr;
+  if (!server) return conclude(Reason::kCrashesServers);
+  is_trial_ = true;
+  send(std::move(server), now);
+}
+
 /// Nobody can take it just now: servers come and go, so look again soon, but not for long.
 void EgressFlow::waitForServer(TimePoint now) {
   if (now >= patient_until_) return conclude(Reason::kNoServer);
@@ -323,9 +344,17 @@
   plan.caller_service = state_.settings().own_service;
   plan.replaces_tenant = !routing_->tenants.empty();
   if (tenant_ != nullptr) plan.tenant = tenant_->name;
-  plan.hop_class =
-      proxy::HopClass{service_.value(), rank(),        target(),          is_repeatable_,
-                      is_call_,         repeatShare(), slots_->mayWait(), head_.fingerprint};
+  proxy::HopClass hop;
+  hop.service = service_.value();
+  hop.rank = rank();
+  hop.target_latency = target();
+  hop.is_repeatable = is_repeatable_;
+  hop.is_call = is_call_;
+  hop.repeat_share = repeatShare();
+  hop.may_wait = is_trial_ || slots_->mayWait();
+  hop.fingerprint = head_.fingerprint;
+  hop.is_trial = is_trial_;
+  plan.hop_class = std::move(hop);
   return plan;
 }
 
@@ -453,6 +482,7 @@
     note(proxy::DecisionKind::kAttemptEnded, answer.node_reason, 0);
     io_.discardAnswer(attempt_);
     const bool was_late = answer.status == kGatewayTimeout;
+    if (answer.node_reason == reasonWord(Reason::kConnectionLost)) ++runs_lost_;
     return onUnknown(was_late ? Reason::kDeadline : Reason::kConnectionLost, now);
   }
   state_.onLatency(*server_, state_.use(service_), now - attempt_started_, now);
@@ -495,11 +525,14 @@
   tried_.push_back(server_->entry.id);
   const bool is_over_budget = answer.node_reason == reasonWord(Reason::kRetryBudget);
   const bool is_rejecting = answer.node_reason == reasonWord(Reason::kServerRejecting);
+  const bool is_suspect = answer.node_reason == reasonWord(Reason::kCrashesServers);
   if (isForWantOfRoom(answer)) slots_->onNoRoom(server_, server_->load);
   if (is_rejecting) slots_->onRejecting(server_, server_->load);
   if (is_over_budget) slots_->onRefused();
   releaseServer();
   if (now >= deadline_) return conclude(Reason::kDeadline);
+  // Others may not know yet, and would run it.
+  if (is_suspect) return conclude(Reason::kCrashesServers);
   const bool is_last = slots_->isOver() || slots_->shouldJoin();
   if (is_over_budget && is_last) return conclude(Reason::kRetryBudget);
   if (slots_->isOver()) return concludeFull(now);
@@ -508,6 +541,7 @@
 
 /// No slot was free where one was asked for.
 void EgressFlow::joinQueue(TimePoint now) {
+  if (verdict(now) != CrashVerdict::kMayRun) return conclude(Reason::kCrashesServers);
   ServerPointer server = slots_->joinShortestQueue();
   if (!server) return concludeFull(now);
   send(std::move(server), now);
@@ -554,6 +588,7 @@
 /// Whether one more server may see the request. Takes it from the allowance.
 bool EgressFlow::mayRepeat(RepeatReason reason, TimePoint now) {
   if (may_have_run_ && !is_repeatable_) return false;
+  if (runs_lost_ >= kMostRunsLost || verdict(now) != CrashVerdict::kMayRun) return false;
   if (arrivals_ >= max_attempts_ || deadline_ - now < kLeastForRepeat) return false;
   if (!state_.retries().takeRepeat(service_, reason, repeatUse(reason, now))) {
     ++state_.statistics().repeats_denied;
@@ -645,6 +680,7 @@
   if (not_run && holds_quota_) state_.quotas()->giveBack(tenant_->name);
   Statistics& statistics = state_.statistics();
   if (answer.status == kServiceUnavailable) ++statistics.refused;
+  if (reason == Reason::kCrashesServers) ++statistics.suspected;
   if (answer.status == kNotFound) ++statistics.no_route;
   if (answer.status == kUnauthorized) ++statistics.unauthenticated;
   if (answer.status == kTooManyRequests) ++statistics.over_quota;
@@ -654,7 +690,7 @@
   io_.answerLocally(answer);
 }
 
-proxy::LocalAnswer EgressFlow::makeAnswer(Reason reason) const {
+proxy::LocalAnswer EgressFlow::makeAnswer(Reason reason) {
   proxy::LocalAnswer answer;
   answer.reason = std::string(reasonWord(reason));
   if (reason == Reason::kNoRoute) {
@@ -670,6 +706,9 @@
     answer.outcome = proxy::Outcome::kUnknown;
   } else {
     answer.status = kServiceUnavailable;
+    if (reason == Reason::kCrashesServers) {
+      retry_after_ = state_.suspectRetryAfter(head_.fingerprint, environment_.now());
+    }
     answer.retry_after = std::max(retry_after_.value_or(state_.settings().default_retry_after),
                                   state_.settings().shortest_retry_after);
   }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -98,6 +98,33 @@
   return cost(*farther, now) > near_cost - kCostTolerance ? nearest : farther;
 }
 
+/// Rendezvous hashing, by machine: a server's next start has another id.
+ServerPointer EgressState::pickForTrial(const Destination& to, RequestFingerprint request,
+                                        TimePoint now) const {
+  ServerPointer best;
+  std::uint64_t best_weight = 0;
+  for (const ServerPointer& server : directory_.usable(to.service)) {
+    if (server->avoided(now) || server->leaving(now) || !isAllowed(*server, to)) continue;
+    const std::uint64_t weight =
+        fingerprintOf({{}, server->entry.address.host, request.toHex(), {}, {}}).value();
+    if (best && weight <= best_weight) continue;
+    best = server;
+    best_weight = weight;
+  }
+  return best;
+}
+
+admission::CrashVerdict EgressState::verdict(RequestFingerprint request, TimePoint now) const {
+  return suspects_ == nullptr ? admission::CrashVerdict::kMayRun : suspects_->verdict(request, now);
+}
+
+Duration EgressState::suspectRetryAfter(RequestFingerprint request, TimePoint now) const {
+  if (suspects_ == nullptr) return settings_.default_retry_after;
+  const Duration trial = suspects_->trialIn(request, now).value_or(settings_.crasher_retry_after);
+  // One that is due may be under way: its end shows soon.
+  return std::max(trial, settings_.default_retry_after);
+}
+
 bool EgressState::isBarred(const Destination& to) const {
   const std::vector<ServerPointer>& servers = directory_.usable(to.service);
   return !servers.empty() &&
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <vector>
 
+#include "admission/crash_suspects.h"
 #include "admission/quota_accounts.h"
 #include "admission/tenant_table.h"
 #include "core/environment.h"
@@ -38,6 +39,7 @@
   std::uint64_t hop_silences = 0;     ///< Ingresses that did not say that they have a request.
   std::uint64_t bad_answers = 0;      ///< Not this request's, unsigned, or not whole.
   std::uint64_t refused = 0;          ///< 503: not run.
+  std::uint64_t suspected = 0;        ///< Of these, since servers ended under such requests.
   std::uint64_t throttled = 0;        ///< Of these, without asking an ingress: the service is full.
   std::uint64_t unknown = 0;          ///< 502 and 504.
   std::uint64_t no_route = 0;
@@ -106,6 +108,10 @@
   /// that a server there is chosen however busy it seems, unless it is too slow.
   ServerPointer pick(const Destination& to, const std::vector<EndpointId>& tried, TimePoint now,
                      bool asks_own_zone = false) const;
+  /// The server that all nodes with the same view choose for trials of this request; null when
+  /// there is none. Whatever its load: its ingress runs one trial at a time.
+  ServerPointer pickForTrial(const Destination& to, RequestFingerprint request,
+                             TimePoint now) const;
   /// How dear it is to send the next request there; 1 is an idle server of this zone.
   double cost(const Server& server, TimePoint now) const;
   /// The same if it has a free slot.
@@ -131,6 +137,11 @@
   /// Where the quotas of tenants are kept; null: they are not.
   void setQuotas(admission::QuotaAccounts* quotas) { quotas_ = quotas; }
   admission::QuotaAccounts* quotas() { return quotas_; }
+  /// Which requests may not run since servers ended under them; null: all may.
+  void setSuspects(const admission::CrashSuspects* suspects) { suspects_ = suspects; }
+  admission::CrashVerdict verdict(RequestFingerprint request, TimePoint now) const;
+  /// When a request that may not run now should come back.
+  Duration suspectRetryAfter(RequestFingerprint request, TimePoint now) const;
   TrafficSplit& split() { return split_; }
   proxy::DeadlineQueue& deadlines() { return deadlines_; }
   const Settings& settings() const { return settings_; }
@@ -176,6 +187,7 @@
   Settings settings_;
   proxy::RetryAccounts& retries_;
   admission::QuotaAccounts* quotas_ = nullptr;
+  const admission::CrashSuspects* suspects_ = nullptr;
   Environment& environment_;
   ServerDirectory directory_;
   std::set<ZoneId> drained_zones_;
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -78,6 +78,8 @@
 
   Duration shortest_retry_after = std::chrono::milliseconds(100);
   Duration default_retry_after = std::chrono::milliseconds(400);
+  /// For a request that ends servers, and is not tried any more.
+  Duration crasher_retry_after = std::chrono::minutes(5);
 };
 
 }  // namespace coursepond::egress
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -54,6 +54,7 @@
   RequestFingerprint fingerprint() const {
     return head_.hop_class ? head_.hop_class->fingerprint : RequestFingerprint();
   }
+  bool passesSuspicion(TimePoint now);
   WaitBounds waitBounds(TimePoint now) const;
   void attempt(TimePoint now);
   bool expectsLarge() const {
@@ -86,6 +87,8 @@
   bool runs_large_ = false;   ///< It is counted among those whose answer will be large.
   bool sends_large_ = false;  ///< Its answer is large, and not sent yet.
   bool may_have_run_ = false;
+  bool is_trial_ = false;  ///< The one of its fingerprint that is here.
+  bool was_answered_ = false;
   TimePoint started_;
   TimePoint deadline_;
   TimePoint attempt_started_;
@@ -97,6 +100,7 @@
   started_ = now;
   phase_ = Phase::kWaiting;
   if (const auto refusal = state_.refusal(head_.hop_class)) return conclude(*refusal, now);
+  if (!passesSuspicion(now)) return conclude(Reason::kCrashesServers, now);
   const Settings& settings = state_.settings();
   const Duration allowed =
       std::min(head_.deadline.value_or(settings.longest_deadline), settings.longest_deadline);
@@ -124,6 +128,13 @@
   if (phase_ == Phase::kWaiting) state_.deadlines().arm(*this, std::min(bounds.slot, deadline_));
 }
 
+bool IngressFlow::passesSuspicion(TimePoint now) {
+  if (state_.isSuspect(head_.hop_class, now)) return false;
+  const bool wants_trial = head_.hop_class && head_.hop_class->is_trial;
+  if (wants_trial) is_trial_ = state_.beginTrial(fingerprint());
+  return is_trial_ || !wants_trial;
+}
+
 WaitBounds IngressFlow::waitBounds(TimePoint now) const {
   const Settings& settings = state_.settings();
   if (is_call) return {now + part(deadline_ - now, settings.call_wait_share), deadline_};
@@ -133,6 +144,8 @@
 
 void IngressFlow::onSlot(TimePoint now) {
   has_slot_ = true;
+  // Servers may have ended under such requests while this one waited.
+  if (state_.isSuspect(head_.hop_class, now)) return conclude(Reason::kCrashesServers, now);
   runs_large_ = expectsLarge();
   if (runs_large_) state_.largeAnswers().onRunning();
   state_.retries().onStarted(run_);
@@ -207,6 +220,11 @@
   // service that fails for all. Counted as well, 490 in place of 92 of 9,300 requests were refused
   // by callers of a service whose servers came and went.
   state_.onServerAnswer(false, now);
+  // At its deadline a server gives up what might still have ended it.
+  if (answer.status != kGatewayTimeout) {
+    was_answered_ = true;
+    state_.onRunAnswered(fingerprint(), now);
+  }
   phase_ = Phase::kForwarding;
   state_.deadlines().disarm(*this);
   io_.forwardAnswer(attempt_);
@@ -262,7 +280,10 @@
   if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
   ++state_.statistics().caller_gone;
   note(proxy::DecisionKind::kCallerGone, "", 0);
-  if (phase_ != Phase::kWaiting) io_.cancelAttempt(attempt_);
+  if (phase_ != Phase::kWaiting) {
+    if (io_.bytesSent(attempt_)) may_have_run_ = true;
+    io_.cancelAttempt(attempt_);
+  }
   finish(environment_.now());
 }
 
@@ -290,6 +311,9 @@
   state_.deadlines().disarm(*this);
   state_.leave(*this);
   state_.retries().remove(run_);
+  if (std::exchange(is_trial_, false)) {
+    state_.endTrial(fingerprint(), may_have_run_ && !was_answered_);
+  }
   if (std::exchange(runs_large_, false)) state_.largeAnswers().onNotRunning();
   if (!has_slot_) return;
   has_slot_ = false;
@@ -316,6 +340,9 @@
     case Reason::kLinkFull:
       ++statistics.refused_link;
       return;
+    case Reason::kCrashesServers:
+      ++statistics.refused_suspects;
+      return;
     case Reason::kServerRejecting:
       ++statistics.refused_rejecting;
       return;
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -85,6 +85,25 @@
   return std::nullopt;
 }
 
+bool IngressState::isSuspect(const std::optional<proxy::HopClass>& hop, TimePoint now) const {
+  if (suspects_ == nullptr || !hop) return false;
+  const admission::CrashVerdict verdict = suspects_->verdict(hop->fingerprint, now);
+  if (verdict == admission::CrashVerdict::kTrialOnly) return !hop->is_trial;
+  return verdict == admission::CrashVerdict::kMayNotRun;
+}
+
+bool IngressState::beginTrial(RequestFingerprint request) {
+  if (!trials_.insert(request).second) return false;
+  ++statistics_.trials;
+  return true;
+}
+
+void IngressState::endTrial(RequestFingerprint request, bool has_failed) {
+  trials_.erase(request);
+  if (suspects_ == nullptr || !has_failed) return;
+  suspects_->onTrialFailed(request, environment_.random(UINT64_MAX), environment_.now());
+}
+
 /// An entry of an earlier start says nothing about the one that has the address now.
 bool IngressState::isServerLeaving() const {
   return server_ && server_->state == model::MachineState::kLeaving &&
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -10,7 +10,9 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 
+#include "admission/crash_suspects.h"
 #include "core/environment.h"
 #include "ingress/average_by_target.h"
 #include "ingress/cold_start.h"
@@ -38,6 +40,8 @@
   std::uint64_t refused_link = 0;       ///< Large answers are still being sent.
   std::uint64_t refused_draining = 0;   ///< The server or this node is leaving.
   std::uint64_t refused_instance = 0;   ///< Meant for another start of the server.
+  std::uint64_t refused_suspects = 0;   ///< Servers ended under such requests.
+  std::uint64_t trials = 0;             ///< Of such requests, taken in.
   std::uint64_t refused_rejecting = 0;  ///< Turned away: the server rejects too much.
   std::uint64_t displaced = 0;          ///< Made room for a more urgent request.
   std::uint64_t expired = 0;            ///< The deadline passed while waiting.
@@ -79,6 +83,18 @@
   /// start when it answers again.
   void onServerLost(TimePoint sent, TimePoint now) { cold_start_.suspectStartedAnew(sent, now); }
   ServerEndWatch& serverEnds() { return server_ends_; }
+  /// Which requests may not run since servers ended under them; null: all may.
+  void setSuspects(admission::CrashSuspects* suspects) { suspects_ = suspects; }
+  /// Whether the request may not run here. An egress that does not know yet sends it as any other.
+  bool isSuspect(const std::optional<proxy::HopClass>& hop, TimePoint now) const;
+  /// Takes a trial in; false while another of the same request is here.
+  bool beginTrial(RequestFingerprint request);
+  /// It left. `has_failed`: it may have run and got no answer.
+  void endTrial(RequestFingerprint request, bool has_failed);
+  /// The server answered it.
+  void onRunAnswered(RequestFingerprint request, TimePoint now) {
+    if (suspects_ != nullptr) suspects_->onAnswered(request, now);
+  }
   bool isCold(TimePoint now) const { return cold_start_.isCold(settings_.cold_start, now); }
   /// A planned stop of this node began: egresses are told to go elsewhere. What is still running
   /// at `end` will be cut.
@@ -174,6 +190,8 @@
   AverageByTarget service_time_by_target_us_;  ///< and apart.
   RejectionRate rejections_;
   ServerEndWatch server_ends_;
+  admission::CrashSuspects* suspects_ = nullptr;
+  std::set<RequestFingerprint> trials_;  ///< Waiting or running here.
   ColdStart cold_start_;
   LargeAnswers large_answers_;
   std::function<void()> ask_health_;
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -30,6 +30,8 @@
        {"egress_bad_answers_total", "Answers that were not the request's own, or unsigned.",
         &S::bad_answers},
        {"egress_refused_total", "Requests answered as not run.", &S::refused},
+       {"egress_suspected_total", "Of these, refused since servers ended under such requests.",
+        &S::suspected},
        {"egress_throttled_total", "Of these, refused at the egress since the service is full.",
         &S::throttled},
        {"egress_unknown_total", "Requests that may have run and have no answer.", &S::unknown},
@@ -54,6 +56,10 @@
        {"ingress_refused_full_total", "Refused: the expected wait is too long.", &S::refused_full},
        {"ingress_refused_link_total", "Refused: large answers are still being sent.",
         &S::refused_link},
+       {"ingress_refused_suspects_total", "Refused: servers ended under such requests.",
+        &S::refused_suspects},
+       {"ingress_trials_total", "Of such requests, those let in to see whether it ends again.",
+        &S::trials},
        {"ingress_refused_rejecting_total", "Turned away: the server rejects much of what it gets.",
         &S::refused_rejecting},
        {"ingress_refused_draining_total", "Refused: the server or this node is leaving.",
@@ -181,6 +187,27 @@
                  [&quotas] { return static_cast<double>(quotas.tenants()); });
 }
 
+void addSuspects(MetricTable& table, const admission::CrashSuspects& suspects,
+                 const admission::SuspectGossip& gossip) {
+  using S = admission::CrashSuspectStatistics;
+  addCounters<S>(table,
+                 {{"crash_server_ends_total", "Ends of this machine's server with requests on it.",
+                   &S::server_ends},
+                  {"crash_suspects_cleared_total",
+                   "Requests under suspicion that the server answered.", &S::cleared},
+                  {"crash_suspects_forgotten_total", "Requests forgotten to make room for others.",
+                   &S::forgotten}},
+                 [&suspects] { return suspects.statistics(); });
+  table.addGauge("crash_suspects", "Requests under which servers ended, or that were cleared.",
+                 [&suspects] { return static_cast<double>(suspects.size()); });
+  using G = admission::SuspectGossipStatistics;
+  addCounters<G>(
+      table,
+      {{"crash_exchanges_total", "Exchanges with other nodes on crash suspects.", &G::exchanges},
+       {"crash_exchange_failures_total", "Those without an answer.", &G::failures}},
+      [&gossip] { return gossip.statistics(); });
+}
+
 void addLogLines(MetricTable& table) {
   table.addCounter("log_lines_dropped_total", "Log lines left out while their reader stood still.",
                    [] { return static_cast<double>(runtime::standardErrorLines().dropped()); });
@@ -201,6 +228,7 @@
   table.addCounter("peer_state_learned_total", "Answers of peers that told something newer.",
                    [&peers] { return static_cast<double>(peers.learned()); });
   addQuotas(table, sources.quotas);
+  addSuspects(table, sources.suspects, sources.suspect_gossip);
   addLogLines(table);
   sources.histograms.addTo(table);
   return table;
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -3,6 +3,7 @@
 /// The metrics of a two-hop node: what each part's statistics are called on /metrics.
 
 #include "admission/quota_accounts.h"
+#include "admission/suspect_gossip.h"
 #include "egress/egress_state.h"
 #include "ingress/ingress_state.h"
 #include "node/request_histograms.h"
@@ -27,6 +28,8 @@
   TopicSources configuration;
   const source::PeerReader& peers;
   const admission::QuotaAccounts& quotas;
+  const admission::CrashSuspects& suspects;
+  const admission::SuspectGossip& suspect_gossip;
   const RequestHistograms& histograms;
 };
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -16,6 +16,7 @@
 #include "node/retry_report.h"
 #include "node/server_health.h"
 #include "node/server_port_probe.h"
+#include "node/suspect_exchange.h"
 #include "node/two_hop_metrics.h"
 #include "runtime/asio_environment.h"
 #include "runtime/logging.h"
@@ -119,6 +120,8 @@
         quota_pool_(settings_.quota),
         quota_peers_(context, settings_.node.peer_listen.port),
         quotas_(quota_pool_, quota_peers_, environment_, settings_.quota),
+        suspect_peers_(context, settings_.node.peer_listen.port),
+        suspect_gossip_(suspects_, suspect_peers_, environment_, settings_.suspect_gossip),
         egress_(egressSettings(settings_), retries_, environment_),
         ingress_(ingressSettings(settings_), retries_, environment_),
         server_health_(context, settings_.two_hop.server, settings_.headers),
@@ -135,6 +138,12 @@
     ingress_.setAddress(settings_.two_hop.server);
     ingress_.onHealthWanted([this] { askServerHealth(); });
     watchServerEnds();
+    suspects_.onVerdict([this](RequestFingerprint request, std::size_t ends) {
+      writeLog(runtime::LogLevel::kInfo, ends > 0 ? "crash_suspect" : "suspect_cleared",
+               {{"fingerprint", request.toHex()}, {"ends", std::to_string(ends)}});
+    });
+    egress_.setSuspects(&suspects_);
+    ingress_.setSuspects(&suspects_);
     egress_.setQuotas(&quotas_);
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
@@ -189,6 +198,7 @@
   std::vector<source::NodeMachine> machinesOfNodes() const;
   void chooseRoles(const std::vector<source::NodeMachine>& machines);
   void shareQuotas(const std::vector<source::NodeMachine>& machines);
+  void shareSuspects(const std::vector<source::NodeMachine>& machines);
 
   std::string unreadiness() const;
   std::string statusPage() const;
@@ -209,6 +219,9 @@
   admission::QuotaPool quota_pool_;
   HttpQuotaPeers quota_peers_;
   admission::QuotaAccounts quotas_;
+  admission::CrashSuspects suspects_;
+  HttpSuspectPeers suspect_peers_;
+  admission::SuspectGossip suspect_gossip_;
   egress::EgressState egress_;
   ingress::IngressState ingress_;
   source::HeldState held_;
@@ -246,6 +259,8 @@
                                 {*configuration_.watch, *configuration_.relay},
                                 peers_,
                                 quotas_,
+                                suspects_,
+                                suspect_gossip_,
                                 histograms_});
   return openAdmin();
 }
@@ -290,6 +305,9 @@
   peer_server_ = std::move(*server);
   peer_server_->serve(kQuotaPath,
                       [this](const runtime::HttpRequest& request) { return answerQuota(request); });
+  peer_server_->serve(kSuspectsPath, [this](const runtime::HttpRequest& request) {
+    return answerSuspects(request, suspect_gossip_);
+  });
   return {};
 }
 
@@ -500,6 +518,7 @@
 
 void Implementation::onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests) {
   std::string fingerprints;
+  suspects_.onServerEnd(end, requests, environment_.now());
   for (const RequestFingerprint request : requests) {
     fingerprints += (fingerprints.empty() ? "" : ",") + request.toHex();
   }
@@ -542,6 +561,7 @@
 /// Every node computes the same roles from the same servers.
 void Implementation::chooseRoles(const std::vector<source::NodeMachine>& machines) {
   shareQuotas(machines);
+  shareSuspects(machines);
   const source::NodeMachine own{settings_.two_hop.server.host, settings_.node.zone};
   const source::ReaderPlan plan = source::planReaders(machines, {});
   const source::ReaderRole role = plan.roleOf(own);
@@ -570,6 +590,16 @@
   quotas_.setMachines(settings_.two_hop.server.host, std::move(hosts));
 }
 
+void Implementation::shareSuspects(const std::vector<source::NodeMachine>& machines) {
+  std::vector<std::string> own_zone;
+  std::vector<std::string> others;
+  for (const source::NodeMachine& machine : machines) {
+    if (machine.host == settings_.two_hop.server.host) continue;
+    (machine.zone == settings_.node.zone ? own_zone : others).push_back(machine.host);
+  }
+  suspect_gossip_.setPeers(std::move(own_zone), std::move(others));
+}
+
 // ---- What others may ask
 
 std::string Implementation::unreadiness() const {
@@ -662,6 +692,7 @@
   retries_.changeSettings(settings_.retries);
   quota_pool_.changeSettings(settings_.quota);
   quotas_.changeSettings(settings_.quota);
+  suspect_gossip_.changeSettings(settings_.suspect_gossip);
   ingress_.changeSettings(ingressSettings(settings_));
   log_.setLimit(settings_.log.lines_per_second);
   fold_.setLimit(settings_.log.equal_decisions_per_second);
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -34,6 +34,8 @@
       return "link_full";
     case Reason::kServerRejecting:
       return "server_rejecting";
+    case Reason::kCrashesServers:
+      return "crashes_servers";
     case Reason::kQueueTimeout:
       return "queue_timeout";
     case Reason::kDeadline:
--- a/src/proxy/reason.h
+++ b/src/proxy/reason.h
@@ -23,6 +23,7 @@
   kNoFreeSlot,        ///< It was not to wait for a slot, and none is free.
   kLinkFull,          ///< Its answer would be large, and others are still being sent.
   kServerRejecting,   ///< It has another choice, and the server rejects much.
+  kCrashesServers,    ///< Servers ended under it, or under others that they cannot tell from it.
   kQueueTimeout,      ///< Waited for a slot as long as the settings allow.
   kDeadline,          ///< The deadline passed.
   kServerDraining,    ///< The server or its ingress is leaving.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -427,6 +427,7 @@
       ++statistics.refused_deadline;
       return;
     case Reason::kUnknownApiKey:
+    case Reason::kCrashesServers:
     case Reason::kUnknownParent:
     case Reason::kQuotaExceeded:
     case Reason::kServerDraining:
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -47,6 +47,8 @@
   /// Whether it may wait for a slot; otherwise only a free one will do.
   bool may_wait = true;
   RequestFingerprint fingerprint{};  ///< Empty: not known.
+  /// Servers ended under this request: it shows here whether they do so again.
+  bool is_trial = false;
 };
 
 /// What an ingress tells egresses of its server, with every answer.
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -159,6 +159,7 @@
   // Nor this: its requests may wait, and cannot be told from others.
   hop.may_wait = takeItem(text) != "0";
   hop.fingerprint = parseFingerprint(takeItem(text));
+  hop.is_trial = takeItem(text) == "1";
   return hop;
 }
 
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -142,6 +142,7 @@
   appendNumber(
       out, static_cast<std::uint64_t>(std::lround(hop.repeat_share * proxy::kRepeatShareUnits)));
   out.append(hop.may_wait ? ",1," : ",0,").append(hop.fingerprint.toHex());
+  out.append(hop.is_trial ? ",1" : ",0");
   out.append(kLineEnd);
 }
 
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -96,7 +96,11 @@
   deriveRetries(promises, settings.retries);
   deriveColdStart(promises, settings.ingress.cold_start);
   settings.quota.overshoot = promises.quota_overshoot;
-  if (promises.settled > Duration(0)) deriveRepair(promises.settled, settings.watch);
+  if (promises.settled > Duration(0)) {
+    deriveRepair(promises.settled, settings.watch);
+    // Whoever missed what others know learns it from a comparison of its own within the promise.
+    settings.suspect_gossip.longest_pause = promises.settled / 2;
+  }
   const bool bounds_changes = promises.leaving > Duration(0) || promises.in_force > Duration(0);
   if (bounds_changes) deriveTakingIn(promises, settings);
   if (promises.stop > Duration(0)) deriveStop(promises.stop, settings.node);
--- a/src/runtime/promises.h
+++ b/src/runtime/promises.h
@@ -37,6 +37,7 @@
 ///   - watch: a read that hangs since before the trouble's end is given up, and a source that
 ///   failed
 ///     is asked again, before `settled` is over;
+///   - suspect_gossip: a node that was cut off knows what others do before `settled` is over;
 ///   - watch.gather and egress.lapse_hold: a change is taken in, and a lapsed server used no more,
 ///     before `leaving` and `in_force` are over;
 ///   - egress.configuration_certain: a node that has not heard of the configuration for `in_force`
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "admission/quota_settings.h"
+#include "admission/suspect_gossip.h"
 #include "control/control_settings.h"
 #include "core/address.h"
 #include "core/error.h"
@@ -132,6 +133,7 @@
   proxy::Settings data_path;
   TwoHopSettings two_hop;
   admission::QuotaSettings quota;
+  admission::SuspectGossipSettings suspect_gossip;
   egress::Settings egress;
   proxy::RetryAllowanceSettings retries;
   ingress::Settings ingress;
--- a/src/runtime/settings_change.cpp
+++ b/src/runtime/settings_change.cpp
@@ -44,6 +44,7 @@
   held.watch.backoff_base = backoff_base;
   held.watch.backoff_limit = backoff_limit;
   held.quota = newer.quota;
+  held.suspect_gossip = newer.suspect_gossip;
   held.egress = newer.egress;
   held.retries = newer.retries;
   held.ingress = newer.ingress;
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -45,6 +45,12 @@
   NoQuotaPeers no_quota_peers;
   admission::QuotaPool pool;
   admission::QuotaAccounts quotas{pool, no_quota_peers, environment};
+  class NoSuspectPeers final : public admission::SuspectPeers {
+    void exchange(const std::string&, const admission::SuspectMessage&, Callback) override {}
+  };
+  NoSuspectPeers no_suspect_peers;
+  admission::CrashSuspects suspects;
+  admission::SuspectGossip suspect_gossip{suspects, no_suspect_peers, environment};
   RequestHistograms histograms;
   runtime::MetricTable table() {
     return makeTwoHopMetrics({egress,
@@ -53,6 +59,8 @@
                               {configuration_watch, configuration_relay},
                               peers,
                               quotas,
+                              suspects,
+                              suspect_gossip,
                               histograms});
   }
 };
--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -15,6 +15,8 @@
 #include <string>
 #include <vector>
 
+#include "admission/crash_suspects.h"
+#include "admission/suspect_gossip.h"
 #include "egress/egress_flow.h"
 #include "egress/egress_state.h"
 #include "ingress/ingress_flow.h"
@@ -119,6 +121,19 @@
   /// Requests that crash servers that got this status.
   int crashingAnswered(int status) { return crashing_answered_[status]; }
 
+  /// The node's gossip reaches nobody, and nobody's reaches it, until the next call with false.
+  void cutGossip(std::size_t index, bool is_cut) { nodes_[index]->is_gossip_cut = is_cut; }
+  const admission::CrashSuspects& suspects(std::size_t index) const {
+    return nodes_[index]->suspects;
+  }
+  static RequestFingerprint fingerprintOfPath(const std::string& path) {
+    return fingerprintOf({"GET", "mesh", path, {}, {}});
+  }
+  /// What `load()` with `alike` sends for this service, as nodes tell it.
+  static RequestFingerprint fingerprintOfAlike(const std::string& service) {
+    return fingerprintOfPath("/" + service + "/all");
+  }
+
   /// The server beside the node ends at once; it is back after kServerAway.
   void crashServer(std::size_t index) { crash(*nodes_[index]); }
 
@@ -128,7 +143,8 @@
   /// another one's: only what the node knew is lost.
   void restart(std::size_t index) {
     Node& old = *nodes_[index];
-    auto fresh = std::make_unique<Node>(old.service, old.entry, environment_);
+    auto fresh = std::make_unique<Node>(*this, old.service, old.entry, environment_);
+    fresh->is_server_up = old.is_server_up;
     retired_.push_back(std::move(nodes_[index]));
     nodes_[index] = std::move(fresh);
     begin(*nodes_[index]);
@@ -151,14 +167,33 @@
   static constexpr std::uint16_t kIngressPort = 8300;
 
   class Hop;
+  struct Node;
+
+  /// Carries a node's gossip to the others.
+  class GossipLink final : public admission::SuspectPeers {
+   public:
+    GossipLink(SimulatedMesh& mesh, Node& node) : mesh_(mesh), node_(node) {}
+    void exchange(const std::string& host, const admission::SuspectMessage& message,
+                  Callback callback) override;
+
+   private:
+    SimulatedMesh& mesh_;
+    Node& node_;
+  };
 
   struct Node {
-    Node(std::string its_service, model::ServerEntry its_entry, Environment& environment)
+    Node(SimulatedMesh& mesh, std::string its_service, model::ServerEntry its_entry,
+         Environment& environment)
         : service(std::move(its_service)),
           entry(std::move(its_entry)),
           retries(environment),
           egress(egressSettings(entry), retries, environment),
-          ingress(ingressSettings(service), retries, environment) {}
+          ingress(ingressSettings(service), retries, environment),
+          peers(mesh, *this),
+          gossip(suspects, peers, environment) {
+      egress.setSuspects(&suspects);
+      ingress.setSuspects(&suspects);
+    }
 
     static egress::Settings egressSettings(const model::ServerEntry& entry) {
       egress::Settings settings;
@@ -179,6 +214,10 @@
     proxy::RetryAccounts retries;
     egress::EgressState egress;
     ingress::IngressState ingress;
+    admission::CrashSuspects suspects;
+    GossipLink peers;
+    admission::SuspectGossip gossip;
+    bool is_gossip_cut = false;
     bool is_server_up = true;
     int server_starts = 1;
     std::set<Hop*> at_server;  ///< What runs there.
@@ -202,6 +241,7 @@
       head.method = "GET";
       head.host = "mesh";
       head.path = path_;
+      head.fingerprint = fingerprintOfPath(path_);
       head.deadline = deadline;
       flow_ = egress::makeEgressFlow(std::move(head), node_.egress, mesh_.environment_, *this);
       flow_->start();
@@ -410,7 +450,7 @@
     entry.address = {"10.0.0." + number, 9000};
     entry.zone = ZoneId("z" + std::to_string(nodes_.size() % 3));
     entry.slots = kSlots;
-    nodes_.push_back(std::make_unique<Node>(service, entry, environment_));
+    nodes_.push_back(std::make_unique<Node>(*this, service, entry, environment_));
   }
 
   void begin(Node& node) {
@@ -430,6 +470,27 @@
     node.egress.apply(snapshot);
     node.ingress.setServer(node.entry);
     list(node, nodes_.size());
+    ingress::ServerEndWatch& ends = node.ingress.serverEnds();
+    ends.onPortWanted([this, &node] { lookAtPort(node); });
+    ends.onEnd([this, &node](ServerEndId end, std::span<const RequestFingerprint> requests) {
+      node.suspects.onServerEnd(end, requests, now());
+    });
+    std::vector<std::string> own_zone;
+    std::vector<std::string> others;
+    for (const auto& each : nodes_) {
+      if (each.get() == &node) continue;
+      const bool is_near = each->entry.zone == node.entry.zone;
+      (is_near ? own_zone : others).push_back(each->entry.address.host);
+    }
+    node.gossip.setPeers(std::move(own_zone), std::move(others));
+  }
+
+  void lookAtPort(Node& node) {
+    environment_.schedule(kHopDelay, [this, &node] {
+      const bool is_open = node.is_server_up;
+      node.ingress.serverEnds().onPort(
+          is_open ? ingress::ServerPort::kOpen : ingress::ServerPort::kClosed, now());
+    });
   }
 
   void list(Node& node, std::size_t count) {
@@ -508,6 +569,17 @@
   std::uint64_t last_revision_ = 1;
 };
 
+inline void SimulatedMesh::GossipLink::exchange(const std::string& host,
+                                                const admission::SuspectMessage& message,
+                                                Callback callback) {
+  mesh_.environment_.schedule(kHopDelay, [this, host, message, callback = std::move(callback)] {
+    Node& peer = mesh_.nodeAt(host);
+    if (node_.is_gossip_cut || peer.is_gossip_cut) return callback(std::nullopt);
+    const admission::SuspectMessage reply = peer.gossip.onMessage(message);
+    mesh_.environment_.schedule(kHopDelay, [reply, callback] { callback(reply); });
+  });
+}
+
 inline void SimulatedMesh::Begun::startAttempt(const proxy::AttemptPlan& plan) {
   Node& target = mesh_.nodeAt(plan.endpoint.address.host);
   mesh_.hops_.push_back(std::make_unique<Hop>(mesh_, target, *this, plan, id_, parent_is_repeat_));
