Soak: requests that crash servers, and suspended machines

Clients send a request that ends its server after 60 ms, a few of them at a time and again later, through all nodes; the judge holds the users' bound against them (three arrivals, from machines in touch, later than contact after the third end), with a test of the judge. A suspension is a stopped process whose steady clock does not count the time: a small library that the soak loads into its nodes holds CLOCK_MONOTONIC back; CLOCK_BOOTTIME goes on. Other events of a seed stay what they were: the new kinds have a random engine of their own.

--- a/tests/platform/soak/back_end.cpp
+++ b/tests/platform/soak/back_end.cpp
@@ -34,19 +34,21 @@
   std::string id;
   std::size_t answer_bytes = 0;
   Duration time{};
-  std::size_t run = 0;  ///< Its place in the request's runs.
+  std::uint64_t crasher = 0;  ///< See Request::crasher.
+  std::size_t run = 0;        ///< Its place in the request's runs.
   bool is_over = false;
   TimerId timer = 0;
 };
 
 BackEnd::BackEnd(boost::asio::io_context& context, Environment& environment, Ledger& ledger,
                  std::string machine, std::string instance, const Address& listen,
-                 ArrivalHandler on_arrival)
+                 ArrivalHandler on_arrival, CrashHandler on_crash)
     : environment_(environment),
       ledger_(ledger),
       machine_(std::move(machine)),
       instance_(std::move(instance)),
-      on_arrival_(std::move(on_arrival)) {
+      on_arrival_(std::move(on_arrival)),
+      on_crash_(std::move(on_crash)) {
   runtime::HttpServerLimits limits;
   limits.connections = kConnectionLimit;
   limits.idle_timeout = kIdleTimeout;
@@ -76,6 +78,7 @@
   on_arrival_(work->id);
   work->answer_bytes = wire::numberIn(request.query(), "size");
   work->time = std::chrono::milliseconds(wire::numberIn(request.query(), "time_ms"));
+  work->crasher = wire::numberIn(request.query(), "crasher");
   work->responder.onCallerGone([this, work] { drop(work); });
   if (running_.size() < kSlots) return start(work);
   if (waiting_.size() >= kQueueLimit) return refuse(*work, kUnavailable);
@@ -101,6 +104,7 @@
 }
 
 void BackEnd::finish(const WorkPointer& work) {
+  if (work->crasher > 0) return on_crash_(work->crasher);
   if (std::exchange(work->is_over, true)) return;
   running_.erase(work);
   noteEnd(*work, false);
--- a/tests/platform/soak/back_end.h
+++ b/tests/platform/soak/back_end.h
@@ -24,11 +24,14 @@
   /// Told of each request as it is read, except those that are meant for another instance.
   using ArrivalHandler = std::function<void(const std::string& request_id)>;
 
+  /// Told that a request of that number crashed the server, which is to be ended then.
+  using CrashHandler = std::function<void(std::uint64_t crasher)>;
+
   /// Listens at once; throws std::runtime_error when the address cannot be bound. All references
   /// must outlive it.
   BackEnd(boost::asio::io_context& context, Environment& environment, Ledger& ledger,
           std::string machine, std::string instance, const Address& listen,
-          ArrivalHandler on_arrival);
+          ArrivalHandler on_arrival, CrashHandler on_crash);
   /// Cuts what runs, as a crash does.
   ~BackEnd();
   BackEnd(const BackEnd&) = delete;
@@ -58,6 +61,7 @@
   std::string machine_;
   std::string instance_;
   ArrivalHandler on_arrival_;
+  CrashHandler on_crash_;
   double slowness_ = 1.0;
   std::set<WorkPointer> running_;
   std::deque<WorkPointer> waiting_;
--- a/tests/platform/soak/client.cpp
+++ b/tests/platform/soak/client.cpp
@@ -200,6 +200,8 @@
   request.route = plan.route;
   request.target = plan.path_prefix + "x?size=" + std::to_string(plan.answer_bytes) +
                    "&time_ms=" + std::to_string(toMilliseconds(plan.work));
+  if (plan.crasher > 0) request.target += "&crasher=" + std::to_string(plan.crasher);
+  request.crasher = plan.crasher;
   request.node_life = connection_->node_life;
   request.is_repeatable = plan.is_repeatable;
   request.was_behind = !connection_->waiting.empty();
--- a/tests/platform/soak/client.h
+++ b/tests/platform/soak/client.h
@@ -34,6 +34,7 @@
   std::size_t body_bytes = 0;
   Duration deadline{};
   Spoil spoil = Spoil::kNone;
+  std::uint64_t crasher = 0;  ///< See Request::crasher.
 };
 
 struct ClientSettings {
--- a/tests/platform/soak/judge.cpp
+++ b/tests/platform/soak/judge.cpp
@@ -20,6 +20,10 @@
 constexpr Duration kClockSlack = milliseconds(60);
 constexpr Duration kRouteTimeout = std::chrono::seconds(3);
 constexpr Duration kHeldSlack = milliseconds(500);
+/// Servers that a request may crash before it is known to,
+constexpr std::size_t kEndsKnown = 3;
+/// and how often it may reach one after that.
+constexpr std::size_t kMostOnceKnown = 3;
 /// In a row on one machine in touch, with a server in touch at hand.
 constexpr std::size_t kMostUnserved = 30;
 
@@ -135,6 +139,7 @@
   if (request == nullptr) {
     return report("unasked", instance + " got a request that nobody sent: '" + id + "'");
   }
+  if (request->crasher > 0) judgeCrasher(*request, instance, now);
   const std::optional<TimePoint> left = machine.leavingSince(instance);
   if (!left || now <= *left + bounds_.drain) return;
   const bool is_promised = isInTouch(machine.name(), now) && isInTouch(request->machine, now) &&
@@ -145,6 +150,20 @@
                              std::to_string(toMilliseconds(now - *left)) + " ms later"));
 }
 
+/// Once a request has crashed three servers, machines in touch know of it within `contact`.
+void Judge::judgeCrasher(const Request& request, const std::string& instance, TimePoint now) {
+  Crasher& crasher = crashers_[request.crasher];
+  if (crasher.ends.size() < kEndsKnown) return;
+  const TimePoint known = crasher.ends[kEndsKnown - 1] + bounds_.contact;
+  if (now <= known || !isInTouch(request.machine, now)) return;
+  if (++crasher.late_arrivals <= kMostOnceKnown) return;
+  report("crashes_on",
+         story(request, "crashing request " + std::to_string(request.crasher) + " reached " +
+                            instance + " " + std::to_string(toMilliseconds(now - known)) +
+                            " ms after it was to be known, the " +
+                            std::to_string(crasher.late_arrivals) + "th time"));
+}
+
 // ---- Ends
 
 void Judge::judgeEnded(TimePoint now) {
@@ -332,6 +351,10 @@
 // ---- The end
 
 void Judge::judgeAll() {
+  for (const auto& [number, crasher] : crashers_) {
+    counts_.crashes += crasher.ends.size();
+    if (crasher.ends.size() >= kEndsKnown) ++counts_.crashers_judged;
+  }
   for (const auto& [id, request] : ledger_.all()) {
     if (request.is_repeatable) continue;
     if (request.runs.size() > 1) report("ran_twice", story(request, "it ran more than once"));
--- a/tests/platform/soak/judge.h
+++ b/tests/platform/soak/judge.h
@@ -34,9 +34,11 @@
   std::uint64_t unknown = 0;  ///< 502 and 504.
   std::uint64_t cut = 0;
   std::uint64_t not_found = 0;
-  std::uint64_t on_new_routes = 0;  ///< Judged by a version's bound, in touch.
-  std::uint64_t by_stop = 0;        ///< Under way while their node was stopping.
-  std::uint64_t stops_judged = 0;   ///< Under way in a stop that no other trouble excuses.
+  std::uint64_t on_new_routes = 0;    ///< Judged by a version's bound, in touch.
+  std::uint64_t by_stop = 0;          ///< Under way while their node was stopping.
+  std::uint64_t crashes = 0;          ///< Servers that ended under crashing requests.
+  std::uint64_t crashers_judged = 0;  ///< Those of them that crashed three or more.
+  std::uint64_t stops_judged = 0;     ///< Under way in a stop that no other trouble excuses.
 };
 
 class Judge {
@@ -64,6 +66,8 @@
   /// A request was read by a server. `machine` is null when nobody sent a request of that id.
   void onArrival(const Machine& machine, const std::string& instance, const std::string& id,
                  const Request* request, TimePoint now);
+  /// A request of that number crashed a server.
+  void onCrash(std::uint64_t crasher, TimePoint now) { crashers_[crasher].ends.push_back(now); }
   /// A request has ended: it is judged once what belongs to it has been seen.
   void onEnd(const Request& request) { ended_.push_back(&request); }
   /// Judges what ended long enough ago.
@@ -80,8 +84,14 @@
     TimePoint when;
     std::size_t version = 0;
   };
+  /// A request that crashes servers.
+  struct Crasher {
+    std::vector<TimePoint> ends;  ///< Of servers.
+    std::size_t late_arrivals = 0;
+  };
   using Life = std::pair<std::string, std::uint32_t>;
 
+  void judgeCrasher(const Request& request, const std::string& instance, TimePoint now);
   void judge(const Request& request);
   void count(const Request& request);
   void judgeVersion(const Request& request);
@@ -114,6 +124,7 @@
   std::deque<const Request*> ended_;
   std::map<Life, std::vector<SeenVersion>> seen_;
   std::map<std::string, std::vector<const Request*>> unserved_;  ///< By machine, in a row.
+  std::map<std::uint64_t, Crasher> crashers_;
   std::vector<Violation> violations_;
   JudgeCounts counts_;
 };
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -46,7 +46,8 @@
   bool is_repeatable = true;
   bool was_behind = false;  ///< Sent while others on its connection had no answer yet.
   Spoil spoil = Spoil::kNone;
-  bool left_early = false;  ///< The client left on purpose.
+  std::uint64_t crasher = 0;  ///< The number of a request that crashes servers; zero: it does not.
+  bool left_early = false;    ///< The client left on purpose.
   std::size_t answer_bytes = 0;
   std::size_t body_bytes = 0;
   TimePoint sent;
--- a/tests/platform/soak/link.cpp
+++ b/tests/platform/soak/link.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t kWindowBytes = 64 * 1024;
 
 TimePoint clockNow() {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  return BootClock::now();
 }
 
 Tcp::endpoint endpointOf(const Address& address) {
--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -9,6 +9,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "suspend_clock.h"
+
 namespace coursepond::soak {
 namespace {
 
@@ -22,6 +24,8 @@
 constexpr std::uint16_t kPeerPort = 7620;
 /// A server that fell silent loses its entry after three heartbeats of 1.5 s.
 constexpr Duration kEntryLife = std::chrono::milliseconds(4500);
+/// A server that a request crashed is back after this.
+constexpr Duration kCrashAway = std::chrono::milliseconds(2500);
 /// A log limit that changes with each change of the settings.
 constexpr std::uint32_t kLogLines = 2000;
 
@@ -150,14 +154,22 @@
   log("SIGKILL");
 }
 
-void Machine::freezeNode(Duration length) {
+void Machine::freezeNode(Duration length) { standStill(length, false); }
+
+void Machine::suspendNode(Duration length) { standStill(length, true); }
+
+void Machine::standStill(Duration length, bool is_suspension) {
   if (!process_) return;
   const std::size_t trouble = at_.troubles.begin(name(), TroubleKind::kUnplanned, now());
   ++freezes_;
   process_->signal(SIGSTOP);
-  log("SIGSTOP for " + milliseconds(length));
-  endTroubleLater(trouble, length, [this, life = life_] {
-    if (!process_ || life_ != life || --freezes_ > 0) return;
+  log((is_suspension ? "suspended for " : "SIGSTOP for ") + milliseconds(length));
+  endTroubleLater(trouble, length, [this, life = life_, length, is_suspension] {
+    if (!process_ || life_ != life) return;
+    // Before it goes on, so that it sees no moment of the other time.
+    const auto lost_ms = static_cast<int>(toMilliseconds(length));
+    if (is_suspension) process_->signal(clockSignal(), lost_ms);
+    if (--freezes_ > 0) return;
     process_->signal(SIGCONT);
     log("SIGCONT");
   });
@@ -255,7 +267,8 @@
   server_ = std::make_unique<BackEnd>(
       at_.context, at_.environment, at_.ledger, name(), instance,
       Address{linkHost(settings_), kServerPort},
-      [this, instance](const std::string& id) { at_.on_arrival(name(), instance, id); });
+      [this, instance](const std::string& id) { at_.on_arrival(name(), instance, id); },
+      [this, instance](std::uint64_t crasher) { onServerCrashed(instance, crasher); });
   state_ = "ready";
   at_.store.put(entryKey(instance), entryText(state_));
   log("server " + instance + " ready");
@@ -288,6 +301,16 @@
   restartServerLater(away, trouble);
 }
 
+/// From inside the server, which ends in a later event.
+void Machine::onServerCrashed(const std::string& instance, std::uint64_t crasher) {
+  at_.environment.schedule(Duration(0), [this, instance, crasher] {
+    if (!server_ || server_->instance() != instance) return;
+    log("server " + instance + " ends under crashing request " + std::to_string(crasher));
+    at_.on_crash(crasher);
+    crashServer(kCrashAway);
+  });
+}
+
 void Machine::crashServer(Duration away) {
   if (!server_) return;
   const std::size_t trouble = at_.troubles.begin(serverPlace(), TroubleKind::kUnplanned, now());
--- a/tests/platform/soak/machine.h
+++ b/tests/platform/soak/machine.h
@@ -52,6 +52,8 @@
   std::function<void(const std::string& machine, const std::string& instance,
                      const std::string& request)>
       on_arrival;
+  /// A request of that number crashed a server.
+  std::function<void(std::uint64_t crasher)> on_crash;
   /// Something that must not happen to a process.
   std::function<void(const std::string& kind, const std::string& story)> on_violation;
   std::function<void(const std::string& line)> log;
@@ -78,6 +80,8 @@
   void terminateNode(Duration away);
   void killNode(Duration away);
   void freezeNode(Duration length);
+  /// The same, and its steady clock does not count the time (see suspend_clock.cpp).
+  void suspendNode(Duration length);
   /// Writes changed settings and tells the process.
   void hangUpNode();
   /// Looks whether the process has ended; to be called often.
@@ -104,6 +108,8 @@
 
  private:
   void writeSettings();
+  void standStill(Duration length, bool is_suspension);
+  void onServerCrashed(const std::string& instance, std::uint64_t crasher);
   void onNodeEnded(int status);
   void endTroubleLater(std::size_t trouble, Duration length, std::function<void()> undo);
   std::string entryText(const std::string& state) const;
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -125,6 +125,7 @@
             << " in_touch_served=" << counts.in_touch_served << " refused=" << counts.refused
             << " unknown=" << counts.unknown << " cut=" << counts.cut
             << " not_found=" << counts.not_found << " on_new_routes=" << counts.on_new_routes
+            << " crashes=" << counts.crashes << " crashers_judged=" << counts.crashers_judged
             << " by_stop=" << counts.by_stop << " stops_judged=" << counts.stops_judged
             << " versions=" << outcome.versions << " routes=" << outcome.routes
             << " longest_version_bytes=" << outcome.longest
@@ -138,8 +139,15 @@
   setenv("COURSEPOND_BIN", own.parent_path().c_str(), kKeepOther);
 }
 
+/// Nodes are started with a clock that a suspension can hold.
+void preloadClock() {
+  const std::filesystem::path own = std::filesystem::read_symlink("/proc/self/exe");
+  setenv("LD_PRELOAD", (own.parent_path() / "libcoursepond-suspend-clock.so").c_str(), 1);
+}
+
 int runSoak(const cxxopts::ParseResult& flags, SoakSettings settings) {
   findPrograms();
+  preloadClock();
   settings.folder = makeFolder(flags);
   std::cout << "seed " << settings.schedule.seed << ", logs in " << settings.folder << std::endl;
   const SoakOutcome outcome = Soak(settings).run();
--- a/tests/platform/soak/schedule.cpp
+++ b/tests/platform/soak/schedule.cpp
@@ -53,12 +53,14 @@
     KindName{EventKind::kStoreReset, "store-reset"},
     KindName{EventKind::kStoreForgets, "store-forgets"},
     KindName{EventKind::kVersion, "version"},
+    KindName{EventKind::kCrashingRequest, "crashing-request"},
+    KindName{EventKind::kSuspend, "suspend"},
 };
 
 class ScheduleMaker {
  public:
   explicit ScheduleMaker(const ScheduleSettings& settings)
-      : settings_(settings), random_(settings.seed) {}
+      : settings_(settings), random_(settings.seed), later_random_(settings.seed + 1) {}
 
   std::vector<Event> make() {
     makeVersions();
@@ -66,6 +68,9 @@
       makeLeavings();
     } else {
       for (Duration start{}; start < settings_.length; start += kPeriod) makePeriod(start);
+      std::swap(random_, later_random_);
+      makeCrashingRequests();
+      makeSuspensions();
     }
     std::erase_if(events_, [this](const Event& event) { return event.at >= settings_.length; });
     std::stable_sort(events_.begin(), events_.end(),
@@ -87,6 +92,8 @@
 
   void makeVersions();
   void makeLeavings();
+  void makeCrashingRequests();
+  void makeSuspensions();
   void addVersion(Duration at, std::uint64_t added, std::uint64_t removed);
   void makePeriod(Duration start);
   void makePlannedPeriod(Duration start);
@@ -97,6 +104,8 @@
 
   const ScheduleSettings& settings_;
   std::mt19937_64 random_;
+  /// For kinds that came later, so that a seed's other events stay what they were.
+  std::mt19937_64 later_random_;
   std::vector<Event> events_;
   std::size_t routes_ = 0;
 };
@@ -134,6 +143,29 @@
   }
 }
 
+/// One after the other, some at the same time, some again after a pause.
+void ScheduleMaker::makeCrashingRequests() {
+  std::uint64_t last = 0;
+  for (Duration at = time(1000, 12'000); at < settings_.length; at += time(3000, 20'000)) {
+    Event event;
+    event.at = at;
+    event.kind = EventKind::kCrashingRequest;
+    const bool is_again = last > 0 && chance(0.4);
+    event.amount = is_again ? number(1, last) : ++last;
+    event.length = time(1000, 12'000);
+    events_.push_back(event);
+  }
+}
+
+/// Single machines, and now and then several at once.
+void ScheduleMaker::makeSuspensions() {
+  for (Duration at = time(500, 8000); at < settings_.length; at += time(1000, 8000)) {
+    for (std::uint64_t left = chance(0.2) ? number(2, 3) : 1; left > 0; --left) {
+      addEvent(at, EventKind::kSuspend, number(0, settings_.machines - 1));
+    }
+  }
+}
+
 /// Most machines in turn, some again soon after their restart, some at once.
 void ScheduleMaker::makePlannedPeriod(Duration start) {
   for (Duration at = start + time(0, 2000); at < start + kPeriod; at += time(0, 1200)) {
@@ -252,7 +284,8 @@
   }
   const bool is_of_store =
       event.kind >= EventKind::kStoreSlow && event.kind <= EventKind::kStoreForgets;
-  if (!is_of_store) text += " machine=" + std::to_string(event.machine + 1);
+  const bool is_of_all = is_of_store || event.kind == EventKind::kCrashingRequest;
+  if (!is_of_all) text += " machine=" + std::to_string(event.machine + 1);
   text += " length_ms=" + std::to_string(toMilliseconds(event.length));
   if (event.second_length > Duration(0)) {
     text += " away_ms=" + std::to_string(toMilliseconds(event.second_length));
--- a/tests/platform/soak/schedule.h
+++ b/tests/platform/soak/schedule.h
@@ -32,15 +32,18 @@
   kStoreReset,
   kStoreForgets,
   kVersion,
+  kCrashingRequest,  ///< Callers send a request that crashes each server that runs it.
+  kSuspend,          ///< A machine stands still, and its steady clock with it.
 };
 
 struct Event {
   Duration at{};  ///< Since the first version.
   EventKind kind = EventKind::kVersion;
   std::size_t machine = 0;
-  Duration length{};          ///< Of the trouble, or how long a process stays away.
-  Duration second_length{};   ///< How long a server stays away.
-  std::uint64_t amount = 0;   ///< Bytes a second, microseconds of delay, or routes added.
+  Duration length{};         ///< Of the trouble, or how long a process stays away.
+  Duration second_length{};  ///< How long a server stays away.
+  /// Bytes a second, microseconds of delay, routes added, or the number of a crashing request.
+  std::uint64_t amount = 0;
   std::uint64_t removed = 0;  ///< Routes.
 };
 
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -38,6 +38,10 @@
 constexpr Duration kProbePause = milliseconds(200);
 constexpr double kLeavingPart = 0.02;
 constexpr double kSpoiltPart = 0.03;
+/// Of the requests, those that crash servers while such a one is about,
+constexpr double kCrasherPart = 0.05;
+/// and how long one runs before its server ends.
+constexpr Duration kCrashDelay = milliseconds(60);
 constexpr std::size_t kViolationsPrinted = 20;
 
 /// Seeds of the clients are far from the schedule's.
@@ -117,6 +121,7 @@
   void addClient(Machine& machine, ClientStyle style, Duration pause, bool is_probe);
   std::optional<RequestPlan> planWork(ClientStyle style, RandomEngine& random) const;
   std::optional<RequestPlan> planProbe(RandomEngine& random) const;
+  std::optional<RequestPlan> planCrasher(RandomEngine& random) const;
 
   void watchClock(TimePoint due);
   void poll();
@@ -140,7 +145,8 @@
   Judge judge_;
   std::ofstream events_;
   std::vector<std::unique_ptr<Client>> clients_;
-  std::map<std::string, std::size_t> newest_served_;  ///< By machine, of the newest routes.
+  std::map<std::uint64_t, TimePoint> crashers_until_;  ///< By number: sent until then.
+  std::map<std::string, std::size_t> newest_served_;   ///< By machine, of the newest routes.
   std::size_t store_troubles_ = 0;
   std::size_t longest_ = 0;
   Duration longest_lag_{};
@@ -174,6 +180,7 @@
         });
         judge_.onArrival(**found, instance, id, ledger_.find(id), now());
       },
+      [this](std::uint64_t crasher) { judge_.onCrash(crasher, now()); },
       [this](const std::string& kind, const std::string& story) { judge_.report(kind, story); },
       [this](const std::string& line) { log(line); }};
   for (std::size_t number = 0; number < settings_.schedule.machines; ++number) {
@@ -227,6 +234,7 @@
 
 std::optional<RequestPlan> Soak::Implementation::planWork(ClientStyle style,
                                                           RandomEngine& random) const {
+  if (auto crasher = planCrasher(random)) return crasher;
   while (true) {
     const std::size_t number = randomNumber(random, 0, versions_.baseCount() - 1);
     const Route& route = versions_.route(number);
@@ -235,6 +243,24 @@
   }
 }
 
+/// A few of all requests, while one that crashes servers is about: always the same route, times and
+/// sizes.
+std::optional<RequestPlan> Soak::Implementation::planCrasher(RandomEngine& random) const {
+  for (const auto& [number, until] : crashers_until_) {
+    if (now() > until || !chance(random, kCrasherPart)) continue;
+    RequestPlan plan;
+    for (plan.route = number % versions_.baseCount(); !versions_.route(plan.route).is_repeatable;) {
+      plan.route = (plan.route + 1) % versions_.baseCount();
+    }
+    plan.path_prefix = versions_.route(plan.route).path_prefix;
+    plan.work = kCrashDelay;
+    plan.deadline = seconds(2);
+    plan.crasher = number;
+    return plan;
+  }
+  return std::nullopt;
+}
+
 /// Mostly the newest routes, and some that have gone.
 std::optional<RequestPlan> Soak::Implementation::planProbe(RandomEngine& random) const {
   const std::vector<std::size_t>& markers = versions_.markers();
@@ -334,6 +360,12 @@
       return machine.lapseEntry(event.length);
     case EventKind::kVersion:
       return writeVersion(event.amount, event.removed);
+    case EventKind::kSuspend:
+      return machine.suspendNode(event.length);
+    case EventKind::kCrashingRequest:
+      log(describeEvent(event));
+      crashers_until_[event.amount] = now() + event.length;
+      return;
     default:
       return playStore(event);
   }
--- a/tests/platform/soak_parts_test.cpp
+++ b/tests/platform/soak_parts_test.cpp
@@ -35,6 +35,7 @@
                               ledger_,
                               troubles_,
                               [](const auto&, const auto&, const auto&) {},
+                              [](std::uint64_t) {},
                               [](const auto&, const auto&) {},
                               [](const auto&) {}};
     MachineSettings settings;
@@ -81,6 +82,16 @@
     judge_.judgeAll();
     return kindsFrom(before);
   }
+  void crash(std::int64_t ms) { judge_.onCrash(kCrasher, at(ms)); }
+  /// A crashing request that was sent at m1 reaches the server there.
+  std::vector<std::string> arrived(std::int64_t ms) {
+    Request& request = addRequest(0, ms, 502);
+    request.crasher = kCrasher;
+    const std::size_t before = judge_.violations().size();
+    judge_.onArrival(*machines_.front(), "i-1", request.id, &request, at(ms));
+    return kindsFrom(before);
+  }
+  static constexpr std::uint64_t kCrasher = 1;
   TroubleBook& troubles() { return troubles_; }
   std::size_t newestMarker() const { return versions_.markers().back(); }
 
@@ -109,6 +120,22 @@
 
 }  // namespace
 
+TEST_CASE("a request that goes on to crash servers is found, from calm machines only") {
+  JudgeBench bench;
+  bench.writeVersion(0, 0, 0);
+  bench.crash(10'000);
+  bench.crash(20'000);
+  for (int count = 0; count < 10; ++count) CHECK(bench.arrived(25'000 + count).empty());
+  bench.crash(30'000);
+  // Within `contact` (3 s) not all can know.
+  for (int count = 0; count < 10; ++count) CHECK(bench.arrived(32'000 + count).empty());
+  bench.troubles().end(bench.troubles().begin("m1", TroubleKind::kUnplanned, bench.at(33'000)),
+                       bench.at(34'000));
+  for (int count = 0; count < 10; ++count) CHECK(bench.arrived(36'000 + count).empty());
+  for (int count = 0; count < 3; ++count) CHECK(bench.arrived(40'000 + count).empty());
+  CHECK(bench.arrived(41'000) == Kinds{"crashes_on"});
+}
+
 TEST_CASE("a version that is not in force after its bound is found, on calm machines only") {
   JudgeBench bench;
   bench.writeVersion(0, 1, 0);
--- a/tests/process/process_handle.cpp
+++ b/tests/process/process_handle.cpp
@@ -65,6 +65,13 @@
   return true;
 }
 
+void ProcessHandle::signal(int number, int value) {
+  if (!running()) return;
+  sigval information{};
+  information.sival_int = value;
+  sigqueue(id_, number, information);
+}
+
 void ProcessHandle::signal(int number) {
   if (!collect(false)) ::kill(id_, number);
 }
--- a/tests/process/process_handle.h
+++ b/tests/process/process_handle.h
@@ -27,6 +27,8 @@
 
   /// Does nothing once the process has ended.
   void signal(int number);
+  /// The same with a number that the process's handler gets.
+  void signal(int number, int value);
   /// SIGKILL, and waits for the end.
   void killNow();
   bool running();
