Red: the time in which a machine was suspended does not count

What callers would see: a node that is back from a suspension believes that what it knew is as fresh as before. Each time is read off the steady clock, which stands still with the machine.

--- /dev/null
+++ b/tests/suspension/suspension_test.cpp
@@ -0,0 +1,100 @@
+#include <doctest/doctest.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <thread>
+
+#include "platform/soak/suspend_clock.h"
+#include "runtime/asio_environment.h"
+#include "runtime/deadline_watch.h"
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+
+// The story of the failure. Operators suspend machines for seconds, and a machine that is back
+// still believed what it had known before: its clock had not counted the time. What other machines
+// count as well (how long a version or an entry was not confirmed, how long a server is avoided or
+// a request has left, when a loan or a kept connection ends) was older than it took it to be.
+// Cause: every time was read off the steady clock, which stands still with the machine.
+
+namespace coursepond::runtime {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Nothing runs for so long, and the steady clock does not count it.
+void suspendMachine(milliseconds length) {
+  std::this_thread::sleep_for(length);
+  sigval lost{};
+  lost.sival_int = static_cast<int>(length.count());
+  sigqueue(getpid(), soak::clockSignal(), lost);
+}
+
+/// Something with a deadline, which notes that it passed.
+class Expiring final : public Watched {
+ public:
+  Expiring(std::shared_ptr<DeadlineWatch> watch, Duration delay) : Watched(std::move(watch)) {
+    expireAfter(delay);
+  }
+  bool has_expired = false;
+
+ private:
+  void onDeadline() override { has_expired = true; }
+};
+
+}  // namespace
+
+TEST_CASE("the time that a machine was suspended counts" * doctest::may_fail()) {
+  boost::asio::io_context context;
+  const AsioEnvironment environment(context);
+  const TimePoint before = environment.now();
+  suspendMachine(milliseconds(300));
+  CHECK(environment.now() - before >= milliseconds(300));
+}
+
+TEST_CASE("what fell due while the machine was suspended runs at once" * doctest::may_fail()) {
+  boost::asio::io_context context;
+  AsioEnvironment environment(context);
+  bool has_run = false;
+  environment.schedule(milliseconds(250), [&] { has_run = true; });
+  suspendMachine(milliseconds(300));
+  context.run_for(milliseconds(50));
+  CHECK(has_run);
+}
+
+TEST_CASE("a connection's time runs out while the machine is suspended" * doctest::may_fail()) {
+  boost::asio::io_context context;
+  const auto watch = std::make_shared<DeadlineWatch>(context, milliseconds(10));
+  const Expiring expiring(watch, milliseconds(250));
+  suspendMachine(milliseconds(300));
+  context.run_for(milliseconds(50));
+  CHECK(expiring.has_expired);
+}
+
+TEST_CASE("a connection that was kept over a suspension is not used again" * doctest::may_fail()) {
+  boost::asio::io_context context;
+  std::vector<std::uint16_t> ports;
+  const auto server = HttpServer::create(context, {"127.0.0.1", 0}, {},
+                                         [&](const HttpRequest& request, HttpResponder responder) {
+                                           ports.push_back(request.remote.port);
+                                           responder.respond({});
+                                         });
+  REQUIRE(server.has_value());
+  HttpClientLimits limits;
+  limits.idle_timeout = milliseconds(200);
+  HttpClient client(context, limits);
+  const auto ask = [&] {
+    bool is_answered = false;
+    client.request((*server)->address(), {}, seconds(2), [&](const auto&) { is_answered = true; });
+    while (!is_answered) context.run_one();
+  };
+  ask();
+  suspendMachine(milliseconds(300));
+  ask();
+  REQUIRE(ports.size() == 2);
+  CHECK(ports[0] != ports[1]);
+}
+
+}  // namespace coursepond::runtime
