Crash suspects: an answer after a single end rides along, and a port is looked at now and then

What this guards callers from: nodes busy with gossip while a request crashes servers. Each end has up to 18 innocent requests on it, and each of their answers was news of its own, told by every node to three others at once: by arithmetic some 50 messages a node for each end at 984 nodes. An answer after a single end now goes with the next message, and news of 50 ms go together. A node that was told nothing of an answer is answered with the later round when it tells of the old one.

The own server's port is looked at once in 100 ms, where each lost answer cost it a connection, and what was lost while the port was still open is no longer blamed on an end that comes later (test).

--- a/src/admission/crash_suspects.cpp
+++ b/src/admission/crash_suspects.cpp
@@ -41,9 +41,7 @@
 
 }  // namespace
 
-bool CrashSuspects::matters(const Record& record) {
-  return record.ends.size() >= kTrialFrom || record.round > 0;
-}
+bool CrashSuspects::isSuspected(const Record& record) { return record.ends.size() >= kTrialFrom; }
 
 TimePoint CrashSuspects::trialAt(const Record& record) const {
   if (record.trials.empty()) return record.changed_at;
@@ -53,9 +51,7 @@
 
 CrashVerdict CrashSuspects::verdict(RequestFingerprint request, TimePoint now) const {
   const auto found = records_.find(request);
-  if (found == records_.end() || found->second.ends.size() < kTrialFrom) {
-    return CrashVerdict::kMayRun;
-  }
+  if (found == records_.end() || !isSuspected(found->second)) return CrashVerdict::kMayRun;
   return now >= trialAt(found->second) ? CrashVerdict::kTrialOnly : CrashVerdict::kMayNotRun;
 }
 
@@ -112,7 +108,7 @@
   record.learned_at = now;
   ++statistics_.cleared;
   tellVerdict(request, before, 0);
-  tellChange();
+  if (before >= kTrialFrom) tellChange();
 }
 
 bool CrashSuspects::merge(std::span<const SuspectReport> reports, TimePoint now) {
@@ -164,7 +160,7 @@
 std::vector<SuspectReport> CrashSuspects::reports(TimePoint now, std::size_t most) const {
   std::vector<SuspectReport> reports;
   for (const auto& [request, record] : records_) {
-    if (!matters(record)) continue;
+    if (!isSuspected(record)) continue;
     reports.push_back(reportOf(request, record, now));
   }
   const auto is_before = [](const SuspectReport& left, const SuspectReport& right) {
@@ -177,6 +173,17 @@
   return reports;
 }
 
+std::vector<SuspectReport> CrashSuspects::laterThan(std::span<const SuspectReport> reports,
+                                                    TimePoint now) const {
+  std::vector<SuspectReport> later;
+  for (const SuspectReport& report : reports) {
+    const auto found = records_.find(report.request);
+    const bool is_later = found != records_.end() && found->second.round > report.round;
+    if (is_later) later.push_back(reportOf(report.request, found->second, now));
+  }
+  return later;
+}
+
 std::vector<SuspectReport> CrashSuspects::news(TimePoint since, TimePoint now,
                                                std::size_t most) const {
   std::vector<std::pair<TimePoint, SuspectReport>> found;
@@ -196,7 +203,7 @@
 std::uint64_t CrashSuspects::summary() const {
   std::uint64_t sum = 0;
   for (const auto& [request, record] : records_) {
-    if (!matters(record)) continue;
+    if (!isSuspected(record)) continue;
     std::uint64_t value = mix(request.value() + record.round);
     for (const ServerEndId end : record.ends) value = mix(value ^ end);
     for (const TrialId trial : record.trials) value = mix(value + trial);
--- a/src/admission/crash_suspects.h
+++ b/src/admission/crash_suspects.h
@@ -87,15 +87,18 @@
 
   /// Takes in what another node told. Returns whether any of it was news.
   bool merge(std::span<const SuspectReport> reports, TimePoint now);
-  /// Reports of what matters to whoever missed it, most ends first, at most `most`.
+  /// Reports of all requests under suspicion, most ends first, at most `most`.
   std::vector<SuspectReport> reports(TimePoint now, std::size_t most) const;
+  /// What this node holds of later rounds than `reports`, which their sender missed.
+  std::vector<SuspectReport> laterThan(std::span<const SuspectReport> reports, TimePoint now) const;
   /// Reports of what this node learned after `since`, at most `most`, newest first.
   std::vector<SuspectReport> news(TimePoint since, TimePoint now, std::size_t most) const;
-  /// Equal at nodes whose reports() are of the same ends and rounds.
+  /// Equal at nodes that hold the same under suspicion.
   std::uint64_t summary() const;
   void forgetOld(TimePoint now);
 
-  /// Called after each change.
+  /// Called after each change that others should hear of soon. An answer after a single end can
+  /// wait for the next message: the end held nothing back.
   void onChange(std::function<void()> callback) { on_change_ = std::move(callback); }
   void onVerdict(VerdictListener listener) { on_verdict_ = std::move(listener); }
   std::size_t size() const { return records_.size(); }
@@ -111,7 +114,7 @@
   };
   using Records = std::unordered_map<RequestFingerprint, Record>;
 
-  static bool matters(const Record& record);
+  static bool isSuspected(const Record& record);
   static SuspectReport reportOf(RequestFingerprint request, const Record& record, TimePoint now) {
     return {request, record.round, now - record.changed_at, record.ends, record.trials};
   }
--- a/src/admission/suspect_gossip.cpp
+++ b/src/admission/suspect_gossip.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t kMostReports = 256;
 /// What was learned within this is still told to each node that is asked.
 constexpr Duration kTold = std::chrono::seconds(5);
+/// News of a moment go together.
+constexpr Duration kLeastPause = std::chrono::milliseconds(50);
 /// Of the comparisons, one in so many is with a node of another zone.
 constexpr std::uint64_t kOtherZoneOneIn = 4;
 
@@ -41,8 +43,8 @@
 
 /// Told to others from a later event, together with what is learned in this one.
 void SuspectGossip::onNews() {
-  if (std::exchange(has_news_, true)) return;
-  if (timer_ != 0) schedule(Duration(0));
+  if (std::exchange(has_news_, true) || timer_ == 0) return;
+  schedule(std::max(Duration(0), last_round_ + kLeastPause - environment_.now()));
 }
 
 void SuspectGossip::schedule(Duration pause) {
@@ -53,6 +55,7 @@
 
 void SuspectGossip::round() {
   const TimePoint now = environment_.now();
+  last_round_ = now;
   const bool was_held_up = now - due_ > settings_.held_up;
   const bool is_hot = std::exchange(has_news_, false) || was_held_up;
   suspects_.forgetOld(now);
@@ -102,19 +105,25 @@
     ++statistics_.failures;
     return;
   }
-  const TimePoint now = environment_.now();
-  suspects_.merge(reply->reports, now);
-  const std::uint64_t summary = suspects_.summary();
-  if (!may_answer || summary == reply->summary) return;
-  exchange(host, {summary, suspects_.reports(now, kMostReports)}, /*may_answer=*/false);
+  std::vector<SuspectReport> reports = answerTo(*reply);
+  if (!may_answer || reports.empty()) return;
+  exchange(host, {suspects_.summary(), std::move(reports)}, /*may_answer=*/false);
 }
 
 SuspectMessage SuspectGossip::onMessage(const SuspectMessage& message) {
+  std::vector<SuspectReport> reports = answerTo(message);
+  return {suspects_.summary(), std::move(reports)};
+}
+
+/// Takes the message in. Returns what its sender lacks: nothing when both now hold the same.
+std::vector<SuspectReport> SuspectGossip::answerTo(const SuspectMessage& message) {
   const TimePoint now = environment_.now();
   suspects_.merge(message.reports, now);
-  SuspectMessage reply{suspects_.summary(), {}};
-  if (reply.summary != message.summary) reply.reports = suspects_.reports(now, kMostReports);
-  return reply;
+  std::vector<SuspectReport> reports = suspects_.laterThan(message.reports, now);
+  if (suspects_.summary() == message.summary) return reports;
+  const std::vector<SuspectReport> all = suspects_.reports(now, kMostReports);
+  reports.insert(reports.end(), all.begin(), all.end());
+  return reports;
 }
 
 }  // namespace coursepond::admission
--- a/src/admission/suspect_gossip.h
+++ b/src/admission/suspect_gossip.h
@@ -72,6 +72,7 @@
 
  private:
   void onNews();
+  std::vector<SuspectReport> answerTo(const SuspectMessage& message);
   void schedule(Duration pause);
   void round();
   std::vector<std::string> draw(std::size_t count) const;
@@ -88,6 +89,7 @@
   std::vector<std::string> others_;
   Duration pause_;
   TimePoint due_;
+  TimePoint last_round_;
   TimerId timer_ = 0;
   bool has_news_ = false;
   SuspectGossipStatistics statistics_;
--- a/src/ingress/server_end_watch.cpp
+++ b/src/ingress/server_end_watch.cpp
@@ -8,6 +8,9 @@
 
 /// Another start that shows later than this says nothing about what was lost.
 constexpr Duration kRestartSeen = std::chrono::seconds(3);
+/// A server that loses answers for long is not looked at for each of them: it would cost it a
+/// connection each. One that ended is away for longer than this.
+constexpr Duration kLookPause = std::chrono::milliseconds(100);
 /// More requests than a server runs at a time.
 constexpr std::size_t kMostLost = 1024;
 
@@ -22,17 +25,28 @@
   forgetOld(now);
   if (lost_.size() >= kMostLost) lost_.pop_front();
   lost_.push_back({request, sent, now});
-  askPort();
+  askPort(now);
 }
 
-void ServerEndWatch::askPort() {
+void ServerEndWatch::askPort(TimePoint now) {
   if (!ask_port_ || std::exchange(is_asking_, true)) return;
-  ask_port_();
+  if (now >= next_look_) {
+    next_look_ = now + kLookPause;
+    return ask_port_();
+  }
+  look_timer_ = environment_.schedule(next_look_ - now, [this] {
+    next_look_ = environment_.now() + kLookPause;
+    ask_port_();
+  });
 }
 
 void ServerEndWatch::onPort(ServerPort port, TimePoint now) {
   is_asking_ = false;
-  if (port == ServerPort::kClosed) declareEnd(now);
+  if (port == ServerPort::kOpen) seen_open_ = now;
+  if (port != ServerPort::kClosed) return;
+  // What was lost while the port was still open did not end with the server.
+  std::erase_if(lost_, [this](const Lost& lost) { return lost.lost < seen_open_; });
+  declareEnd(now);
 }
 
 void ServerEndWatch::onAnotherStart(TimePoint now) {
--- a/src/ingress/server_end_watch.h
+++ b/src/ingress/server_end_watch.h
@@ -30,6 +30,9 @@
 
   /// `environment` must outlive the watch.
   explicit ServerEndWatch(Environment& environment) : environment_(environment) {}
+  ~ServerEndWatch() { environment_.cancel(look_timer_); }
+  ServerEndWatch(const ServerEndWatch&) = delete;
+  ServerEndWatch& operator=(const ServerEndWatch&) = delete;
 
   /// Called when the port should be looked at; onPort() takes the answer.
   void onPortWanted(std::function<void()> ask) { ask_port_ = std::move(ask); }
@@ -52,7 +55,7 @@
     TimePoint seen;
   };
 
-  void askPort();
+  void askPort(TimePoint now);
   void tell(std::span<const RequestFingerprint> requests) const {
     if (on_end_) on_end_(last_->id, requests);
   }
@@ -64,6 +67,9 @@
   EndHandler on_end_;
   std::deque<Lost> lost_;    ///< Not known yet whether the server ended.
   std::optional<End> last_;  ///< Of the server's ends.
+  TimePoint next_look_;
+  TimePoint seen_open_;  ///< When the port was last open.
+  TimerId look_timer_ = 0;
   bool is_asking_ = false;
 };
 
--- a/tests/admission/crash_suspects_test.cpp
+++ b/tests/admission/crash_suspects_test.cpp
@@ -20,9 +20,13 @@
   suspects.onServerEnd(end, requests, now);
 }
 
-/// Everything that `from` would tell a node that asks.
+/// What `from` tells a node that told it what it suspects. Returns whether any of it was news.
 bool tell(const CrashSuspects& from, CrashSuspects& to, TimePoint now = kStart) {
-  return to.merge(from.reports(now, 1000), now);
+  std::vector<SuspectReport> told = from.reports(now, 1000);
+  for (const SuspectReport& later : from.laterThan(to.reports(now, 1000), now)) {
+    told.push_back(later);
+  }
+  return to.merge(told, now);
 }
 
 }  // namespace
--- a/tests/ingress/server_end_watch_test.cpp
+++ b/tests/ingress/server_end_watch_test.cpp
@@ -72,12 +72,26 @@
     fixture.lose(1, milliseconds(50));
     fixture.watch.onPort(port, fixture.environment.now());
     CHECK(fixture.ends.empty());
-    // The next loss asks again.
+    // The next losses ask again, once and not at once.
     fixture.lose(2, milliseconds(50));
+    fixture.lose(3, milliseconds(50));
+    CHECK(fixture.asked == 1);
+    fixture.environment.advance(milliseconds(100));
     CHECK(fixture.asked == 2);
   }
 }
 
+TEST_CASE("an answer that was lost before the server ended is not blamed for its end") {
+  WatchFixture fixture;
+  fixture.lose(1, milliseconds(50));
+  fixture.environment.advance(milliseconds(2));
+  fixture.watch.onPort(ServerPort::kOpen, fixture.environment.now());
+  fixture.environment.advance(seconds(1));
+  fixture.lose(2, milliseconds(50));
+  fixture.watch.onPort(ServerPort::kClosed, fixture.environment.now());
+  CHECK(fixture.told == std::vector{RequestFingerprint(2)});
+}
+
 TEST_CASE("a server that is back before its port was looked at is told by its next start") {
   WatchFixture fixture;
   fixture.lose(1, milliseconds(50));
