Crash suspects: a server back under its id is another start too; tests of both hops

A server may start again under the id that it had: its ingress took that for the same start, so that an end which was over before the port was looked at went unseen. Red before, green after: ingress_flow_test, "a server that is back under its id".

Tests of what both hops do with suspects: one trial at a time, at the server that other nodes choose as well; unaware egresses; requests that wait; trials that fail or are not taken; Retry-After. The line of a server's end names 40 requests at most.

--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -23,7 +23,9 @@
   const TimePoint now = environment_.now();
   const bool is_another = entry && (!server_ || !isSameStart(*server_, *entry));
   if (is_another) {
-    learnInstance(entry->id.value());
+    instance_ = entry->id.value();
+    // Also under the id that it had.
+    server_ends_.onAnotherStart(now);
     rejections_ = RejectionRate();
     cold_start_.suspectTurnedCold(now);
   }
--- a/src/ingress/server_end_watch.h
+++ b/src/ingress/server_end_watch.h
@@ -6,8 +6,8 @@
 /// A connection that is lost with a request on it says little: servers reset connections when they
 /// are full, and lose single answers. So the server is asked whether its port is still open. If it
 /// is closed, or another start of the server shows soon after, the server ended, under all that was
-/// lost since. A server that leaves in a planned way, is silent, or cannot be reached since this
-/// node stands still closes no port, and is none that ended here.
+/// lost since. A server that is silent or cut off closes no port, and has not ended. One that ends
+/// in a planned way with work on it has: that work is answered elsewhere, which clears it.
 
 #include <deque>
 #include <functional>
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -42,6 +42,8 @@
 /// How often a stopping node looks whether it has nothing left to do.
 constexpr Duration kQuietPoll = std::chrono::milliseconds(10);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
+/// Requests that the line of a server's end names: more than servers run at a time.
+constexpr std::size_t kMostNamed = 40;
 constexpr Duration kFoldInterval = std::chrono::seconds(1);
 /// A few lines in the span over which operators bound repeats.
 constexpr Duration kRetryReportInterval = std::chrono::seconds(5);
@@ -519,7 +521,7 @@
 void Implementation::onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests) {
   std::string fingerprints;
   suspects_.onServerEnd(end, requests, environment_.now());
-  for (const RequestFingerprint request : requests) {
+  for (const RequestFingerprint request : requests.first(std::min(requests.size(), kMostNamed))) {
     fingerprints += (fingerprints.empty() ? "" : ",") + request.toHex();
   }
   writeLog(runtime::LogLevel::kInfo, "server_ended",
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -54,6 +54,7 @@
                         makeRoute("/seat", model::Repeatability::kNever),
                         makeRoute("/open", model::Repeatability::kAlways)};
     snapshot->routes.back().is_public = true;
+    for (model::Route& route : snapshot->routes) route.max_attempts = most_attempts;
     snapshot->tenants = std::move(tenants);
     return state.apply(snapshot);
   }
@@ -109,9 +110,16 @@
     return send(path, "", Digest::of(key));
   }
 
+  /// A request that servers cannot tell from others of this fingerprint.
+  std::unique_ptr<TestExchange> sendLike(RequestFingerprint fingerprint) {
+    return send("/stock", "", std::nullopt, fingerprint);
+  }
+
   std::unique_ptr<TestExchange> send(const std::string& path, const std::string& parent = "",
-                                     std::optional<Digest> key_digest = std::nullopt) {
+                                     std::optional<Digest> key_digest = std::nullopt,
+                                     RequestFingerprint fingerprint = {}) {
     proxy::RequestHead head;
+    head.fingerprint = fingerprint;
     head.key_digest = key_digest;
     head.request_id = (parent.empty() ? "r" : parent + ".") + std::to_string(++last_request_);
     head.method = "POST";
@@ -128,6 +136,7 @@
   proxy::VirtualEnvironment environment;
   proxy::RetryAccounts retries;
   EgressState state;
+  std::uint32_t most_attempts = 2;  ///< Of the routes, when they are applied.
 
  private:
   int last_request_ = 0;
@@ -980,4 +989,105 @@
   CHECK(refused->io.answers[0].status == 503);
 }
 
+namespace {
+
+const RequestFingerprint kGuilty(77);
+
+/// An egress with four servers, which knows of two ends under kGuilty.
+struct SuspectFixture : EgressFixture {
+  SuspectFixture() {
+    begin(4);
+    state.setSuspects(&suspects);
+    endServer(1);
+    endServer(2);
+  }
+  void endServer(ServerEndId end) {
+    suspects.onServerEnd(end, std::vector{kGuilty}, environment.now());
+  }
+  admission::CrashSuspects suspects;
+};
+
+/// What an ingress says when its server lost the request.
+AnswerHead lostByServer(const std::string& id) {
+  AnswerHead head;
+  head.status = 502;
+  head.request_id = id;
+  head.node_outcome = "unknown";
+  head.node_reason = "connection_lost";
+  return head;
+}
+
+}  // namespace
+
+TEST_CASE("a suspect goes to the one server that other nodes send it to, as a trial") {
+  SuspectFixture one;
+  SuspectFixture other;
+  const auto first = one.sendLike(kGuilty);
+  REQUIRE(first->io.plans.size() == 1);
+  CHECK(first->plan().hop_class->is_trial);
+  for (int count = 0; count < 5; ++count) {
+    CHECK(other.sendLike(kGuilty)->server() == first->server());
+  }
+  CHECK_FALSE(one.sendLike(RequestFingerprint(78))->plan().hop_class->is_trial);
+}
+
+TEST_CASE("a trial that is refused, or lost its answer, is not sent to another server") {
+  SuspectFixture egress;
+  const auto refused = egress.sendLike(kGuilty);
+  refused->answer(refusal(refused->id, "crashes_servers", milliseconds(10)));
+  CHECK(refused->io.plans.size() == 1);
+  checkAnswered(*refused, 503, proxy::Outcome::kNotRun);
+
+  const auto lost = egress.sendLike(kGuilty);
+  lost->answer(lostByServer(lost->id));
+  CHECK(lost->io.plans.size() == 1);
+  checkAnswered(*lost, 502, proxy::Outcome::kUnknown);
+}
+
+TEST_CASE("between trials a suspect is refused at once, with the time until the next one") {
+  SuspectFixture egress;
+  egress.suspects.onTrialFailed(kGuilty, 5, egress.environment.now());
+  egress.environment.advance(seconds(4));
+  const auto refused = egress.sendLike(kGuilty);
+  CHECK(refused->io.plans.empty());
+  checkAnswered(*refused, 503, proxy::Outcome::kNotRun);
+  CHECK(refused->io.answers[0].reason == "crashes_servers");
+  CHECK(refused->io.answers[0].retry_after == seconds(6));
+  egress.suspects.onTrialFailed(kGuilty, 6, egress.environment.now());
+  CHECK(egress.sendLike(kGuilty)->io.answers[0].retry_after >= std::chrono::minutes(5));
+}
+
+TEST_CASE(
+    "a request whose answer two servers lost is not sent to a third, whatever its route allows") {
+  EgressFixture egress;
+  egress.most_attempts = 4;
+  egress.begin(4);
+  const auto exchange = egress.send("/stock");
+  exchange->answer(lostByServer(exchange->id));
+  REQUIRE(exchange->io.plans.size() == 2);
+  exchange->answer(lostByServer(exchange->id));
+  CHECK(exchange->io.plans.size() == 2);
+  checkAnswered(*exchange, 502, proxy::Outcome::kUnknown);
+}
+
+TEST_CASE("what became a suspect while it was under way is not sent on") {
+  SuspectFixture egress;
+  const RequestFingerprint later(79);
+  const auto exchange = egress.sendLike(later);
+  for (const ServerEndId end : {3, 4}) {
+    egress.suspects.onServerEnd(end, std::vector{later}, egress.environment.now());
+  }
+  exchange->answer(lostByServer(exchange->id));
+  CHECK(exchange->io.plans.size() == 1);
+  checkAnswered(*exchange, 502, proxy::Outcome::kUnknown);
+}
+
+TEST_CASE("an ingress that knows of a suspect keeps the request from servers that do not") {
+  SuspectFixture egress;
+  const auto exchange = egress.sendLike(RequestFingerprint(78));
+  exchange->answer(refusal(exchange->id, "crashes_servers", milliseconds(10)));
+  CHECK(exchange->io.plans.size() == 1);
+  checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
+}
+
 }  // namespace coursepond::egress
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -37,13 +37,27 @@
   std::unique_ptr<TestExchange> send(const std::string& id, std::uint32_t rank = 1,
                                      milliseconds target = milliseconds(1000), bool is_call = false,
                                      double repeat_share = 0, bool may_wait = true) {
+    return sendOf(proxy::HopClass{"stock", rank, target, true, is_call, repeat_share, may_wait},
+                  id);
+  }
+
+  /// A request that servers cannot tell from others of this fingerprint.
+  std::unique_ptr<TestExchange> sendLike(RequestFingerprint fingerprint, const std::string& id,
+                                         bool is_trial = false) {
+    proxy::HopClass hop{"stock", 1, milliseconds(1000), true};
+    hop.fingerprint = fingerprint;
+    hop.is_trial = is_trial;
+    return sendOf(hop, id);
+  }
+
+  std::unique_ptr<TestExchange> sendOf(const proxy::HopClass& hop, const std::string& id) {
     proxy::RequestHead head;
     head.request_id = id;
     head.method = "GET";
     head.path = "/stock";
     head.deadline = seconds(4);
     head.target_instance = "i-1";
-    head.hop_class = proxy::HopClass{"stock", rank, target, true, is_call, repeat_share, may_wait};
+    head.hop_class = hop;
     auto exchange = std::make_unique<TestExchange>();
     exchange->id = id;
     exchange->flow = makeIngressFlow(std::move(head), state, environment, exchange->io);
@@ -485,4 +499,86 @@
   CHECK(ingress.send("r6")->io.plans.size() == 1);
 }
 
+namespace {
+
+const RequestFingerprint kGuilty(77);
+
+/// An ingress that knows of two ends under kGuilty.
+struct SuspectFixture : IngressFixture {
+  SuspectFixture() {
+    state.setSuspects(&suspects);
+    for (const ServerEndId end : {1, 2}) {
+      suspects.onServerEnd(end, std::vector{kGuilty}, environment.now());
+    }
+  }
+  admission::CrashSuspects suspects;
+};
+
+}  // namespace
+
+TEST_CASE("an egress that does not know of a suspect yet is told, and nothing runs") {
+  SuspectFixture fixture;
+  const auto unaware = fixture.sendLike(kGuilty, "r1");
+  checkRefused(*unaware, "crashes_servers");
+  CHECK(unaware->io.plans.empty());
+  CHECK(fixture.sendLike(RequestFingerprint(78), "r2")->isOpen());
+}
+
+TEST_CASE("one trial of a request runs at a time, and an answer lets all others run") {
+  SuspectFixture fixture;
+  const auto trial = fixture.sendLike(kGuilty, "r1", /*is_trial=*/true);
+  CHECK(trial->io.plans.size() == 1);
+  checkRefused(*fixture.sendLike(kGuilty, "r2", /*is_trial=*/true), "crashes_servers");
+  trial->answerWhole();
+  CHECK(fixture.suspects.ends(kGuilty) == 0);
+  CHECK(fixture.sendLike(kGuilty, "r3")->isOpen());
+}
+
+TEST_CASE("a trial that lost its server is not followed by another at once") {
+  SuspectFixture fixture;
+  const auto trial = fixture.sendLike(kGuilty, "r1", /*is_trial=*/true);
+  trial->fail(AttemptFailure::kLostAfterSend);
+  checkRefused(*fixture.sendLike(kGuilty, "r2", /*is_trial=*/true), "crashes_servers");
+  fixture.environment.advance(seconds(10));
+  CHECK(fixture.sendLike(kGuilty, "r3", /*is_trial=*/true)->isOpen());
+}
+
+TEST_CASE("a trial that the server did not take is none") {
+  SuspectFixture fixture;
+  const auto trial = fixture.sendLike(kGuilty, "r1", /*is_trial=*/true);
+  trial->fail(AttemptFailure::kConnectFailed);
+  fixture.environment.advance(seconds(1));
+  CHECK(fixture.sendLike(kGuilty, "r2", /*is_trial=*/true)->isOpen());
+}
+
+TEST_CASE("what waits for a slot while servers end under its like does not run") {
+  SuspectFixture fixture;
+  const RequestFingerprint later(79);
+  const auto first = fixture.sendLike(RequestFingerprint(1), "r1");
+  const auto second = fixture.sendLike(RequestFingerprint(2), "r2");
+  const auto waiting = fixture.sendLike(later, "r3");
+  CHECK(waiting->io.plans.empty());
+  for (const ServerEndId end : {3, 4}) {
+    fixture.suspects.onServerEnd(end, std::vector{later}, fixture.environment.now());
+  }
+  first->answerWhole();
+  checkRefused(*waiting, "crashes_servers");
+  CHECK(waiting->io.plans.empty());
+}
+
+TEST_CASE("a server that is back under its id before anyone looked had ended all the same") {
+  IngressFixture fixture;
+  std::vector<RequestFingerprint> told;
+  fixture.state.serverEnds().onEnd([&](ServerEndId, std::span<const RequestFingerprint> requests) {
+    told.insert(told.end(), requests.begin(), requests.end());
+  });
+  fixture.sendLike(kGuilty, "r1")->fail(AttemptFailure::kLostAfterSend);
+  fixture.state.serverEnds().onPort(ServerPort::kOpen, fixture.environment.now());
+  fixture.environment.advance(milliseconds(300));
+  model::ServerEntry entry = *fixture.state.server();
+  entry.started_ms = 1'700'000'000'000;
+  fixture.state.setServer(entry);
+  CHECK(told == std::vector{kGuilty});
+}
+
 }  // namespace coursepond::ingress
