--- a/src/admission/suspect_gossip.cpp
+++ b/src/admission/suspect_gossip.cpp
@@ -37,8 +37,10 @@
   own_zone_ = std::move(own_zone);
   others_ = std::move(others);
   const bool has_peers = !own_zone_.empty() || !others_.empty();
-  // A node that has just started asks at once what it missed.
-  if (has_peers && timer_ == 0) schedule(Duration(0));
+  if (!has_peers || timer_ != 0) return;
+  // A node that has just started asks at once what it missed, and several: others start with it.
+  has_news_ = true;
+  schedule(Duration(0));
 }
 
 /// Told to others from a later event, together with what is learned in this one.
