Node: what watches for crashing requests is a class of its own

two_hop_node.cpp had grown by 60 lines of wiring; CrashWatch holds the table, the gossip, the look at the port and their lines. Nothing else changes but that the line of a server's end no longer repeats the server's id, which stands on the lines of the requests.

--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -10,13 +10,12 @@
 #include "ingress/ingress_flow.h"
 #include "model/snapshot.h"
 #include "node/admin_server.h"
+#include "node/crash_watch.h"
 #include "node/decision_fold.h"
 #include "node/peer_state_exchange.h"
 #include "node/quota_exchange.h"
 #include "node/retry_report.h"
 #include "node/server_health.h"
-#include "node/server_port_probe.h"
-#include "node/suspect_exchange.h"
 #include "node/two_hop_metrics.h"
 #include "runtime/asio_environment.h"
 #include "runtime/logging.h"
@@ -42,8 +41,6 @@
 /// How often a stopping node looks whether it has nothing left to do.
 constexpr Duration kQuietPoll = std::chrono::milliseconds(10);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
-/// Requests that the line of a server's end names: more than servers run at a time.
-constexpr std::size_t kMostNamed = 40;
 constexpr Duration kFoldInterval = std::chrono::seconds(1);
 /// A few lines in the span over which operators bound repeats.
 constexpr Duration kRetryReportInterval = std::chrono::seconds(5);
@@ -122,12 +119,13 @@
         quota_pool_(settings_.quota),
         quota_peers_(context, settings_.node.peer_listen.port),
         quotas_(quota_pool_, quota_peers_, environment_, settings_.quota),
-        suspect_peers_(context, settings_.node.peer_listen.port),
-        suspect_gossip_(suspects_, suspect_peers_, environment_, settings_.suspect_gossip),
         egress_(egressSettings(settings_), retries_, environment_),
         ingress_(ingressSettings(settings_), retries_, environment_),
+        crashes_(context, settings_, environment_, ingress_.serverEnds(),
+                 [this](std::string_view event, std::vector<runtime::LogField> fields) {
+                   writeLog(runtime::LogLevel::kInfo, event, std::move(fields));
+                 }),
         server_health_(context, settings_.two_hop.server, settings_.headers),
-        server_port_(context, settings_.two_hop.server),
         peer_client_(context, settings_.node.peer_listen.port, settings_.relay),
         servers_(makeReading(source::Topic::kServers, extensions)),
         configuration_(makeReading(source::Topic::kConfiguration, extensions)),
@@ -139,13 +137,8 @@
                }) {
     ingress_.setAddress(settings_.two_hop.server);
     ingress_.onHealthWanted([this] { askServerHealth(); });
-    watchServerEnds();
-    suspects_.onVerdict([this](RequestFingerprint request, std::size_t ends) {
-      writeLog(runtime::LogLevel::kInfo, ends > 0 ? "crash_suspect" : "suspect_cleared",
-               {{"fingerprint", request.toHex()}, {"ends", std::to_string(ends)}});
-    });
-    egress_.setSuspects(&suspects_);
-    ingress_.setSuspects(&suspects_);
+    egress_.setSuspects(&crashes_.suspects());
+    ingress_.setSuspects(&crashes_.suspects());
     egress_.setQuotas(&quotas_);
     egress_.setDecisionLog(this);
     ingress_.setDecisionLog(this);
@@ -193,14 +186,11 @@
   void forgetLapsedServers();
   void updateOwnServer();
   void askServerHealth();
-  void watchServerEnds();
-  void onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests);
   void onWatchFailed(source::Topic topic, const Error& error);
   void onPeerState(source::Topic topic, const source::StateUpdate& update);
   std::vector<source::NodeMachine> machinesOfNodes() const;
   void chooseRoles(const std::vector<source::NodeMachine>& machines);
   void shareQuotas(const std::vector<source::NodeMachine>& machines);
-  void shareSuspects(const std::vector<source::NodeMachine>& machines);
 
   std::string unreadiness() const;
   std::string statusPage() const;
@@ -221,14 +211,11 @@
   admission::QuotaPool quota_pool_;
   HttpQuotaPeers quota_peers_;
   admission::QuotaAccounts quotas_;
-  admission::CrashSuspects suspects_;
-  HttpSuspectPeers suspect_peers_;
-  admission::SuspectGossip suspect_gossip_;
   egress::EgressState egress_;
   ingress::IngressState ingress_;
+  CrashWatch crashes_;
   source::HeldState held_;
   ServerHealthClient server_health_;
-  ServerPortProbe server_port_;
   HttpPeerStateClient peer_client_;
   Reading servers_;
   Reading configuration_;
@@ -261,8 +248,8 @@
                                 {*configuration_.watch, *configuration_.relay},
                                 peers_,
                                 quotas_,
-                                suspects_,
-                                suspect_gossip_,
+                                crashes_.suspects(),
+                                crashes_.gossip(),
                                 histograms_});
   return openAdmin();
 }
@@ -308,7 +295,7 @@
   peer_server_->serve(kQuotaPath,
                       [this](const runtime::HttpRequest& request) { return answerQuota(request); });
   peer_server_->serve(kSuspectsPath, [this](const runtime::HttpRequest& request) {
-    return answerSuspects(request, suspect_gossip_);
+    return crashes_.answer(request);
   });
   return {};
 }
@@ -506,31 +493,6 @@
   });
 }
 
-void Implementation::watchServerEnds() {
-  ingress::ServerEndWatch& ends = ingress_.serverEnds();
-  ends.onPortWanted([this] {
-    server_port_.look([this](ingress::ServerPort port) {
-      ingress_.serverEnds().onPort(port, environment_.now());
-    });
-  });
-  ends.onEnd([this](ServerEndId end, std::span<const RequestFingerprint> requests) {
-    onServerEnd(end, requests);
-  });
-}
-
-void Implementation::onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests) {
-  std::string fingerprints;
-  suspects_.onServerEnd(end, requests, environment_.now());
-  for (const RequestFingerprint request : requests.first(std::min(requests.size(), kMostNamed))) {
-    fingerprints += (fingerprints.empty() ? "" : ",") + request.toHex();
-  }
-  writeLog(runtime::LogLevel::kInfo, "server_ended",
-           {{"server", own_server_ ? own_server_->id.value() : std::string()},
-            {"end", RequestFingerprint(end).toHex()},
-            {"requests", std::to_string(requests.size())},
-            {"fingerprints", fingerprints}});
-}
-
 void Implementation::onWatchFailed(source::Topic topic, const Error& error) {
   writeLog(runtime::LogLevel::kWarning, "source_trouble",
            {{"topic", std::string(source::topicWord(topic))}, {"error", describe(error)}});
@@ -563,8 +525,8 @@
 /// Every node computes the same roles from the same servers.
 void Implementation::chooseRoles(const std::vector<source::NodeMachine>& machines) {
   shareQuotas(machines);
-  shareSuspects(machines);
   const source::NodeMachine own{settings_.two_hop.server.host, settings_.node.zone};
+  crashes_.setMachines(own, machines);
   const source::ReaderPlan plan = source::planReaders(machines, {});
   const source::ReaderRole role = plan.roleOf(own);
   if (role != servers_.relay->role()) {
@@ -592,16 +554,6 @@
   quotas_.setMachines(settings_.two_hop.server.host, std::move(hosts));
 }
 
-void Implementation::shareSuspects(const std::vector<source::NodeMachine>& machines) {
-  std::vector<std::string> own_zone;
-  std::vector<std::string> others;
-  for (const source::NodeMachine& machine : machines) {
-    if (machine.host == settings_.two_hop.server.host) continue;
-    (machine.zone == settings_.node.zone ? own_zone : others).push_back(machine.host);
-  }
-  suspect_gossip_.setPeers(std::move(own_zone), std::move(others));
-}
-
 // ---- What others may ask
 
 std::string Implementation::unreadiness() const {
@@ -694,7 +646,7 @@
   retries_.changeSettings(settings_.retries);
   quota_pool_.changeSettings(settings_.quota);
   quotas_.changeSettings(settings_.quota);
-  suspect_gossip_.changeSettings(settings_.suspect_gossip);
+  crashes_.changeSettings(settings_);
   ingress_.changeSettings(ingressSettings(settings_));
   log_.setLimit(settings_.log.lines_per_second);
   fold_.setLimit(settings_.log.equal_decisions_per_second);
