A node says 404 for a little less than a version may take

One that was on its way when the version came vouches for 2.5 s after that. What a change takes to be taken in is kept back now (100 ms), as for entries that lapse.

Red before, green after (promises_test).

--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -60,7 +60,9 @@
   const auto [shorter, longer] = std::minmax(promises.leaving, promises.in_force);
   settings.watch.gather = (has_both ? shorter : longer) / 4;
   deriveRelay(has_both ? shorter : longer, settings.relay);
-  settings.egress.configuration_certain_for = promises.in_force;
+  // An answer tells what was known when it left, and is on its way for as long as a change is.
+  settings.egress.configuration_certain_for =
+      std::max(promises.in_force / 2, promises.in_force - kTakeInReserve);
   if (promises.leaving == Duration(0)) return;
   settings.egress.lapse_hold =
       std::max(Duration(0), promises.leaving - settings.watch.gather - kTakeInReserve);
--- a/tests/runtime/promises_test.cpp
+++ b/tests/runtime/promises_test.cpp
@@ -3,8 +3,10 @@
 #include <doctest/doctest.h>
 
 #include "core/time_arithmetic.h"
+#include "egress/egress_state.h"
 #include "runtime/settings.h"
 #include "support/node_settings.h"
+#include "support/virtual_environment.h"
 
 namespace coursepond::runtime {
 namespace {
@@ -56,6 +58,29 @@
   }
 }
 
+// The story of the failure. While the nodes that read the source stopped in a series of versions, a
+// caller got 404 for a route 2.509 s after the source had acknowledged the version that adds it,
+// where 2.5 s are promised. Cause, by reading: a node says 404 while it has heard of the
+// configuration within the promise, but takes an answer for as new as the moment at which it
+// arrives. One that was on its way when the version came vouched for 2.5 s after its arrival. Two
+// plays of the same day did not show it again, so that no trace proves it.
+TEST_CASE("an answer that was on its way when a version came vouches for no longer than promised") {
+  Promises promises;
+  promises.leaving = seconds(2);
+  promises.in_force = milliseconds(2500);
+  proxy::VirtualEnvironment environment;
+  proxy::RetryAccounts retries(environment);
+  egress::EgressState state(derived(promises).egress, retries, environment);
+  state.apply(std::make_shared<model::Snapshot>());
+  environment.advance(seconds(1));
+
+  const TimePoint acknowledged = environment.now();
+  environment.advance(milliseconds(60));
+  state.confirmConfiguration();  // "Nothing new", said before.
+  environment.advance(acknowledged + promises.in_force + milliseconds(9) - environment.now());
+  CHECK(state.mayHaveMissedVersion());
+}
+
 TEST_CASE("nodes repeat less than operators allow, whatever that is") {
   // The allowance was fixed at 0.15 and 45 whatever the operator's bound was.
   Promises promises;
