--- a/tests/node/crash_bound_test.cpp
+++ b/tests/node/crash_bound_test.cpp
@@ -155,4 +155,26 @@
   }
 }
 
+TEST_CASE("sixty nodes, callers that send it twenty times a second, and servers that go besides") {
+  for (const std::uint64_t seed : {51, 52, 53}) {
+    CAPTURE(seed);
+    SimulatedMesh mesh({{.name = "catalog", .servers = 30, .work = milliseconds(100)},
+                        {.name = "fonts", .servers = 30, .work = milliseconds(100)}},
+                       seed);
+    mesh.load("catalog", 400);
+    mesh.load("fonts", 100);
+    mesh.run(seconds(4));
+    mesh.loadCrashing("catalog", milliseconds(50));
+    for (int round = 0; round < 10; ++round) {
+      mesh.run(seconds(5));
+      // Nodes and servers of both services that have nothing to do with it.
+      mesh.restart(static_cast<std::size_t>(round) * 5);
+      mesh.crashServer(static_cast<std::size_t>(round) * 6 + 1);
+    }
+    const CrashRecord& record = mesh.crashRecord("catalog");
+    CAPTURE(record.crashes.size());
+    CHECK(record.arrivalsOnceKnown(kSettled) <= kMostOnceKnown);
+  }
+}
+
 }  // namespace coursepond::testing
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -40,6 +40,8 @@
 constexpr double kSpoiltPart = 0.03;
 /// Of the requests, those that crash servers while such a one is about,
 constexpr double kCrasherPart = 0.05;
+/// with a body of so many bytes where they may not be repeated,
+constexpr std::size_t kCrasherBody = 700;
 /// and how long one runs before its server ends.
 constexpr Duration kCrashDelay = milliseconds(60);
 constexpr std::size_t kViolationsPrinted = 20;
@@ -234,7 +236,9 @@
 
 std::optional<RequestPlan> Soak::Implementation::planWork(ClientStyle style,
                                                           RandomEngine& random) const {
-  if (auto crasher = planCrasher(random)) return crasher;
+  const std::optional<RequestPlan> crasher = planCrasher(random);
+  // What may not be repeated is sent alone on its connection.
+  if (crasher && (style != ClientStyle::kPipelined || crasher->is_repeatable)) return crasher;
   while (true) {
     const std::size_t number = randomNumber(random, 0, versions_.baseCount() - 1);
     const Route& route = versions_.route(number);
@@ -249,10 +253,11 @@
   for (const auto& [number, until] : crashers_until_) {
     if (now() > until || !chance(random, kCrasherPart)) continue;
     RequestPlan plan;
-    for (plan.route = number % versions_.baseCount(); !versions_.route(plan.route).is_repeatable;) {
-      plan.route = (plan.route + 1) % versions_.baseCount();
-    }
-    plan.path_prefix = versions_.route(plan.route).path_prefix;
+    plan.route = number % versions_.baseCount();
+    const Route& route = versions_.route(plan.route);
+    plan.path_prefix = route.path_prefix;
+    plan.is_repeatable = route.is_repeatable;
+    if (!route.is_repeatable) plan.body_bytes = kCrasherBody;
     plan.work = kCrashDelay;
     plan.deadline = seconds(2);
     plan.crasher = number;
