--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -88,14 +88,17 @@
   if (std::exchange(awaiting_identity_, false)) connection_.awaitCaller(*this);
   // What was waited for the body is gone from the caller's time.
   if (head_.deadline) *head_.deadline -= shared_.environment.now() - head_read_;
+  head_.fingerprint = fingerprint();
+  startFlow();
+}
+
+RequestFingerprint CallerExchange::fingerprint() const {
   const std::string caller = head_.key_digest ? head_.key_digest->bytes() : std::string();
   std::string body = replay_.substr(0, kIdentifyingBytes);
   const MessageHead& head = parser_.head();
   const bool is_longer = head.framing == BodyFraming::kLength && head.content_length > body.size();
   if (is_longer) body.append(std::to_string(head.content_length));
-  head_.fingerprint =
-      fingerprintOf({head_.method, head_.host, request_.origin_target, caller, body});
-  startFlow();
+  return fingerprintOf({head_.method, head_.host, request_.origin_target, caller, body});
 }
 
 /// A caller that waits for word to send its body is told from others by its head alone.
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -87,6 +87,7 @@
   bool isIdentified() const;
   void awaitIdentity();
   void identifyThenBegin();
+  RequestFingerprint fingerprint() const;
   void startFlow();
 
   // The request towards the server
