Soak: a node that is suspended as it starts is not ended by the soak's own signal

Traced in the soak's events: the signal that tells the loaded clock of the suspension came before the clock's handler was set. The nodes now inherit that it is ignored.

--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -10,6 +10,7 @@
 
 #include "machine.h"
 #include "soak.h"
+#include "suspend_clock.h"
 
 namespace {
 
@@ -143,6 +144,8 @@
 void preloadClock() {
   const std::filesystem::path own = std::filesystem::read_symlink("/proc/self/exe");
   setenv("LD_PRELOAD", (own.parent_path() / "libcoursepond-suspend-clock.so").c_str(), 1);
+  // Inherited: a node that is suspended before its library is set up is not ended by the signal.
+  std::signal(clockSignal(), SIG_IGN);
 }
 
 int runSoak(const cxxopts::ParseResult& flags, SoakSettings settings) {
