--- a/bench/proxy_decisions/main.cpp
+++ b/bench/proxy_decisions/main.cpp
@@ -18,9 +18,7 @@
 /// The real clock, and timers that never fire: no request here comes near its deadline.
 class BenchmarkEnvironment final : public Environment {
  public:
-  TimePoint now() const override {
-    return BootClock::now();
-  }
+  TimePoint now() const override { return BootClock::now(); }
   TimerId schedule(Duration, std::function<void()>) override { return ++last_timer_; }
   void cancel(TimerId) override {}
   std::uint64_t random(std::uint64_t bound) override { return engine_() % bound; }
--- a/tests/platform/soak/link.cpp
+++ b/tests/platform/soak/link.cpp
@@ -20,9 +20,7 @@
 /// What one connection may have under way in a direction: the window of a small machine.
 constexpr std::size_t kWindowBytes = 64 * 1024;
 
-TimePoint clockNow() {
-  return BootClock::now();
-}
+TimePoint clockNow() { return BootClock::now(); }
 
 Tcp::endpoint endpointOf(const Address& address) {
   return {asio::ip::make_address(address.host), address.port};
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -159,8 +159,7 @@
 
 RunResult runLoad(const LoadOptions& options) {
   constexpr Duration kLead = std::chrono::milliseconds(20);
-  const TimePoint begin =
-      BootClock::now() + kLead;
+  const TimePoint begin = BootClock::now() + kLead;
   std::vector<std::future<RunResult>> parts;
   for (unsigned thread = 0; thread < options.threads; ++thread) {
     parts.push_back(std::async(std::launch::async, [&options, begin, thread] {
