--- /dev/null
+++ b/tests/node/suspect_exchange_test.cpp
@@ -0,0 +1,76 @@
+#include "node/suspect_exchange.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "support/virtual_environment.h"
+
+namespace coursepond::node {
+namespace {
+
+using admission::SuspectMessage;
+using admission::SuspectReport;
+using std::chrono::milliseconds;
+
+SuspectMessage makeMessage() {
+  SuspectMessage message;
+  message.summary = 0xfedcba9876543210;
+  message.reports.push_back({RequestFingerprint(7), 3, milliseconds(1500), {1, 2}, {9}});
+  message.reports.push_back({RequestFingerprint(8), 0, milliseconds(0), {}, {}});
+  return message;
+}
+
+/// Asks nobody.
+class NoPeers final : public admission::SuspectPeers {
+  void exchange(const std::string&, const SuspectMessage&, Callback) override {}
+};
+
+}  // namespace
+
+TEST_CASE("a message on crash suspects arrives as it was sent") {
+  const SuspectMessage sent = makeMessage();
+  const Result<SuspectMessage> got = decodeSuspects(encodeSuspects(sent));
+  REQUIRE(got.has_value());
+  CHECK(got->summary == sent.summary);
+  CHECK(got->reports == sent.reports);
+}
+
+TEST_CASE("bytes that are no message are refused with a remedy, whatever they are") {
+  const std::string whole = encodeSuspects(makeMessage());
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    const Result<SuspectMessage> cut = decodeSuspects(whole.substr(0, size));
+    REQUIRE_FALSE(cut.has_value());
+    CHECK(cut.error().kind == ErrorKind::kMalformed);
+    CHECK_FALSE(cut.error().remedy.empty());
+  }
+  std::mt19937_64 random(7);
+  for (int count = 0; count < 20'000; ++count) {
+    std::string changed = whole;
+    changed[random() % changed.size()] = static_cast<char>(random());
+    const Result<SuspectMessage> got = decodeSuspects(changed);
+    if (!got) CHECK(got.error().kind == ErrorKind::kMalformed);
+  }
+}
+
+TEST_CASE("a node answers what it holds over HTTP, and 400 what it cannot read") {
+  proxy::VirtualEnvironment environment;
+  admission::CrashSuspects suspects;
+  NoPeers nobody;
+  admission::SuspectGossip gossip(suspects, nobody, environment);
+  for (const ServerEndId end : {1, 2}) {
+    suspects.onServerEnd(end, std::vector{RequestFingerprint(7)}, environment.now());
+  }
+  runtime::HttpRequest request;
+  request.body = encodeSuspects({});
+  const runtime::HttpResponse answer = answerSuspects(request, gossip);
+  CHECK(answer.status == 200);
+  const Result<SuspectMessage> told = decodeSuspects(answer.body);
+  REQUIRE(told.has_value());
+  REQUIRE(told->reports.size() == 1);
+  CHECK(told->reports[0].ends == std::vector<ServerEndId>{1, 2});
+  request.body = "no message";
+  CHECK(answerSuspects(request, gossip).status == 400);
+}
+
+}  // namespace coursepond::node
