A stopping node gives servers time for their last word, and refuses what comes too late

Cause: the server was given all of the time to the stop's end but 3 ms, so that its own answer at its deadline, which would have been passed on, came after the node had broken it off.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -87,6 +87,7 @@
   CrashVerdict verdict(TimePoint now) const { return state_.verdict(head_.fingerprint, now); }
   void send(ServerPointer server, TimePoint now);
   proxy::AttemptPlan makePlan(TimePoint now) const;
+  Duration remaining(TimePoint now) const;
   void waitForServer(TimePoint now);
   void joinQueue(TimePoint now);
 
@@ -239,6 +240,8 @@
   if (is_held) allowed = std::min(allowed, route_->longest_hold);
   if (state_.latestAnswer() - started_ < allowed) allowed = state_.latestAnswer() - started_;
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
+  const bool is_too_late = state_.latestAnswer() - now <= state_.settings().stop_reserve;
+  if (is_too_late) return conclude(Reason::kStopping);
   deadline_ = started_ + allowed;
   patient_until_ = std::min(deadline_, now + part(target(), state_.settings().patience));
   service_ = state_.split().next(*route_);
@@ -337,7 +340,7 @@
   plan.id = attempt_;
   plan.service = service_;
   plan.endpoint = server_->ingress;
-  plan.remaining = std::max(deadline_ - now - state_.settings().deadline_reserve, kLeastRemaining);
+  plan.remaining = remaining(now);
   plan.replayable = true;
   plan.target_instance = server_->entry.id.value();
   plan.confirm = !is_repeatable_;
@@ -358,6 +361,14 @@
   return plan;
 }
 
+/// What a server gets. Where the end of a planned stop comes first, its own word that it gave up
+/// must arrive before this node breaks it off.
+Duration EgressFlow::remaining(TimePoint now) const {
+  const Duration by_deadline = deadline_ - now - state_.settings().deadline_reserve;
+  const Duration by_stop = state_.latestAnswer() - now - state_.settings().stop_reserve;
+  return std::max(std::min(by_deadline, by_stop), kLeastRemaining);
+}
+
 void EgressFlow::releaseServer() {
   if (!server_) return;
   --server_->in_flight;
--- a/src/egress/settings.h
+++ b/src/egress/settings.h
@@ -25,6 +25,9 @@
   bool expects_signature = false;
   /// Kept back from the deadline that is sent on, so that the answer of the next hop still arrives.
   Duration deadline_reserve = std::chrono::milliseconds(3);
+  /// Kept back from the end of a planned stop: a server that gives up at its deadline still says so
+  /// in time, through two nodes that may stand still for a tenth of a second.
+  Duration stop_reserve = std::chrono::milliseconds(150);
   Duration longest_deadline = std::chrono::seconds(60);
   /// Target latency of routes that name none.
   Duration default_target = std::chrono::seconds(1);
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -617,6 +617,32 @@
   checkAnswered(*exchange, 504, proxy::Outcome::kUnknown);
 }
 
+// The story of the failure. A node in a planned stop took a request 0.9 s before its end, gave the
+// server all but 3 ms of that, and answered 504 itself at its end while the server was at work. The
+// server's own word, that it gave up at the deadline, was on its way. Evidence: in the play, the
+// run was cut in the millisecond in which the caller had its answer.
+TEST_CASE("what a stopping node gives a server leaves time for the server's own last word") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.state.announceStop(egress.environment.now() + milliseconds(900));
+  const auto exchange = egress.send("/stock");
+  CHECK(exchange->plan().remaining <= milliseconds(700));
+  egress.environment.advance(milliseconds(720));
+  CHECK(exchange->isOpen());
+  exchange->answerWhole(504);
+  CHECK(exchange->io.forwarded.size() == 1);
+}
+
+TEST_CASE("a stopping node that has no time left for a server refuses at once, as not run") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.state.announceStop(egress.environment.now() + milliseconds(150));
+  const auto exchange = egress.send("/stock");
+  CHECK(exchange->io.plans.empty());
+  checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
+  CHECK(exchange->io.answers[0].reason == "stopping");
+}
+
 TEST_CASE("a request that is under way when a planned stop begins is answered before it ends") {
   EgressFixture egress;
   egress.begin(2);
