Crash suspects: ranks, liveness and clock as the project has them

Callbacks are held back as in the other exchanges (weak_ptr), BootClock::now() has no second name, and makeAnswer() is const again.

--- a/src/admission/crash_suspects.cpp
+++ b/src/admission/crash_suspects.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/rank.h"
+
 namespace coursepond::admission {
 namespace {
 
@@ -16,13 +18,6 @@
 /// Of the records, the part that is forgotten at once when there are too many.
 constexpr std::size_t kForgottenPart = 8;
 
-/// Spreads the bits of `value` over the whole word (the finalizer of SplitMix64).
-std::uint64_t mix(std::uint64_t value) {
-  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31);
-}
-
 /// All nodes keep the same ones, whatever order they learned them in.
 bool addSorted(std::vector<std::uint64_t>& ids, std::uint64_t id) {
   const auto place = std::lower_bound(ids.begin(), ids.end(), id);
@@ -204,9 +199,9 @@
   std::uint64_t sum = 0;
   for (const auto& [request, record] : records_) {
     if (!isSuspected(record)) continue;
-    std::uint64_t value = mix(request.value() + record.round);
-    for (const ServerEndId end : record.ends) value = mix(value ^ end);
-    for (const TrialId trial : record.trials) value = mix(value + trial);
+    std::uint64_t value = mixBits(request.value() + record.round);
+    for (const ServerEndId end : record.ends) value = mixBits(value ^ end);
+    for (const TrialId trial : record.trials) value = mixBits(value + trial);
     sum += value;
   }
   return sum;
--- a/src/admission/suspect_gossip.cpp
+++ b/src/admission/suspect_gossip.cpp
@@ -28,7 +28,6 @@
 }
 
 SuspectGossip::~SuspectGossip() {
-  *is_alive_ = false;
   environment_.cancel(timer_);
   suspects_.onChange(nullptr);
 }
@@ -93,11 +92,11 @@
 void SuspectGossip::exchange(const std::string& host, const SuspectMessage& message,
                              bool may_answer) {
   ++statistics_.exchanges;
-  peers_.exchange(
-      host, message,
-      [this, host, may_answer, is_alive = is_alive_](const std::optional<SuspectMessage>& reply) {
-        if (*is_alive) onReply(host, reply, may_answer);
-      });
+  peers_.exchange(host, message,
+                  [this, host, may_answer,
+                   alive = std::weak_ptr<int>(alive_)](const std::optional<SuspectMessage>& reply) {
+                    if (!alive.expired()) onReply(host, reply, may_answer);
+                  });
 }
 
 /// A node that holds other records has told them. If it still lacks some of ours, it gets them.
--- a/src/admission/suspect_gossip.h
+++ b/src/admission/suspect_gossip.h
@@ -94,7 +94,7 @@
   bool has_news_ = false;
   SuspectGossipStatistics statistics_;
   /// Exchanges may be answered after the end of this.
-  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 }  // namespace coursepond::admission
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -114,7 +114,8 @@
   void finish();
   void conclude(Reason reason);
   void concludeFull(TimePoint now);
-  proxy::LocalAnswer makeAnswer(Reason reason);
+  proxy::LocalAnswer makeAnswer(Reason reason) const;
+  Duration retryAfter(Reason reason) const;
 
   /// By when it is answered: its deadline, or the end of a planned stop that began since.
   TimePoint latest() const { return std::min(deadline_, state_.latestAnswer()); }
@@ -701,7 +702,14 @@
   io_.answerLocally(answer);
 }
 
-proxy::LocalAnswer EgressFlow::makeAnswer(Reason reason) {
+Duration EgressFlow::retryAfter(Reason reason) const {
+  if (reason == Reason::kCrashesServers) {
+    return state_.suspectRetryAfter(head_.fingerprint, environment_.now());
+  }
+  return retry_after_.value_or(state_.settings().default_retry_after);
+}
+
+proxy::LocalAnswer EgressFlow::makeAnswer(Reason reason) const {
   proxy::LocalAnswer answer;
   answer.reason = std::string(reasonWord(reason));
   if (reason == Reason::kNoRoute) {
@@ -717,11 +725,7 @@
     answer.outcome = proxy::Outcome::kUnknown;
   } else {
     answer.status = kServiceUnavailable;
-    if (reason == Reason::kCrashesServers) {
-      retry_after_ = state_.suspectRetryAfter(head_.fingerprint, environment_.now());
-    }
-    answer.retry_after = std::max(retry_after_.value_or(state_.settings().default_retry_after),
-                                  state_.settings().shortest_retry_after);
+    answer.retry_after = std::max(retryAfter(reason), state_.settings().shortest_retry_after);
   }
   return answer;
 }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "core/rank.h"
 #include "core/time_arithmetic.h"
 
 namespace coursepond::egress {
@@ -102,14 +103,13 @@
 ServerPointer EgressState::pickForTrial(const Destination& to, RequestFingerprint request,
                                         TimePoint now) const {
   ServerPointer best;
-  std::uint64_t best_weight = 0;
+  std::uint64_t best_rank = 0;
   for (const ServerPointer& server : directory_.usable(to.service)) {
     if (server->avoided(now) || server->leaving(now) || !isAllowed(*server, to)) continue;
-    const std::uint64_t weight =
-        fingerprintOf({{}, server->entry.address.host, request.toHex(), {}, {}}).value();
-    if (best && weight <= best_weight) continue;
+    const std::uint64_t rank = rankOf(stableHash(server->entry.address.host), request.value());
+    if (best && rank >= best_rank) continue;
     best = server;
-    best_weight = weight;
+    best_rank = rank;
   }
   return best;
 }
--- a/src/runtime/deadline_watch.cpp
+++ b/src/runtime/deadline_watch.cpp
@@ -4,8 +4,6 @@
 
 namespace coursepond::runtime {
 
-TimePoint monotonicNow() { return BootClock::now(); }
-
 Watched::Watched(std::shared_ptr<DeadlineWatch> watch) : watch_(std::move(watch)) {
   watch_->add(*this);
 }
@@ -43,7 +41,7 @@
 }
 
 void DeadlineWatch::onTick() {
-  const TimePoint now = monotonicNow();
+  const TimePoint now = BootClock::now();
   // An expiry may remove entries, itself included; the last entry then takes the free place.
   for (std::size_t index = 0; index < watched_.size();) {
     Watched* const watched = watched_[index];
--- a/src/runtime/deadline_watch.h
+++ b/src/runtime/deadline_watch.h
@@ -14,9 +14,6 @@
 
 namespace coursepond::runtime {
 
-/// The current point of the clock that deadlines are set on.
-TimePoint monotonicNow();
-
 class DeadlineWatch;
 
 /// Something that may have a deadline. Belongs to one DeadlineWatch for its whole life.
@@ -30,7 +27,7 @@
   virtual ~Watched();
 
   void expireAt(TimePoint deadline) { deadline_ = deadline; }
-  void expireAfter(Duration delay) { deadline_ = monotonicNow() + delay; }
+  void expireAfter(Duration delay) { deadline_ = BootClock::now() + delay; }
   void expireNever() { deadline_ = TimePoint::max(); }
 
  private:
