Source: answers that are older than what is held are counted and logged

No decision changes. The first of several in a row has a line (source_outdated), all count (watch_outdated_total).

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -69,6 +69,8 @@
 using Version = Number<struct VersionTag>;
 /// The age of an endpoint record or a machine list; higher is newer. Given out by the platform.
 using Generation = Number<struct GenerationTag>;
+/// Counts how often a watched source was restored from a copy of its data. Higher is newer.
+using Era = Number<struct EraTag>;
 /// Counts the lives of one node id, and its refutations of being suspected. Higher is newer.
 using Incarnation = Number<struct IncarnationTag>;
 
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -151,6 +151,7 @@
   add("failures", "Reads that failed.", &S::failures);
   add("history_lost", "Times that the source no longer had what changed.", &S::history_lost);
   add("rejected", "Items that could not be read.", &S::rejected);
+  add("outdated", "Answers older than what is held, of which nothing is taken.", &S::outdated);
 }
 
 /// Both topics together.
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -360,6 +360,13 @@
         onBatch(topic, batch, is_complete);
       },
       [this, topic](const Error& error) { onWatchFailed(topic, error); });
+  made.watch->onOutdated([this, topic](const source::WatchBatch& answer) {
+    writeLog(runtime::LogLevel::kWarning, "source_outdated",
+             {{"topic", std::string(source::topicWord(topic))},
+              {"era", std::to_string(answer.era.value())},
+              {"told", std::to_string(answer.revision.value())},
+              {"held", std::to_string(held_.revision(topic).value())}});
+  });
   return made;
 }
 
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -42,6 +42,7 @@
 /// length has nothing removed, so that taking it in costs no search.
 struct WatchBatch {
   Generation revision;       ///< Go on from here.
+  Era era;                   ///< Of the source as it answered; zero: it names none.
   bool is_complete = false;  ///< `servers` lists all there are, also where changes were asked for.
   bool is_relayed = false;   ///< Another node told it, and pauses between its reads itself.
   std::vector<ConfigurationPointer> configurations;
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace coursepond::source {
 WatchLoop::WatchLoop(const WatchSettings& settings, WatchClient& client, Environment& environment,
@@ -69,7 +70,9 @@
   // A list may come from a replica that is behind: what is held never goes back.
   if (answer->revision >= revision_) {
     revision_ = answer->revision;
-    on_batch_(*answer, true);
+    takeIn(*answer, true);
+  } else {
+    noteOutdated(*answer);
   }
   watch();
 }
@@ -81,7 +84,7 @@
   // and would take away servers that came back since; the next read would not bring them.
   const bool is_stale = answer->revision < revision_;
   revision_ = std::max(revision_, answer->revision);
-  if (!is_stale) on_batch_(*answer, answer->is_complete);
+  is_stale ? noteOutdated(*answer) : takeIn(*answer, answer->is_complete);
   const bool is_due =
       settings_.relist > Duration(0) && environment_.now() - last_list_ >= settings_.relist;
   if (is_due) return list();
@@ -97,6 +100,17 @@
   statistics_.rejected += batch.rejected.size();
 }
 
+void WatchLoop::takeIn(const WatchBatch& batch, bool is_complete) {
+  was_outdated_ = false;
+  on_batch_(batch, is_complete);
+}
+
+void WatchLoop::noteOutdated(const WatchBatch& batch) {
+  ++statistics_.outdated;
+  const bool is_first = !std::exchange(was_outdated_, true);
+  if (is_first && on_outdated_) on_outdated_(batch);
+}
+
 void WatchLoop::onFailed(const Error& error) {
   ++statistics_.failures;
   if (error.kind == ErrorKind::kBaseMismatch) {
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -37,6 +37,7 @@
   std::uint64_t failures = 0;
   std::uint64_t history_lost = 0;
   std::uint64_t rejected = 0;  ///< Items that could not be read.
+  std::uint64_t outdated = 0;  ///< Answers older than what is held; nothing is taken from them.
 };
 
 class WatchLoop {
@@ -51,6 +52,11 @@
   WatchLoop(const WatchLoop&) = delete;
   WatchLoop& operator=(const WatchLoop&) = delete;
 
+  /// Called with the first of several outdated answers in a row.
+  void onOutdated(std::function<void(const WatchBatch& answer)> callback) {
+    on_outdated_ = std::move(callback);
+  }
+
   void start();
   void stop();
 
@@ -69,6 +75,8 @@
   void onWatch(const Result<WatchBatch>& answer);
   void onFailed(const Error& error);
   void noteAnswer(const WatchBatch& batch);
+  void noteOutdated(const WatchBatch& batch);
+  void takeIn(const WatchBatch& batch, bool is_complete);
   Duration timeout() const;
   WatchCallback guarded(void (WatchLoop::*handler)(const Result<WatchBatch>&));
 
@@ -77,6 +85,7 @@
   Environment& environment_;
   BatchHandler on_batch_;
   FailureHandler on_failure_;
+  std::function<void(const WatchBatch&)> on_outdated_;
   /// Callbacks of earlier reads hold a weak reference: they end with the loop.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   std::uint64_t read_ = 0;  ///< Answers to earlier reads are ignored.
@@ -84,6 +93,7 @@
   bool running_ = false;
   bool has_listed_ = false;
   bool must_list_ = true;
+  bool was_outdated_ = false;  ///< The last answer.
   RetryBackoff backoff_;
   Generation revision_;
   TimePoint last_list_;
