Red: changes after the store's return from a copy are missed

What callers saw: requests reached a server that had said 2 s ago that it leaves, and were handled by a version whose successor had been acknowledged 2 s ago. The stand-in store learns to come back from a copy: items, history and revisions are those of the copy, its era rises, and a watch from a revision that it does not have gets 410.

--- a/tests/platform/store_stand_in.cpp
+++ b/tests/platform/store_stand_in.cpp
@@ -49,15 +49,17 @@
   return number;
 }
 
-void answer(const runtime::HttpResponder& responder, int status, std::string body) {
+}  // namespace
+
+void StoreStandIn::answer(const runtime::HttpResponder& responder, int status,
+                          std::string body) const {
   runtime::HttpResponse response;
   response.status = status;
+  response.headers.push_back({"Store-Era", std::to_string(era_)});
   response.body = std::move(body);
   responder.respond(std::move(response));
 }
 
-}  // namespace
-
 StoreStandIn::StoreStandIn(boost::asio::io_context& context, const Address& listen)
     : context_(context) {
   auto server = runtime::HttpServer::create(
@@ -79,6 +81,19 @@
   record({key, revision_ + 1, std::nullopt});
 }
 
+const std::string* StoreStandIn::find(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() ? nullptr : &found->second.value;
+}
+
+std::vector<std::string> StoreStandIn::keys(std::string_view prefix) const {
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(prefix)) keys.push_back(key);
+  }
+  return keys;
+}
+
 void StoreStandIn::touch(const std::string& key, const std::string& value) {
   items_.at(key).value = value;
 }
@@ -103,6 +118,19 @@
   for (const Watcher& watcher : std::exchange(watchers_, {})) watcher.responder.cut();
 }
 
+std::shared_ptr<const StoreStandIn::Copy> StoreStandIn::copy() const {
+  return std::make_shared<const Copy>(Copy{items_, events_, revision_, forgotten_});
+}
+
+void StoreStandIn::restore(const Copy& copy) {
+  cutWatches();
+  items_ = copy.items;
+  events_ = copy.events;
+  revision_ = copy.revision;
+  forgotten_ = copy.forgotten;
+  ++era_;
+}
+
 void StoreStandIn::answerWatchers() {
   for (const Watcher& watcher : std::exchange(watchers_, {})) {
     if (!hasEventAfter(watcher.after, watcher.prefix)) {
@@ -174,7 +202,7 @@
 
 void StoreStandIn::serveWatch(std::string_view target, const runtime::HttpResponder& responder) {
   const std::uint64_t after = numberParameter(target, "after");
-  if (after < forgotten_) return answer(responder, kGone, "");
+  if (after < forgotten_ || after > revision_) return answer(responder, kGone, "");
   const auto wait = std::chrono::milliseconds(numberParameter(target, "wait_ms"));
   const bool waits = wait > std::chrono::milliseconds(0);
   const std::string prefix(parameter(target, "path_prefix"));
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,6 +37,9 @@
   void put(const std::string& key, const std::string& value);
   void remove(const std::string& key);
   bool holds(const std::string& key) const { return items_.contains(key); }
+  /// Null when there is no such item.
+  const std::string* find(const std::string& key) const;
+  std::vector<std::string> keys(std::string_view prefix) const;
   /// Writes a value that counts as no change: the revision stays and no watch hears of it.
   void touch(const std::string& key, const std::string& value);
   /// Forgets what changed so far: watches from before get 410.
@@ -44,6 +48,13 @@
   void setTrouble(StoreTrouble trouble);
   /// Ends the connections of the watches that wait.
   void cutWatches();
+  /// What the store holds now, its history included.
+  struct Copy;
+  std::shared_ptr<const Copy> copy() const;
+  /// Goes back to what it held then: what was written since is lost, and its revisions are given
+  /// out again. Watches that wait are cut.
+  void restore(const Copy& copy);
+  std::uint64_t era() const { return era_; }
   /// Every answer is sent so much later.
   void setDelay(Duration delay) { delay_ = delay; }
   void setPageSize(std::size_t items) { page_size_ = items; }
@@ -69,6 +80,7 @@
     std::shared_ptr<boost::asio::steady_timer> timer;
   };
 
+  void answer(const runtime::HttpResponder& responder, int status, std::string body) const;
   void serve(const runtime::HttpRequest& request, const runtime::HttpResponder& responder);
   void serveRange(std::string_view target, const runtime::HttpResponder& responder);
   void serveWatch(std::string_view target, const runtime::HttpResponder& responder);
@@ -86,6 +98,7 @@
   std::vector<runtime::HttpResponder> unanswered_;  ///< Kept, so that nobody gets an end.
   std::uint64_t revision_ = 0;
   std::uint64_t forgotten_ = 0;
+  std::uint64_t era_ = 1;
   std::size_t page_size_ = 500;
   std::size_t reads_ = 0;
   StoreTrouble trouble_ = StoreTrouble::kNone;
@@ -93,4 +106,11 @@
   std::unique_ptr<runtime::HttpServer> server_;
 };
 
+struct StoreStandIn::Copy {
+  std::map<std::string, Item> items;
+  std::vector<Event> events;
+  std::uint64_t revision = 0;
+  std::uint64_t forgotten = 0;
+};
+
 }  // namespace coursepond::platform
