Source: a source that is restored from a copy begins an era, and what was known outlives it

Cause: everything that is read of the source was ordered by its revision alone, and never went down. A store that comes back from a copy counts from an older revision again. Its lists were dropped for being older, and the watch went on from a revision that it did not have: 410, list, 410, without a pause, on all nodes, until the counter had passed what they held; what was written until then was skipped. Class of fault: a number taken for an order where whoever gives it out can go back.

The fix: a revision is an era (Store-Era) and a number, and is ordered so in watch loops, relays, what nodes tell each other, entries of servers and drained zones. An answer of another era than the watch it answers is none: list again, also where the number would fit. Pages of two eras are no list. A node that is asked from a later era than its own says that it does not know; one of an earlier era is told everything. What was known is not undone by the older copy: a leaving stands for that start of a server; a server that the copy lacks stays for the 2 s in which it writes again; one that went before is not used until its entry changes or has outlived three heartbeats; drained zones stand until an operator writes, 10 s at most; versions never go back, and a reader asks three others for one that the copy lacks. Until then it does not say that a route does not exist. Each wait ends by itself.

Why it holds: an era rises with each restore and stands in each answer, so that no order of numbers within one is ever compared with another's. What outlives a restore is monotone by itself (versions, the leaving of one start) or bounded in time.

--- a/src/model/server_entry.h
+++ b/src/model/server_entry.h
@@ -6,6 +6,7 @@
 
 #include "core/address.h"
 #include "core/ids.h"
+#include "core/source_revision.h"
 #include "core/time.h"
 #include "model/endpoint.h"
 
@@ -22,7 +23,7 @@
   std::uint32_t slots = 0;  ///< Requests it runs at a time; zero: not told.
   MachineState state = MachineState::kLive;
   Duration warm_up_left{};  ///< How much longer it is slow, when the entry was written.
-  Generation revision;      ///< Of the source, at the entry's last change.
+  SourceRevision revision;  ///< At the entry's last change.
   friend bool operator==(const ServerEntry&, const ServerEntry&) = default;
 };
 
--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -29,7 +29,7 @@
 source::PeerQuestion questionOf(source::Topic topic, std::string_view query) {
   source::PeerQuestion question;
   question.topic = topic;
-  question.after = Generation(numberOf(query, "after"));
+  question.after = {Era(numberOf(query, "era")), Generation(numberOf(query, "after"))};
   question.version = Version(numberOf(query, "version"));
   question.wait = std::chrono::milliseconds(std::min(numberOf(query, "wait_ms"), kLongestWaitMs));
   question.only_fresh = numberOf(query, "fresh") == 1;
@@ -37,7 +37,8 @@
 }
 
 std::string targetOf(const source::PeerQuestion& question) {
-  const std::string after = "?after=" + std::to_string(question.after.value());
+  const std::string after = "?era=" + std::to_string(question.after.era.value()) +
+                            "&after=" + std::to_string(question.after.number.value());
   const std::string held = question.topic == source::Topic::kServers
                                ? std::string(kServersPath) + after
                                : std::string(kConfigurationPath) + after +
@@ -93,10 +94,16 @@
 }
 
 bool PeerStateServer::knows(source::Topic topic) const {
-  const bool is_listed = held_.revision(topic) != Generation();
+  const bool is_listed = held_.revision(topic) != SourceRevision();
   return is_listed && (topic == source::Topic::kServers || held_.configuration() != nullptr);
 }
 
+/// Whoever waits for changes goes on from the answer's revision: one of an earlier era is none.
+bool PeerStateServer::isFitFor(const source::PeerQuestion& question) const {
+  if (!question.only_fresh) return true;
+  return is_fresh_(question.topic) && question.after.era <= held_.revision(question.topic).era;
+}
+
 bool PeerStateServer::hasNews(const source::PeerQuestion& question) const {
   return question.topic == source::Topic::kServers
              ? held_.hasServersSince(question.after)
@@ -111,9 +118,10 @@
   const std::optional<source::Topic> topic = topicOf(request.path());
   if (!topic || request.method != "GET") return responder.respond(plainAnswer(kNotFound));
   const source::PeerQuestion question = questionOf(*topic, request.query());
+  const bool is_ahead = question.version > held_.version();
+  if (is_ahead && on_asker_ahead_) on_asker_ahead_(request.remote.host);
   if (!knows(*topic)) return waitForFirst(question, std::move(responder));
-  const bool is_unfit = question.only_fresh && !is_fresh_(*topic);
-  if (is_unfit) return responder.respond(plainAnswer(kServiceUnavailable));
+  if (!isFitFor(question)) return responder.respond(plainAnswer(kServiceUnavailable));
   if (hasNews(question)) return responder.respond(makeAnswer(question));
   if (question.wait == Duration(0)) return responder.respond(plainAnswer(kNoContent));
   wait(question, std::move(responder));
@@ -168,16 +176,16 @@
 const std::string& PeerStateServer::encodedAnswer(const source::PeerQuestion& question) {
   const bool is_servers = question.topic == source::Topic::kServers;
   EncodedAnswer& answer = is_servers ? servers_answer_ : configuration_answer_;
-  const Generation held = held_.revision(question.topic);
+  const std::uint64_t edition = held_.edition(question.topic);
   // What is told of the configuration does not depend on `after`: encoding it is what costs.
   const bool is_same = (!is_servers || answer.asked_after == question.after) &&
-                       answer.asked_version == question.version && answer.held_revision == held;
+                       answer.asked_version == question.version && answer.edition == edition;
   if (is_same && !answer.bytes.empty()) return answer.bytes;
   answer.bytes = source::encodeStateUpdate(is_servers ? held_.serversSince(question.after)
                                                       : held_.configurationSince(question.version));
   answer.asked_after = question.after;
   answer.asked_version = question.version;
-  answer.held_revision = held;
+  answer.edition = edition;
   return answer.bytes;
 }
 
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -1,12 +1,13 @@
 #pragma once
 
 /// Tells other nodes what this one holds of the source, and asks them, over HTTP:
-///   GET /v1/state/servers?after=REVISION&wait_ms=MS&fresh=1
-///   GET /v1/state/configuration?version=VERSION&wait_ms=MS&fresh=1
+///   GET /v1/state/servers?era=ERA&after=REVISION&wait_ms=MS&fresh=1
+///   GET /v1/state/configuration?era=ERA&after=REVISION&version=VERSION&wait_ms=MS&fresh=1
 ///     200 with a state update, without changes when there were none before the wait was over: the
 ///         asker then knows that it is current up to the update's revision;
 ///     204 to a question that does not wait, when nothing newer is known;
-///     503 when nothing is known soon, or `fresh` is asked of a node that does not read the source.
+///     503 when nothing is known soon, or `fresh` is asked of a node that does not read the source
+///         or is in an earlier era of it.
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -44,6 +45,10 @@
   /// Answers questions on another path, which must outlive the server.
   using Answerer = std::function<runtime::HttpResponse(const runtime::HttpRequest&)>;
   void serve(std::string_view path, Answerer answerer) { others_[path] = std::move(answerer); }
+  /// Called when a node asks that holds a newer version than this one, with the host it asks from.
+  void onAskerAhead(std::function<void(const std::string& host)> callback) {
+    on_asker_ahead_ = std::move(callback);
+  }
   /// What is held of `topic` changed: answers who waits for it.
   void onNews(source::Topic topic);
   /// This node no longer reads `topic` from the source: who waits for it here shall ask another.
@@ -59,9 +64,9 @@
   /// The last answer of a topic and what it is for: most nodes that wait hold the same.
   struct EncodedAnswer {
     std::string bytes;
-    Generation asked_after;
+    SourceRevision asked_after;
     Version asked_version;
-    Generation held_revision;
+    std::uint64_t edition = 0;
   };
 
   PeerStateServer(const source::HeldState& held, Environment& environment, FreshnessCheck is_fresh)
@@ -72,6 +77,7 @@
   void keepWaiting(const source::PeerQuestion& question, runtime::HttpResponder responder,
                    Duration longest, std::function<runtime::HttpResponse()> answer_at_end);
   bool knows(source::Topic topic) const;
+  bool isFitFor(const source::PeerQuestion& question) const;
   bool hasNews(const source::PeerQuestion& question) const;
   const std::string& encodedAnswer(const source::PeerQuestion& question);
   runtime::HttpResponse makeAnswer(const source::PeerQuestion& question);
@@ -79,6 +85,7 @@
   const source::HeldState& held_;
   Environment& environment_;
   FreshnessCheck is_fresh_;
+  std::function<void(const std::string& host)> on_asker_ahead_;
   std::map<std::string_view, Answerer> others_;  ///< By path.
   WaitingList waiting_;
   EncodedAnswer servers_answer_;
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -173,6 +173,32 @@
                  [&servers] { return servers.role() == source::ReaderRole::kRelay ? 1.0 : 0.0; });
 }
 
+/// How far this node knows its source, and what it has not heard again since a restore.
+void addHeld(MetricTable& table, const source::HeldState& held) {
+  using source::Topic;
+  const auto perTopic = [&](const char* name, const char* meaning,
+                            std::function<std::uint64_t(SourceRevision)> value) {
+    table.add({name, runtime::MetricType::kGauge, meaning, {"topic"}, [&held, value] {
+                 std::vector<runtime::MetricSample> samples;
+                 for (const Topic topic : {Topic::kServers, Topic::kConfiguration}) {
+                   samples.push_back({{{"topic", std::string(source::topicWord(topic))}},
+                                      static_cast<double>(value(held.revision(topic)))});
+                 }
+                 return samples;
+               }});
+  };
+  perTopic("source_era", "How often the source was restored, as far as this node knows.",
+           [](SourceRevision revision) { return revision.era.value(); });
+  perTopic("source_revision", "Up to which revision of that era this node knows the topic.",
+           [](SourceRevision revision) { return revision.number.value(); });
+  table.addCounter("source_restores_total", "Restores of the source that this node saw, by topic.",
+                   [&held] { return static_cast<double>(held.restores()); });
+  table.addGauge("servers_unconfirmed", "Servers not written again since the source's restore.",
+                 [&held] { return static_cast<double>(held.servers().unconfirmed()); });
+  table.addGauge("servers_doubted", "Servers that went before the restore and are listed again.",
+                 [&held] { return static_cast<double>(held.servers().doubted()); });
+}
+
 void addQuotas(MetricTable& table, const admission::QuotaAccounts& quotas) {
   using S = admission::QuotaStatistics;
   addCounters<S>(
@@ -228,6 +254,7 @@
                    [&peers] { return static_cast<double>(peers.asked()); });
   table.addCounter("peer_state_learned_total", "Answers of peers that told something newer.",
                    [&peers] { return static_cast<double>(peers.learned()); });
+  addHeld(table, sources.held);
   addQuotas(table, sources.quotas);
   addSuspects(table, sources.suspects, sources.suspect_gossip);
   addLogLines(table);
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -8,6 +8,7 @@
 #include "ingress/ingress_state.h"
 #include "node/request_histograms.h"
 #include "runtime/metrics.h"
+#include "source/held_state.h"
 #include "source/peer_reader.h"
 #include "source/relay_client.h"
 #include "source/watch_loop.h"
@@ -27,6 +28,7 @@
   TopicSources servers;
   TopicSources configuration;
   const source::PeerReader& peers;
+  const source::HeldState& held;
   const admission::QuotaAccounts& quotas;
   const admission::CrashSuspects& suspects;
   const admission::SuspectGossip& suspect_gossip;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -24,6 +24,7 @@
 #include "source/reader_choice.h"
 #include "source/reader_discovery.h"
 #include "source/relay_client.h"
+#include "source/restore_settling.h"
 #include "source/watch_loop.h"
 
 namespace coursepond::node {
@@ -104,6 +105,13 @@
   return ingress;
 }
 
+/// Of two servers at one address, whether `entry` is the one that came later. A source that was
+/// restored from a copy may list one that crashed before the other started.
+bool isNewerAtAddress(const model::ServerEntry& entry, const model::ServerEntry& other) {
+  const bool is_same_era = entry.revision.era == other.revision.era;
+  return is_same_era ? entry.revision > other.revision : entry.started_ms > other.started_ms;
+}
+
 }  // namespace
 
 class TwoHopNode::Implementation final : private proxy::DecisionLog {
@@ -134,7 +142,10 @@
         peers_({}, peer_client_, held_, environment_,
                [this](source::Topic topic, const source::StateUpdate& update) {
                  onPeerState(topic, update);
-               }) {
+               }),
+        settling_(held_, environment_,
+                  {[this](const source::ServerChanges& changes) { onServersSettled(changes); },
+                   [this](bool has_changed) { onZonesSettled(has_changed); }}) {
     ingress_.setAddress(settings_.two_hop.server);
     ingress_.onHealthWanted([this] { askServerHealth(); });
     egress_.setSuspects(&crashes_.suspects());
@@ -178,11 +189,17 @@
 
   void onBatch(source::Topic topic, const source::WatchBatch& batch, bool is_complete);
   void takeIn(source::Topic topic, const source::WatchBatch& batch, bool is_complete);
+  bool takeInConfiguration(const source::WatchBatch& batch);
+  bool takeInServers(const source::WatchBatch& batch, bool is_complete);
+  void onRestored(source::Topic topic, SourceRevision before);
+  void askWhatSourceLost();
+  void onServersSettled(const source::ServerChanges& changes);
+  void onZonesSettled(bool has_changed);
   bool isFresh(source::Topic topic) const;
   void onFreshnessLost(source::Topic topic);
   void onConfiguration(const model::Configuration& configuration);
   void applyDrainedZones();
-  void onServers(const source::WatchBatch& batch, bool is_complete);
+  void onServers(const source::ServerChanges& changes);
   void forgetLapsedServers();
   void updateOwnServer();
   void askServerHealth();
@@ -221,6 +238,7 @@
   Reading configuration_;
   source::ReaderDiscovery discovery_;
   source::PeerReader peers_;
+  source::RestoreSettling settling_;
   std::unique_ptr<PeerStateServer> peer_server_;
   std::unique_ptr<runtime::ProxyServer> egress_server_;
   std::unique_ptr<runtime::ProxyServer> ingress_server_;
@@ -247,6 +265,7 @@
                                 {*servers_.watch, *servers_.relay},
                                 {*configuration_.watch, *configuration_.relay},
                                 peers_,
+                                held_,
                                 quotas_,
                                 crashes_.suspects(),
                                 crashes_.gossip(),
@@ -292,6 +311,8 @@
                                         [this](source::Topic topic) { return isFresh(topic); });
   if (!server) return server.error();
   peer_server_ = std::move(*server);
+  peer_server_->onAskerAhead(
+      [this](const std::string& host) { peers_.askAbout(source::Topic::kConfiguration, host); });
   peer_server_->serve(kQuotaPath,
                       [this](const runtime::HttpRequest& request) { return answerQuota(request); });
   peer_server_->serve(kSuspectsPath, [this](const runtime::HttpRequest& request) {
@@ -363,9 +384,8 @@
   made.watch->onOutdated([this, topic](const source::WatchBatch& answer) {
     writeLog(runtime::LogLevel::kWarning, "source_outdated",
              {{"topic", std::string(source::topicWord(topic))},
-              {"era", std::to_string(answer.era.value())},
-              {"told", std::to_string(answer.revision.value())},
-              {"held", std::to_string(held_.revision(topic).value())}});
+              {"told", formatRevision(answer.revision)},
+              {"held", formatRevision(held_.revision(topic))}});
   });
   return made;
 }
@@ -387,7 +407,9 @@
                              bool is_complete) {
   peers_.onSourceAnswered(topic);
   takeIn(topic, batch, is_complete);
-  if (topic == source::Topic::kConfiguration) egress_.confirmConfiguration();
+  // A source that lost what it had acknowledged vouches for no version.
+  const bool vouches = topic == source::Topic::kConfiguration && !settling_.mayLackVersion();
+  if (vouches) egress_.confirmConfiguration();
   configuration_.watch->start();
 }
 
@@ -396,21 +418,69 @@
   for (const Error& error : batch.rejected) {
     writeLog(runtime::LogLevel::kWarning, "item_rejected", {{"error", describe(error)}});
   }
-  bool has_news = false;
-  if (topic == source::Topic::kConfiguration) {
-    has_news = held_.updateConfiguration(batch);
-    // First, since building a large configuration takes a small node a while.
-    applyDrainedZones();
-    for (const source::ConfigurationPointer& configuration : batch.configurations) {
-      onConfiguration(*configuration);
-    }
-  } else {
-    has_news = held_.updateServers(batch, is_complete);
-    onServers(batch, is_complete);
-  }
+  const SourceRevision before = held_.revision(topic);
+  const std::uint64_t restores = held_.restores();
+  const bool has_news = topic == source::Topic::kConfiguration ? takeInConfiguration(batch)
+                                                               : takeInServers(batch, is_complete);
+  const bool is_first = before == SourceRevision();
+  if (held_.restores() > restores) onRestored(topic, before);
+  // Also of a node that starts: the source may have been restored just before.
+  if (is_first && topic == source::Topic::kConfiguration) askWhatSourceLost();
   if (has_news) peer_server_->onNews(topic);
 }
 
+bool Implementation::takeInConfiguration(const source::WatchBatch& batch) {
+  const bool has_news = held_.updateConfiguration(batch);
+  // First, since building a large configuration takes a small node a while.
+  applyDrainedZones();
+  for (const source::ConfigurationPointer& configuration : batch.configurations) {
+    onConfiguration(*configuration);
+  }
+  return has_news;
+}
+
+bool Implementation::takeInServers(const source::WatchBatch& batch, bool is_complete) {
+  const source::ServerChanges changes = held_.updateServers(batch, is_complete);
+  if (!changes.empty() || is_complete) onServers(changes);
+  return !changes.empty();
+}
+
+// ---- A source that was restored from a copy
+
+void Implementation::onRestored(source::Topic topic, SourceRevision before) {
+  writeLog(runtime::LogLevel::kWarning, "source_restored",
+           {{"topic", std::string(source::topicWord(topic))},
+            {"before", formatRevision(before)},
+            {"revision", formatRevision(held_.revision(topic))},
+            {"version", std::to_string(held_.version().value())},
+            {"unconfirmed", std::to_string(held_.servers().unconfirmed())},
+            {"doubted", std::to_string(held_.servers().doubted())}});
+  settling_.onRestored(topic);
+  if (topic == source::Topic::kConfiguration) askWhatSourceLost();
+}
+
+/// Another node may hold a version that was acknowledged, and that the source's copy lacks. Whoever
+/// doesn't read the source hears of it from its reader.
+void Implementation::askWhatSourceLost() {
+  const bool reads_source = configuration_.relay->role() == source::ReaderRole::kReader;
+  if (reads_source) peers_.askSome(source::Topic::kConfiguration);
+}
+
+void Implementation::onServersSettled(const source::ServerChanges& changes) {
+  if (changes.empty()) return;
+  writeLog(runtime::LogLevel::kInfo, "servers_settled",
+           {{"dropped", std::to_string(changes.removed.size())},
+            {"accepted", std::to_string(changes.updated.size())}});
+  onServers(changes);
+  peer_server_->onNews(source::Topic::kServers);
+}
+
+void Implementation::onZonesSettled(bool has_changed) {
+  if (!has_changed) return;
+  applyDrainedZones();
+  peer_server_->onNews(source::Topic::kConfiguration);
+}
+
 void Implementation::onConfiguration(const model::Configuration& configuration) {
   if (configuration.version <= egress_.version()) return;
   Result<model::SnapshotPointer> snapshot =
@@ -444,14 +514,8 @@
   ingress_.setZoneDrained(zones.contains(settings_.node.zone));
 }
 
-void Implementation::onServers(const source::WatchBatch& batch, bool is_complete) {
-  if (batch.servers.empty() && batch.removed_servers.empty() && !is_complete) return;
-  const TimePoint now = environment_.now();
-  if (is_complete) {
-    egress_.directory().replaceAll(batch.servers, now);
-  } else {
-    egress_.directory().update(batch.servers, batch.removed_servers, now);
-  }
+void Implementation::onServers(const source::ServerChanges& changes) {
+  egress_.directory().update(changes.updated, changes.removed, environment_.now());
   forgetLapsedServers();
   chooseRoles(machinesOfNodes());
   for (const auto& [id, server] : egress_.directory().all()) {
@@ -478,9 +542,9 @@
     const model::ServerEntry& entry = server->entry;
     if (entry.address != settings_.two_hop.server) continue;
     if (entry.service != settings_.two_hop.service) continue;
-    if (!newest || entry.revision > newest->revision) newest = entry;
+    if (!newest || isNewerAtAddress(entry, *newest)) newest = entry;
   }
-  const bool is_older = newest && own_server_ && newest->revision < own_server_->revision;
+  const bool is_older = newest && own_server_ && isNewerAtAddress(*own_server_, *newest);
   if (newest && !is_older) {
     own_server_ = newest;
   } else if (own_server_) {
@@ -516,7 +580,7 @@
   }
   writeLog(runtime::LogLevel::kInfo, "peer_state",
            {{"topic", std::string(source::topicWord(topic))},
-            {"revision", std::to_string(batch->revision.value())},
+            {"revision", formatRevision(batch->revision)},
             {"version", std::to_string(held_.version().value())}});
   reading(topic).watch->resumeFrom(batch->revision);
   takeIn(topic, *batch, batch->is_complete);
@@ -608,6 +672,7 @@
     fields.push_back({"version", std::to_string(decision.version.value())});
     fields.push_back({"version_age_ms", std::to_string(toMilliseconds(inputs.configuration_age))});
     fields.push_back({"entry_age_ms", std::to_string(toMilliseconds(inputs.entry_age))});
+    fields.push_back({"servers_at", formatRevision(held_.revision(source::Topic::kServers))});
   } else {
     fields.push_back({"running", std::to_string(inputs.running)});
     fields.push_back({"waiting", std::to_string(inputs.waiting)});
--- a/src/source/peer_reader.cpp
+++ b/src/source/peer_reader.cpp
@@ -1,12 +1,23 @@
 #include "source/peer_reader.h"
 
+#include <algorithm>
 #include <iterator>
+#include <utility>
+#include <vector>
 
 namespace coursepond::source {
 namespace {
 
 /// More peers than that tell nothing new.
 constexpr std::size_t kMostPeers = 256;
+/// Peers of askSome(): a few may be away, or have started a moment ago.
+constexpr std::size_t kSomePeers = 3;
+
+/// The version that the update leads to; none when it tells no other.
+Version versionOf(const StateUpdate& update) {
+  if (update.configuration) return update.configuration->version;
+  return update.delta ? update.delta->target_version : Version();
+}
 
 }  // namespace
 
@@ -51,19 +62,39 @@
 
 void PeerReader::askAbout(Topic topic, const std::string& peer) {
   if (!asked_about_.insert(topic).second) return;
+  read(topic, peer, [this, topic] { asked_about_.erase(topic); });
+}
+
+void PeerReader::askSome(Topic topic) {
+  std::vector<std::string> peers(peers_.begin(), peers_.end());
+  for (std::size_t left = std::min(kSomePeers, peers.size()); left > 0; --left) {
+    const std::size_t index = environment_.random(peers.size());
+    read(topic, peers[index], [] {});
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+}
+
+void PeerReader::read(Topic topic, const std::string& peer, std::function<void()> on_answered) {
   ++asked_;
   const PeerQuestion question{topic, held_.revision(topic), held_.version(), Duration(0), false};
-  client_.read(peer, question, settings_.timeout,
-               [this, topic, alive = std::weak_ptr<int>(alive_)](
-                   const Result<std::optional<StateUpdate>>& answer) {
-                 if (alive.expired()) return;
-                 asked_about_.erase(topic);
-                 onAnswer(topic, answer);
-               });
+  client_.read(
+      peer, question, settings_.timeout,
+      [this, topic, on_answered = std::move(on_answered),
+       alive = std::weak_ptr<int>(alive_)](const Result<std::optional<StateUpdate>>& answer) {
+        if (alive.expired()) return;
+        on_answered();
+        onAnswer(topic, answer);
+      });
+}
+
+/// A version counts whatever revision it was told at: it never goes back.
+bool PeerReader::isNews(Topic topic, const StateUpdate& update) const {
+  const bool has_version = topic == Topic::kConfiguration && versionOf(update) > held_.version();
+  return has_version || update.revision > held_.revision(topic);
 }
 
 void PeerReader::onAnswer(Topic topic, const Result<std::optional<StateUpdate>>& answer) {
-  if (!answer || !answer->has_value() || (*answer)->revision <= held_.revision(topic)) return;
+  if (!answer || !answer->has_value() || !isNews(topic, **answer)) return;
   ++learned_;
   on_state_(topic, **answer);
 }
--- a/src/source/peer_reader.h
+++ b/src/source/peer_reader.h
@@ -20,8 +20,8 @@
 /// What a node asks another.
 struct PeerQuestion {
   Topic topic = Topic::kServers;
-  Generation after;  ///< The servers, or the drained zones, are known up to here.
-  Version version;   ///< kConfiguration: this one is held.
+  SourceRevision after;  ///< The servers, or the drained zones, are known up to here.
+  Version version;       ///< kConfiguration: this one is held.
   /// How long the answer may wait for a change.
   Duration wait{};
   /// Only a peer that reads the source itself shall answer; others refuse (kOverloaded).
@@ -66,6 +66,11 @@
   /// The source failed a read of `topic`, or answered one. Peers are asked about what fails.
   void onSourceFailed(Topic topic);
   void onSourceAnswered(Topic topic);
+  /// Asks a few peers at once, whatever the source answers: one that was restored may have lost a
+  /// version that a peer holds.
+  void askSome(Topic topic);
+  /// Asks this peer, unless a question about the topic is on its way.
+  void askAbout(Topic topic, const std::string& peer);
 
   std::uint64_t asked() const { return asked_; }
   std::uint64_t learned() const { return learned_; }
@@ -73,7 +78,8 @@
  private:
   void schedule(Duration delay);
   void ask();
-  void askAbout(Topic topic, const std::string& peer);
+  void read(Topic topic, const std::string& peer, std::function<void()> on_answered);
+  bool isNews(Topic topic, const StateUpdate& update) const;
   void onAnswer(Topic topic, const Result<std::optional<StateUpdate>>& answer);
   const std::string& anyPeer();
 
--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -12,6 +12,11 @@
 /// of them does has a chance of one in 400 a turn.
 constexpr double kStandIns = 6;
 
+Error earlierEraError() {
+  return Error{ErrorKind::kOverloaded, "the peer has not heard yet that the source was restored",
+               "another peer is asked"};
+}
+
 Error noPathError() {
   return Error{ErrorKind::kUnavailable, "the readers and the source failed a moment ago",
                "see source_trouble lines; what is in force stays"};
@@ -61,7 +66,7 @@
 void RelayClient::list(Duration timeout, WatchCallback callback) {
   if (!isReader() && !parents_.empty()) {
     // Everything, from a parent: as a watch from before the first revision.
-    return watch(Generation(), Duration(0), timeout, std::move(callback));
+    return watch(SourceRevision(), Duration(0), timeout, std::move(callback));
   }
   ++statistics_.source_reads;
   source_.list(timeout, [this, callback = std::move(callback),
@@ -72,7 +77,8 @@
   });
 }
 
-void RelayClient::watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) {
+void RelayClient::watch(SourceRevision after, Duration wait, Duration timeout,
+                        WatchCallback callback) {
   step(std::make_shared<Read>(Read{after, wait, timeout, std::move(callback), held_.version(),
                                    environment_.now(), false, std::nullopt}));
 }
@@ -130,7 +136,7 @@
                             alive = std::weak_ptr<int>(alive_)](Result<WatchBatch> answer) {
     if (!alive.expired()) onSourceAnswer(read, std::move(answer));
   };
-  if (lists_next_ || read->after == Generation()) {
+  if (lists_next_ || read->after == SourceRevision()) {
     return source_.list(std::max(timeout, sourceWait() + settings_.source_slack),
                         [callback = std::move(callback)](Result<WatchBatch> answer) {
                           if (answer) answer->is_complete = true;
@@ -205,15 +211,9 @@
 
 void RelayClient::onPeerAnswer(const ReadPointer& read, const std::string& host,
                                const Result<std::optional<StateUpdate>>& answer) {
-  if (!answer) {
-    ++statistics_.peer_failures;
-    if (on_reader_failed_) on_reader_failed_(host, answer.error());
-    const bool is_unfit = answer.error().kind == ErrorKind::kOverloaded;
-    avoided_until_[host] =
-        environment_.now() + (is_unfit ? settings_.avoid_unfit : settings_.avoid_silent);
-    read->failure = answer.error();
-    return step(read);
-  }
+  if (!answer) return onPeerFailed(read, host, answer.error());
+  const bool is_behind = answer->has_value() && (*answer)->revision.era < read->after.era;
+  if (is_behind) return onPeerFailed(read, host, earlierEraError());
   // What a parent holds is the newest: a list that was due is not any more.
   lists_next_ = false;
   noteParentAnswer();
@@ -237,4 +237,15 @@
   step(read);
 }
 
+void RelayClient::onPeerFailed(const ReadPointer& read, const std::string& host,
+                               const Error& error) {
+  ++statistics_.peer_failures;
+  if (on_reader_failed_) on_reader_failed_(host, error);
+  const bool is_unfit = error.kind == ErrorKind::kOverloaded;
+  avoided_until_[host] =
+      environment_.now() + (is_unfit ? settings_.avoid_unfit : settings_.avoid_silent);
+  read->failure = error;
+  step(read);
+}
+
 }  // namespace coursepond::source
--- a/src/source/relay_client.h
+++ b/src/source/relay_client.h
@@ -75,14 +75,15 @@
   ReaderRole role() const { return role_; }
 
   void list(Duration timeout, WatchCallback callback) override;
-  void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) override;
+  void watch(SourceRevision after, Duration wait, Duration timeout,
+             WatchCallback callback) override;
 
   const RelayStatistics& statistics() const { return statistics_; }
 
  private:
   /// One call of watch() on its way through its steps.
   struct Read {
-    Generation after;
+    SourceRevision after;
     Duration wait{};
     Duration timeout{};
     WatchCallback callback;
@@ -101,6 +102,7 @@
   void askPeer(const ReadPointer& read, const std::string& host);
   void onPeerAnswer(const ReadPointer& read, const std::string& host,
                     const Result<std::optional<StateUpdate>>& answer);
+  void onPeerFailed(const ReadPointer& read, const std::string& host, const Error& error);
   std::optional<std::string> nextPeer();
   void noteSourceAnswer(const WatchBatch& batch);
   void noteParentAnswer();
--- a/src/source/state_update.cpp
+++ b/src/source/state_update.cpp
@@ -22,11 +22,12 @@
           {"leaving", server.state == model::MachineState::kLeaving},
           {"started_ms", server.started_ms},
           {"warm_up_left_ms", toMilliseconds(server.warm_up_left)},
-          {"revision", server.revision.value()}};
+          {"revision", server.revision.number.value()}};
 }
 
-/// Throws what nlohmann throws, or std::system_error for an address that is none.
-model::ServerEntry serverFromJson(const Json& json) {
+/// `era`: of the whole update. Throws what nlohmann throws, or std::system_error for an address
+/// that is none.
+model::ServerEntry serverFromJson(const Json& json, Era era) {
   model::ServerEntry server;
   server.id = EndpointId(json.at("id").get<std::string>());
   server.service = ServiceName(json.at("service").get<std::string>());
@@ -38,7 +39,7 @@
   server.started_ms = json.at("started_ms").get<std::uint64_t>();
   server.warm_up_left =
       std::chrono::milliseconds(json.at("warm_up_left_ms").get<std::chrono::milliseconds::rep>());
-  server.revision = Generation(json.at("revision").get<std::uint64_t>());
+  server.revision = {era, Generation(json.at("revision").get<std::uint64_t>())};
   return server;
 }
 
@@ -60,9 +61,12 @@
 
 Result<StateUpdate> fromJson(const Json& json) {
   StateUpdate update;
-  update.revision = Generation(json.at("revision").get<std::uint64_t>());
+  const Era era(json.value("era", std::uint64_t{0}));
+  update.revision = {era, Generation(json.at("revision").get<std::uint64_t>())};
   update.is_complete = json.at("complete").get<bool>();
-  for (const Json& server : json.at("servers")) update.servers.push_back(serverFromJson(server));
+  for (const Json& server : json.at("servers")) {
+    update.servers.push_back(serverFromJson(server, era));
+  }
   for (const Json& id : json.at("removed")) {
     update.removed_servers.emplace_back(id.get<std::string>());
   }
@@ -81,7 +85,8 @@
   for (const model::ServerEntry& server : update.servers) servers.push_back(serverToJson(server));
   Json removed = Json::array();
   for (const EndpointId& id : update.removed_servers) removed.push_back(id.value());
-  Json json = {{"revision", update.revision.value()},
+  Json json = {{"era", update.revision.era.value()},
+               {"revision", update.revision.number.value()},
                {"complete", update.is_complete},
                {"servers", std::move(servers)},
                {"removed", std::move(removed)}};
@@ -122,7 +127,7 @@
   if (update.drained_zones) {
     batch.lists_zones = true;
     for (ZoneId& zone : *update.drained_zones) {
-      batch.zone_changes.push_back({std::move(zone), true});
+      batch.zone_changes.push_back({std::move(zone), true, SourceRevision()});
     }
   }
   if (update.configuration) {
--- a/src/source/state_update.h
+++ b/src/source/state_update.h
@@ -17,7 +17,7 @@
 namespace coursepond::source {
 
 struct StateUpdate {
-  Generation revision;       ///< Of the source, up to which this is known.
+  SourceRevision revision;   ///< Of the source, up to which this is known.
   bool is_complete = false;  ///< `servers` lists all there are; nothing else is held any more.
   std::vector<model::ServerEntry> servers;
   std::vector<EndpointId> removed_servers;
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -3,6 +3,7 @@
 /// A source that acknowledges what operators write and that can be watched: each change has a
 /// revision, and a reader that names the last revision it holds gets what came after. Other than
 /// with PlatformClient, a version that such a source shows is in force: no confirmation is needed.
+/// A source may be restored from a copy that is some seconds old; see SourceRevision.
 
 #include <functional>
 #include <memory>
@@ -13,6 +14,7 @@
 
 #include "core/error.h"
 #include "core/ids.h"
+#include "core/source_revision.h"
 #include "core/time.h"
 #include "model/configuration.h"
 #include "model/server_entry.h"
@@ -34,6 +36,7 @@
 struct ZoneChange {
   ZoneId zone;
   bool is_drained = true;
+  SourceRevision revision = {};  ///< Of the change; none when another node told it.
   friend bool operator==(const ZoneChange&, const ZoneChange&) = default;
 };
 
@@ -41,8 +44,7 @@
 /// of the two lists of servers at most, by its last change: use put() and remove(). A list of any
 /// length has nothing removed, so that taking it in costs no search.
 struct WatchBatch {
-  Generation revision;       ///< Go on from here.
-  Era era;                   ///< Of the source as it answered; zero: it names none.
+  SourceRevision revision;   ///< Go on from here.
   bool is_complete = false;  ///< `servers` lists all there are, also where changes were asked for.
   bool is_relayed = false;   ///< Another node told it, and pauses between its reads itself.
   std::vector<ConfigurationPointer> configurations;
@@ -65,7 +67,8 @@
 /// Reads one topic of a source. Each call makes one read (a list may need several pages) and calls
 /// back exactly once, never from
 /// inside the call. Errors: kBaseMismatch (the source no longer has the changes after that
-/// revision: list again), kOverloaded (too many reads), kUnavailable, kTimeout, kMalformed.
+/// revision, or is in another era: list again), kOverloaded (too many reads), kUnavailable,
+/// kTimeout, kMalformed.
 class WatchClient {
  public:
   virtual ~WatchClient() = default;
@@ -76,7 +79,8 @@
     list(timeout, std::move(callback));
   }
   /// Answers at the first change after `after`, or without one after `wait`.
-  virtual void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) = 0;
+  virtual void watch(SourceRevision after, Duration wait, Duration timeout,
+                     WatchCallback callback) = 0;
 };
 
 }  // namespace coursepond::source
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -5,6 +5,17 @@
 #include <utility>
 
 namespace coursepond::source {
+namespace {
+
+Error earlierEra(SourceRevision told, SourceRevision held) {
+  return Error{
+      ErrorKind::kUnavailable,
+      "the source answers from " + formatRevision(told) + ", an era before " + formatRevision(held),
+      "see that no process of the source from before its restore still answers"};
+}
+
+}  // namespace
+
 WatchLoop::WatchLoop(const WatchSettings& settings, WatchClient& client, Environment& environment,
                      BatchHandler on_batch, FailureHandler on_failure)
     : settings_(settings),
@@ -28,7 +39,7 @@
   environment_.cancel(timer_);
 }
 
-void WatchLoop::resumeFrom(Generation revision) {
+void WatchLoop::resumeFrom(SourceRevision revision) {
   if (revision <= revision_) return;
   revision_ = revision;
   has_listed_ = true;
@@ -63,6 +74,11 @@
 
 void WatchLoop::onList(const Result<WatchBatch>& answer) {
   if (!answer) return onFailed(answer.error());
+  if (answer->revision.era < revision_.era) {
+    must_list_ = true;
+    noteOutdated(*answer);
+    return onFailed(earlierEra(answer->revision, revision_));
+  }
   noteAnswer(*answer);
   last_list_ = environment_.now();
   must_list_ = false;
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -61,10 +61,10 @@
   void stop();
 
   /// Everything up to `revision` is known from elsewhere: go on from there.
-  void resumeFrom(Generation revision);
+  void resumeFrom(SourceRevision revision);
 
   bool hasListed() const { return has_listed_; }
-  Generation revision() const { return revision_; }
+  SourceRevision revision() const { return revision_; }
   const WatchStatistics& statistics() const { return statistics_; }
 
  private:
@@ -95,7 +95,7 @@
   bool must_list_ = true;
   bool was_outdated_ = false;  ///< The last answer.
   RetryBackoff backoff_;
-  Generation revision_;
+  SourceRevision revision_;
   TimePoint last_list_;
   WatchStatistics statistics_;
 };
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -11,7 +11,7 @@
 class NoSource final : public source::WatchClient {
  public:
   void list(Duration, source::WatchCallback) override {}
-  void watch(Generation, Duration, Duration, source::WatchCallback) override {}
+  void watch(SourceRevision, Duration, Duration, source::WatchCallback) override {}
 };
 
 /// The parts of a node that never ran.
@@ -58,6 +58,7 @@
                               {servers_watch, servers_relay},
                               {configuration_watch, configuration_relay},
                               peers,
+                              held,
                               quotas,
                               suspects,
                               suspect_gossip,
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -30,6 +30,7 @@
   model::Configuration configuration;
   std::vector<model::ServerEntry> servers;
   std::vector<EndpointId> removed_servers;
+  std::uint64_t era = 0;
   std::uint64_t revision = 1;
   bool is_away = false;
   std::set<std::string> turned_away;       ///< Machines that it serves no longer.
@@ -37,13 +38,14 @@
 
   source::WatchBatch whole(source::Topic topic) const {
     source::WatchBatch batch;
-    batch.revision = Generation(revision);
+    batch.revision = {Era(era), Generation(revision)};
     if (topic == source::Topic::kConfiguration) {
       batch.configurations = {std::make_shared<const model::Configuration>(configuration)};
     }
     if (topic == source::Topic::kServers) {
       batch.servers = servers;
       batch.removed_servers = removed_servers;
+      for (model::ServerEntry& entry : batch.servers) entry.revision.era = Era(era);
     }
     return batch;
   }
@@ -56,19 +58,24 @@
              source::Topic topic)
       : context_(context), source_(source), machine_(std::move(machine)), topic_(topic) {}
 
-  void list(Duration, source::WatchCallback callback) override { answerIn(1ms, callback); }
-  void watch(Generation, Duration, Duration, source::WatchCallback callback) override {
-    answerIn(10ms, callback);
+  void list(Duration, source::WatchCallback callback) override {
+    answerIn(1ms, std::nullopt, callback);
+  }
+  void watch(SourceRevision after, Duration, Duration, source::WatchCallback callback) override {
+    answerIn(10ms, after.era, callback);
   }
 
  private:
-  void answerIn(Duration delay, source::WatchCallback callback) {
+  /// `era`: the read goes on in this one.
+  void answerIn(Duration delay, std::optional<Era> era, source::WatchCallback callback) {
     auto timer = std::make_shared<asio::steady_timer>(context_, delay);
-    timer->async_wait([this, timer, callback](const boost::system::error_code& error) {
+    timer->async_wait([this, timer, era, callback](const boost::system::error_code& error) {
       if (error) return;
       ++source_.read_counts[machine_];
       const bool is_refused = source_.is_away || source_.turned_away.contains(machine_);
       if (is_refused) return callback(Error{ErrorKind::kUnavailable, "away", ""});
+      const bool is_restored = era && *era != Era(source_.era);
+      if (is_restored) return callback(Error{ErrorKind::kBaseMismatch, "restored", ""});
       callback(source_.whole(topic_));
     });
   }
@@ -502,6 +509,35 @@
   mesh.publish();
 }
 
+TEST_CASE("changes after the source's restore reach the machines that do not read it") {
+  Fixture mesh;
+  mesh.grow();
+  mesh.source().revision = 100;
+  mesh.publish();
+  ++mesh.source().era;
+  mesh.source().revision = 5;
+  SUBCASE("through the readers") {}
+  SUBCASE("when a reader hears nothing of the restore") {
+    mesh.source().turned_away = {*mesh.readers().begin()};
+  }
+  SUBCASE("when no reader does") { mesh.source().turned_away = mesh.readers(); }
+  mesh.publish();
+  mesh.source().servers[1].state = model::MachineState::kLeaving;
+  mesh.source().servers[1].revision = Generation(7);
+  mesh.source().revision = 7;
+  const auto allKnow = [&mesh] {
+    for (std::size_t index = 0; index < mesh.machineCount(); ++index) {
+      const std::string page = mesh.metricsPage(index);
+      if (page.find(R"(source_revision{topic="servers"} 7)") == std::string::npos) return false;
+    }
+    return true;
+  };
+  REQUIRE(mesh.runUntil(allKnow));
+  mesh.machine(1).received.clear();
+  for (int number = 0; number < 12; ++number) mesh.send("GET", "/read");
+  CHECK(mesh.machine(1).received.empty());
+}
+
 TEST_CASE("a caller that leaves cancels the work at the server") {
   Fixture mesh;
   bool cancelled = false;
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -27,6 +27,7 @@
   }
   /// Lets the node's reads after a change end: it waits for the next one then.
   void settle() { context_.run_for(1s); }
+  void pause() { context_.run_for(100ms); }
   /// The store is away until the node has noticed, and comes back from the copy.
   void restore() {
     store().setTrouble(StoreTrouble::kBusy);
@@ -60,4 +61,42 @@
   CHECK(bench.becomes("/third/x", 503));
 }
 
+TEST_CASE("a leaving acknowledged before the store came back from a copy is not undone") {
+  RestoredStore bench;
+  bench.listServer("draining");
+  REQUIRE(bench.becomes("/first/x", 503));
+  bench.restore();
+  bench.writeOthers(3);
+  const std::size_t runs = bench.runs();
+  for (int left = 10; left > 0; --left) {
+    CHECK(bench.send("/first/x").status == 503);
+    bench.pause();
+  }
+  CHECK(bench.runs() == runs);
+}
+
+TEST_CASE("a version is in force on, though the store came back from a copy with an older one") {
+  RestoredStore bench;
+  bench.configure(2, "/second/");
+  REQUIRE(bench.becomes("/second/x", 200));
+  bench.restore();
+  for (int left = 10; left > 0; --left) {
+    CHECK(bench.send("/second/x").status == 200);
+    CHECK(bench.send("/first/x").status != 200);
+    bench.pause();
+  }
+}
+
+TEST_CASE("two restores, the second to before the first, lose no later change") {
+  RestoredStore bench;
+  bench.writeOthers(20);
+  bench.configure(2, "/second/");
+  REQUIRE(bench.becomes("/second/x", 200));
+  bench.restore();
+  bench.writeOthers(5);
+  bench.restore();
+  bench.configure(3, "/third/");
+  CHECK(bench.becomes("/third/x", 200));
+}
+
 }  // namespace coursepond::platform
--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -262,7 +262,8 @@
   REQUIRE(batch.has_value());
   CHECK(batch->rejected.empty());
   CHECK(batch->zone_changes ==
-        std::vector<source::ZoneChange>{{ZoneId("north"), true}, {ZoneId("south"), false}});
+        std::vector<source::ZoneChange>{{ZoneId("north"), true, Generation(5)},
+                                        {ZoneId("south"), false, Generation(6)}});
 }
 
 TEST_CASE("what a cold server of a service bears is read with the configuration") {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -198,4 +198,67 @@
   CHECK(loop.statistics().history_lost == 1);
 }
 
+TEST_CASE("pages of two eras are no list, and the list begins anew") {
+  Bench bench;
+  bench.store.setPageSize(1);
+  const auto copy = bench.store.copy();
+  bench.store.setDelay(kShort);
+  std::optional<Result<WatchBatch>> answer;
+  bench.servers.list(kPatience, [&](Result<WatchBatch> batch) { answer = std::move(batch); });
+  // Between the first page and the second.
+  bench.context.run_for(kShort * 3 / 2);
+  bench.store.restore(*copy);
+  bench.context.restart();
+  bench.context.run_for(kShort * 2);
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->has_error());
+  CHECK(answer->error().kind == ErrorKind::kBaseMismatch);
+  const auto whole = bench.list();
+  REQUIRE(whole.has_value());
+  CHECK(whole->revision == SourceRevision(Era(1), Generation(3)));
+  CHECK(whole->servers.front().revision.era == Era(1));
+}
+
+TEST_CASE("a watch from another era brings nothing, also where its number is known") {
+  Bench bench;
+  const auto copy = bench.store.copy();
+  bench.store.put("servers/i-3", serverText("10.0.0.3:80"));
+  bench.store.restore(*copy);
+  bench.store.put("servers/i-4", serverText("10.0.0.4:80"));
+  bench.store.put("servers/i-5", serverText("10.0.0.5:80"));
+  for (const std::uint64_t number : {4, 5, 9}) {
+    CAPTURE(number);
+    const auto batch = bench.watch(number, kShort);
+    REQUIRE(batch.has_error());
+    CHECK(batch.error().kind == ErrorKind::kBaseMismatch);
+  }
+}
+
+TEST_CASE("a watch that waits while the store comes back from a copy brings nothing") {
+  Bench bench;
+  const auto copy = bench.store.copy();
+  std::optional<Result<WatchBatch>> answer;
+  bench.servers.watch(Generation(3), kPatience / 2, kPatience,
+                      [&](Result<WatchBatch> batch) { answer = std::move(batch); });
+  bench.context.run_for(kShort);
+  bench.store.restore(*copy);
+  bench.store.put("servers/i-3", serverText("10.0.0.3:80"));
+  bench.context.restart();
+  bench.context.run_for(kShort * 4);
+  REQUIRE(answer.has_value());
+  CHECK(answer->has_error());
+}
+
+TEST_CASE("a refusal that names a later era is no more than a refusal") {
+  Bench bench;
+  bench.store.restore(*bench.store.copy());
+  bench.store.setTrouble(StoreTrouble::kBusy);
+  const auto refused = bench.watch(3, kShort);
+  REQUIRE(refused.has_error());
+  CHECK(refused.error().kind == ErrorKind::kUnavailable);
+  bench.store.setTrouble(StoreTrouble::kNone);
+  // What was missed shows afterwards all the same.
+  CHECK(bench.watch(3, kShort).error().kind == ErrorKind::kBaseMismatch);
+}
+
 }  // namespace coursepond::platform
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -98,7 +98,7 @@
   std::vector<runtime::HttpResponder> unanswered_;  ///< Kept, so that nobody gets an end.
   std::uint64_t revision_ = 0;
   std::uint64_t forgotten_ = 0;
-  std::uint64_t era_ = 1;
+  std::uint64_t era_ = 0;
   std::size_t page_size_ = 500;
   std::size_t reads_ = 0;
   StoreTrouble trouble_ = StoreTrouble::kNone;
--- a/tests/source/peer_reader_test.cpp
+++ b/tests/source/peer_reader_test.cpp
@@ -39,8 +39,8 @@
   std::vector<std::uint64_t> learned;
   PeerReader reader{PeerReaderSettings(), peers, held, environment,
                     [this](Topic, const StateUpdate& update) {
-                      learned.push_back(update.revision.value());
-                      hold(update.revision.value());
+                      learned.push_back(update.revision.number.value());
+                      hold(update.revision.number.value());
                     }};
   void hold(std::uint64_t revision) {
     WatchBatch batch;
--- a/tests/source/reader_discovery_test.cpp
+++ b/tests/source/reader_discovery_test.cpp
@@ -28,7 +28,7 @@
 class SampledSource final : public WatchClient {
  public:
   void list(Duration, WatchCallback) override { ++lists; }
-  void watch(Generation, Duration, Duration, WatchCallback) override {}
+  void watch(SourceRevision, Duration, Duration, WatchCallback) override {}
   void sample(Duration, WatchCallback callback) override {
     ++samples;
     callbacks.push_back(std::move(callback));
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -12,7 +12,7 @@
 
 struct SourceRead {
   bool is_list = false;
-  Generation after;
+  SourceRevision after;
   Duration wait{};
   Duration timeout{};
   WatchCallback callback;
@@ -23,7 +23,8 @@
   void list(Duration timeout, WatchCallback callback) override {
     reads.push_back({true, Generation(), Duration(0), timeout, std::move(callback)});
   }
-  void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) override {
+  void watch(SourceRevision after, Duration wait, Duration timeout,
+             WatchCallback callback) override {
     reads.push_back({false, after, wait, timeout, std::move(callback)});
   }
   void answer(const Result<WatchBatch>& answer) {
--- a/tests/source/watch_loop_test.cpp
+++ b/tests/source/watch_loop_test.cpp
@@ -15,7 +15,7 @@
  public:
   struct Read {
     bool is_list = false;
-    Generation after;
+    SourceRevision after;
     Duration wait{};
     Duration timeout{};
     WatchCallback callback;
@@ -24,7 +24,8 @@
   void list(Duration timeout, WatchCallback callback) override {
     reads.push_back({true, Generation(), Duration(0), timeout, std::move(callback)});
   }
-  void watch(Generation after, Duration wait, Duration timeout, WatchCallback callback) override {
+  void watch(SourceRevision after, Duration wait, Duration timeout,
+             WatchCallback callback) override {
     reads.push_back({false, after, wait, timeout, std::move(callback)});
   }
 
@@ -37,7 +38,7 @@
       : loop(
             settings, client, environment,
             [this](const WatchBatch& batch, bool is_complete) {
-              revisions.push_back(batch.revision.value());
+              revisions.push_back(batch.revision.number.value());
               complete.push_back(is_complete);
             },
             [this](const Error& error) { failures.push_back(error.kind); }) {
@@ -104,6 +105,21 @@
   CHECK(fixture.client.reads.back().after == Generation(6));
 }
 
+TEST_CASE("a list of an era before the one held is no list, and is asked for again after a pause") {
+  LoopFixture fixture;
+  WatchBatch list;
+  list.revision = {Era(2), Generation(10)};
+  fixture.answer(list);
+  fixture.fail(ErrorKind::kBaseMismatch);
+  fixture.answer(LoopFixture::batch(90));
+  const std::size_t reads = fixture.client.reads.size();
+  CHECK(fixture.revisions == std::vector<std::uint64_t>{10});
+  fixture.environment.advance(fixture.settings.backoff_limit);
+  REQUIRE(fixture.client.reads.size() == reads + 1);
+  CHECK(fixture.client.reads.back().is_list);
+  CHECK(fixture.failures.back() == ErrorKind::kUnavailable);
+}
+
 TEST_CASE("a failed read is repeated from where it was, after a growing pause") {
   LoopFixture fixture;
   fixture.answer(LoopFixture::batch(10));
