Watch loop: a source that loses its history after each list is read with a pause

Cause: a lost history is followed by a list at once, and the list's success forgot the failure. Now only the first loss since a watch was answered is; the next one pauses like any failure. The test failed before: the list came without a pause.

--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -96,6 +96,7 @@
 void WatchLoop::onWatch(const Result<WatchBatch>& answer) {
   if (!answer) return onFailed(answer.error());
   noteAnswer(*answer);
+  lost_history_ = false;
   // Another node may have told more while this read was under way. What it answers to is held then,
   // and would take away servers that came back since; the next read would not bring them.
   const bool is_stale = answer->revision < revision_;
@@ -131,7 +132,8 @@
   ++statistics_.failures;
   if (error.kind == ErrorKind::kBaseMismatch) {
     ++statistics_.history_lost;
-    const bool is_first = !must_list_;
+    // A source that forgets faster than it is read is not listed without a pause.
+    const bool is_first = !must_list_ && !std::exchange(lost_history_, true);
     must_list_ = true;
     on_failure_(error);
     if (is_first) return list();
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -93,6 +93,7 @@
   bool running_ = false;
   bool has_listed_ = false;
   bool must_list_ = true;
+  bool lost_history_ = false;  ///< Since the last watch that was answered.
   bool was_outdated_ = false;  ///< The last answer.
   RetryBackoff backoff_;
   SourceRevision revision_;
--- a/tests/source/watch_loop_test.cpp
+++ b/tests/source/watch_loop_test.cpp
@@ -105,6 +105,20 @@
   CHECK(fixture.client.reads.back().after == Generation(6));
 }
 
+TEST_CASE("a source that loses its history after each list is not read without a pause") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  fixture.fail(ErrorKind::kBaseMismatch);
+  REQUIRE(fixture.client.reads.back().is_list);
+  fixture.answer(LoopFixture::batch(11));
+  const std::size_t reads = fixture.client.reads.size();
+  fixture.fail(ErrorKind::kBaseMismatch);
+  CHECK(fixture.client.reads.size() == reads);
+  fixture.environment.advance(fixture.settings.backoff_limit);
+  REQUIRE(fixture.client.reads.size() == reads + 1);
+  CHECK(fixture.client.reads.back().is_list);
+}
+
 TEST_CASE("a list of an era before the one held is no list, and is asked for again after a pause") {
   LoopFixture fixture;
   WatchBatch list;
