Soak: a store that comes back from a copy, up to 5 s old, at times twice in short order

The operator writes the newest version again 0.4 s after the return, servers with their next heartbeat; entries that the copy brought back and that nobody keeps lapse after three heartbeats.

--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -358,7 +358,15 @@
 void Machine::heartbeat() {
   if (!server_ || state_.empty()) return;
   ++beats_;
-  at_.store.touch(entryKey(server_->instance()), entryText(state_));
+  const std::string key = entryKey(server_->instance());
+  const std::string* const held = at_.store.find(key);
+  const bool is_same = held != nullptr && nlohmann::json::parse(*held).at("state") == state_;
+  if (is_same) return at_.store.touch(key, entryText(state_));
+  at_.store.put(key, entryText(state_));
+}
+
+bool Machine::writes(const std::string& key) const {
+  return server_ && !state_.empty() && key == entryKey(server_->instance());
 }
 
 std::optional<TimePoint> Machine::leavingSince(const std::string& instance) const {
--- a/tests/platform/soak/machine.h
+++ b/tests/platform/soak/machine.h
@@ -103,6 +103,8 @@
   /// Its entry goes though it runs, and comes back.
   void lapseEntry(Duration length);
   void heartbeat();
+  /// Whether the server that runs now keeps this entry of the store.
+  bool writes(const std::string& key) const;
   /// Since when the instance is leaving or gone, as the store acknowledged it.
   std::optional<TimePoint> leavingSince(const std::string& instance) const;
 
--- a/tests/platform/soak/schedule.cpp
+++ b/tests/platform/soak/schedule.cpp
@@ -20,6 +20,10 @@
 constexpr double kHerdPart = 0.2;
 /// Of the periods, those with planned work only: stops and changes of settings, on any machine.
 constexpr double kPlannedPart = 0.4;
+/// Of the periods, those in which the store comes back from a copy; and of these, those in which it
+/// does so twice in short order.
+constexpr double kRestorePart = 0.5;
+constexpr double kRestoreAgainPart = 0.3;
 /// Of the versions, those that add many routes at once: in a mixed soak, and in one of large ones.
 constexpr double kManyPart = 0.3;
 constexpr double kManyPartOfLarge = 0.7;
@@ -52,6 +56,7 @@
     KindName{EventKind::kStoreThrottled, "store-throttled"},
     KindName{EventKind::kStoreReset, "store-reset"},
     KindName{EventKind::kStoreForgets, "store-forgets"},
+    KindName{EventKind::kStoreRestored, "store-restored"},
     KindName{EventKind::kVersion, "version"},
     KindName{EventKind::kCrashingRequest, "crashing-request"},
     KindName{EventKind::kSuspend, "suspend"},
@@ -71,6 +76,7 @@
       std::swap(random_, later_random_);
       makeCrashingRequests();
       makeSuspensions();
+      makeRestores();
     }
     std::erase_if(events_, [this](const Event& event) { return event.at >= settings_.length; });
     std::stable_sort(events_.begin(), events_.end(),
@@ -94,6 +100,8 @@
   void makeLeavings();
   void makeCrashingRequests();
   void makeSuspensions();
+  void makeRestores();
+  void addRestore(Duration at);
   void addVersion(Duration at, std::uint64_t added, std::uint64_t removed);
   void makePeriod(Duration start);
   void makePlannedPeriod(Duration start);
@@ -166,6 +174,24 @@
   }
 }
 
+void ScheduleMaker::makeRestores() {
+  for (Duration start{}; start < settings_.length; start += kPeriod) {
+    if (!chance(kRestorePart)) continue;
+    const Duration at = start + time(0, 6000);
+    addRestore(at);
+    if (chance(kRestoreAgainPart)) addRestore(at + time(300, 3000));
+  }
+}
+
+void ScheduleMaker::addRestore(Duration at) {
+  Event event;
+  event.at = at;
+  event.kind = EventKind::kStoreRestored;
+  event.length = time(100, 1500);
+  event.amount = number(200'000, 5'000'000);
+  events_.push_back(event);
+}
+
 /// Most machines in turn, some again soon after their restart, some at once.
 void ScheduleMaker::makePlannedPeriod(Duration start) {
   for (Duration at = start + time(0, 2000); at < start + kPeriod; at += time(0, 1200)) {
@@ -283,7 +309,7 @@
            " routes";
   }
   const bool is_of_store =
-      event.kind >= EventKind::kStoreSlow && event.kind <= EventKind::kStoreForgets;
+      event.kind >= EventKind::kStoreSlow && event.kind <= EventKind::kStoreRestored;
   const bool is_of_all = is_of_store || event.kind == EventKind::kCrashingRequest;
   if (!is_of_all) text += " machine=" + std::to_string(event.machine + 1);
   text += " length_ms=" + std::to_string(toMilliseconds(event.length));
--- a/tests/platform/soak/schedule.h
+++ b/tests/platform/soak/schedule.h
@@ -31,6 +31,7 @@
   kStoreThrottled,
   kStoreReset,
   kStoreForgets,
+  kStoreRestored,  ///< Away for a moment, then back from a copy.
   kVersion,
   kCrashingRequest,  ///< Callers send a request that crashes each server that runs it.
   kSuspend,          ///< A machine stands still, and its steady clock with it.
@@ -42,7 +43,8 @@
   std::size_t machine = 0;
   Duration length{};         ///< Of the trouble, or how long a process stays away.
   Duration second_length{};  ///< How long a server stays away.
-  /// Bytes a second, microseconds of delay, routes added, or the number of a crashing request.
+  /// Bytes a second, microseconds of delay or of a copy's age, routes added, or the number of a
+  /// crashing request.
   std::uint64_t amount = 0;
   std::uint64_t removed = 0;  ///< Routes.
 };
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <ctime>
+#include <deque>
 #include <fstream>
 #include <iostream>
 #include <stdexcept>
@@ -29,6 +30,14 @@
 /// After that and `contact`, every machine must serve the newest version within this.
 constexpr Duration kFinal = seconds(4);
 constexpr Duration kHeartbeat = milliseconds(1500);
+/// Three heartbeats.
+constexpr Duration kEntryLife = 3 * kHeartbeat;
+/// Copies that the store may come back from.
+constexpr Duration kCopyInterval = milliseconds(250);
+constexpr Duration kOldestCopy = seconds(8);
+/// After the store is back; a heartbeat and a little more for the servers.
+constexpr Duration kOperatorWritesAgain = milliseconds(400);
+constexpr Duration kServersWriteAgain = milliseconds(1600);
 constexpr Duration kPoll = milliseconds(10);
 /// A timer of the soak that is so late makes what it saw unfit to judge.
 constexpr Duration kLagLimit = milliseconds(250);
@@ -96,6 +105,12 @@
 
 }  // namespace
 
+/// What the store held at a moment.
+struct StoreCopy {
+  TimePoint taken;
+  std::shared_ptr<const platform::StoreStandIn::Copy> copy;
+};
+
 class Soak::Implementation {
  public:
   explicit Implementation(SoakSettings settings)
@@ -130,6 +145,10 @@
   void beatHearts();
   void play(const Event& event);
   void playStore(const Event& event);
+  void copyStore();
+  void restoreStore(const Event& event);
+  void writeAgain(std::size_t trouble);
+  void lapseUnwritten();
   void writeVersion(std::uint64_t added, std::uint64_t removed);
   void noteServed(const Request& request);
   void judgeRecovery();
@@ -150,6 +169,8 @@
   std::map<std::uint64_t, TimePoint> crashers_until_;  ///< By number: sent until then.
   std::map<std::string, std::size_t> newest_served_;   ///< By machine, of the newest routes.
   std::size_t store_troubles_ = 0;
+  std::deque<StoreCopy> copies_;  ///< Of the last seconds, oldest first.
+  std::string newest_text_;       ///< Of the configuration.
   std::size_t longest_ = 0;
   Duration longest_lag_{};
 };
@@ -323,6 +344,7 @@
 void Soak::Implementation::writeVersion(std::uint64_t added, std::uint64_t removed) {
   versions_.prepare(added, removed);
   const std::string text = versions_.text();
+  newest_text_ = text;
   const std::size_t version = versions_.count();
   store_.put(kConfigurationKey, text);
   versions_.acknowledge(now());
@@ -379,6 +401,7 @@
 void Soak::Implementation::playStore(const Event& event) {
   log("store: " + describeEvent(event));
   if (event.kind == EventKind::kStoreForgets) return store_.forgetHistory();
+  if (event.kind == EventKind::kStoreRestored) return restoreStore(event);
   const std::size_t trouble = troubles_.begin(kStorePlace, TroubleKind::kUnplanned, now());
   ++store_troubles_;
   switch (event.kind) {
@@ -409,6 +432,55 @@
   });
 }
 
+void Soak::Implementation::copyStore() {
+  copies_.push_back({now(), store_.copy()});
+  while (copies_.front().taken + kOldestCopy < now()) copies_.pop_front();
+  environment_.schedule(kCopyInterval, [this] { copyStore(); });
+}
+
+/// Away for a moment, then back from the newest copy that is as old as the event says.
+void Soak::Implementation::restoreStore(const Event& event) {
+  const Duration age(static_cast<Duration::rep>(event.amount));
+  StoreCopy chosen = copies_.front();
+  for (const StoreCopy& copy : copies_) {
+    if (copy.taken + age <= now()) chosen = copy;
+  }
+  const std::size_t trouble = troubles_.begin(kStorePlace, TroubleKind::kUnplanned, now());
+  ++store_troubles_;
+  store_.setTrouble(platform::StoreTrouble::kBusy);
+  store_.cutWatches();
+  environment_.schedule(event.length, [this, trouble, chosen] {
+    const std::uint64_t before = store_.revision();
+    store_.restore(*chosen.copy);
+    log("store back from a copy: era " + std::to_string(store_.era()) + ", revision " +
+        std::to_string(before) + " to " + std::to_string(store_.revision()));
+    if (--store_troubles_ == 0) {
+      store_.setDelay(Duration(0));
+      store_.setTrouble(platform::StoreTrouble::kNone);
+    }
+    writeAgain(trouble);
+  });
+}
+
+/// The operator and the servers write again what the copy lacks; then all is well.
+void Soak::Implementation::writeAgain(std::size_t trouble) {
+  environment_.schedule(kOperatorWritesAgain, [this] {
+    store_.put(kConfigurationKey, newest_text_);
+    log("the newest version is written again");
+  });
+  environment_.schedule(kServersWriteAgain, [this, trouble] { troubles_.end(trouble, now()); });
+  environment_.schedule(kEntryLife, [this] { lapseUnwritten(); });
+}
+
+/// Entries that the copy brought back and that no server keeps.
+void Soak::Implementation::lapseUnwritten() {
+  for (const std::string& key : store_.keys("servers/")) {
+    const bool is_kept = std::any_of(machines_.begin(), machines_.end(),
+                                     [&key](const auto& machine) { return machine->writes(key); });
+    if (!is_kept) store_.remove(key);
+  }
+}
+
 // ---- The run
 
 SoakOutcome Soak::Implementation::run() {
@@ -419,6 +491,7 @@
   }
   poll();
   beatHearts();
+  copyStore();
   environment_.schedule(kWarmUp, [this] {
     for (const auto& client : clients_) client->start();
   });
