Restores: a version that operators write ends the doubt about the one in force

After a restore a node says 503, not 404, for a route that it does not find, for the 10 s in which operators may write again what was lost. A newer version ends that at once now.

--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -430,7 +430,9 @@
 }
 
 bool Implementation::takeInConfiguration(const source::WatchBatch& batch) {
+  const Version before = held_.version();
   const bool has_news = held_.updateConfiguration(batch);
+  if (held_.version() > before) settling_.onNewerVersion();
   // First, since building a large configuration takes a small node a while.
   applyDrainedZones();
   for (const source::ConfigurationPointer& configuration : batch.configurations) {
--- a/src/source/restore_settling.cpp
+++ b/src/source/restore_settling.cpp
@@ -26,8 +26,11 @@
 
 void RestoreSettling::onRestored(Topic topic) {
   if (topic == Topic::kConfiguration) {
-    return restart(operators_timer_, kOperatorsWrite,
-                   [this] { handlers_.on_zones(held_.settleZones()); });
+    may_lack_version_ = true;
+    return restart(operators_timer_, kOperatorsWrite, [this] {
+      may_lack_version_ = false;
+      handlers_.on_zones(held_.settleZones());
+    });
   }
   restart(written_timer_, kServersWrite,
           [this] { handlers_.on_servers(held_.dropUnconfirmedServers()); });
@@ -36,10 +39,7 @@
 
 void RestoreSettling::restart(TimerId& timer, Duration wait, std::function<void()> action) {
   environment_.cancel(timer);
-  timer = environment_.schedule(wait, [&timer, action = std::move(action)] {
-    timer = 0;
-    action();
-  });
+  timer = environment_.schedule(wait, std::move(action));
 }
 
 }  // namespace coursepond::source
--- a/src/source/restore_settling.h
+++ b/src/source/restore_settling.h
@@ -27,8 +27,10 @@
 
   /// What is held of `topic` is of another era since now.
   void onRestored(Topic topic);
+  /// Operators wrote a version that is newer than all that was held.
+  void onNewerVersion() { may_lack_version_ = false; }
   /// Whether the source may still lack a version that it had acknowledged.
-  bool mayLackVersion() const { return operators_timer_ != 0; }
+  bool mayLackVersion() const { return may_lack_version_; }
 
  private:
   void restart(TimerId& timer, Duration wait, std::function<void()> action);
@@ -39,6 +41,7 @@
   TimerId written_timer_ = 0;
   TimerId lapse_timer_ = 0;
   TimerId operators_timer_ = 0;
+  bool may_lack_version_ = false;
 };
 
 }  // namespace coursepond::source
