Red: followers of a reader that is still receiving a version go on saying 404 for its routes

What callers could see: 404 for a route whose version was acknowledged longer ago than promised, at nodes that do not read the source themselves. On the code as it is four of seven nodes say so for 20 s, until the test gives up, where 1.5 s are allowed.

--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -33,6 +33,7 @@
   std::uint64_t era = 0;
   std::uint64_t revision = 1;
   bool is_away = false;
+  bool holds_back_versions = false;        ///< Their answers have begun and do not end.
   std::set<std::string> turned_away;       ///< Machines that it serves no longer.
   std::map<std::string, int> read_counts;  ///< By machine.
 
@@ -72,6 +73,8 @@
     timer->async_wait([this, timer, era, callback](const boost::system::error_code& error) {
       if (error) return;
       ++source_.read_counts[machine_];
+      const bool is_version = topic_ == source::Topic::kConfiguration;
+      if (is_version && source_.holds_back_versions) return;
       const bool is_refused = source_.is_away || source_.turned_away.contains(machine_);
       if (is_refused) return callback(Error{ErrorKind::kUnavailable, "away", ""});
       const bool is_restored = era && *era != Era(source_.era);
@@ -113,7 +116,8 @@
 /// Two machines of two zones: "shop" on the first, "stock" on the second and the third.
 class Fixture : public testing::LoopbackBench {
  public:
-  Fixture() {
+  /// `certain_for`: see egress::Settings::configuration_certain_for.
+  explicit Fixture(Duration certain_for = {}) : certain_for_(certain_for) {
     addRoute("read", "/read", model::Repeatability::kAlways);
     addRoute("book", "/book", model::Repeatability::kNever);
     for (const char* service : {"shop", "stock"}) {
@@ -160,6 +164,16 @@
     publish();
   }
 
+  /// What callers of each machine get for a route that does not exist.
+  std::set<int> answersWithoutRoute() {
+    std::set<int> statuses;
+    for (const auto& machine : machines_) {
+      const Address callers = machine->node->addresses().caller;
+      statuses.insert(call(callers, makeRequest("GET", "/none", "")).status);
+    }
+    return statuses;
+  }
+
   std::string metricsPage(std::size_t machine) {
     runtime::HttpClientRequest request;
     request.target = "/metrics";
@@ -313,11 +327,13 @@
     settings.two_hop.service = ServiceName(service);
     settings.headers.signature = kSignature;
     settings.admin.readiness_path = "/ready";
+    settings.egress.configuration_certain_for = certain_for_;
     // Each request earns a repeat, so that the first failure may be repeated.
     settings.retries = {.ratio = 1, .burst = 100};
     return settings;
   }
 
+  Duration certain_for_{};
   std::uint16_t ingress_port_ = freePort();
   std::uint16_t peer_port_ = freePort(ingress_port_);
   FakeSource source_;
@@ -509,6 +525,19 @@
   mesh.publish();
 }
 
+// A reader that was receiving a large version vouched for the one before, again and again.
+TEST_CASE("no machine says that a route does not exist while its reader waits for a version") {
+  Fixture mesh(1500ms);
+  mesh.grow();
+  for (int left = 30; left > 0; --left) {
+    CHECK(mesh.answersWithoutRoute() == std::set{404});
+    mesh.context().run_for(100ms);
+  }
+  mesh.source().holds_back_versions = true;
+  CHECK(mesh.runUntil([&] { return mesh.answersWithoutRoute() == std::set{503}; }));
+  mesh.source().holds_back_versions = false;
+}
+
 TEST_CASE("changes after the source's restore reach the machines that do not read it") {
   Fixture mesh;
   mesh.grow();
