Peers: a word on the configuration has an age, and a follower counts it

What callers could see: 404 for a route whose version was acknowledged longer ago than promised.

Cause: a node says 404 while somebody has vouched for its version within the promise. A reader vouched for its followers whenever a question's wait ended, by what it held, however long ago it had itself heard of the source: all through the time in which a large version was arriving, and a relay for its followers once more. Class of fault: freshness handed on as if it were new at each hop.

The fix: an answer on the configuration names how long ago the source had nothing newer (Coursepond-State-Age-Ms), and who gets it counts from then. A node that takes a version in counts from its arrival, not from the end of that work; holding a version alone vouches for nothing. So that followers are as certain as before in calm times, a node answers all who wait for a version whenever its own read is answered; their wait is half a slack longer than its own, so that it is one answer a read, as before.

--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -57,13 +57,12 @@
   const bool is_same = routing_ && routing_->snapshot->version == snapshot->version;
   const TimePoint since = is_same ? routing_->since : environment_.now();
   routing_ = std::make_shared<const RoutingTable>(std::move(snapshot), since);
-  confirmConfiguration();
   return true;
 }
 
 bool EgressState::mayHaveMissedVersion() const {
   const Duration certain = settings_.configuration_certain_for;
-  return certain > Duration(0) && environment_.now() - configuration_confirmed_ > certain;
+  return certain > Duration(0) && configurationAge() > certain;
 }
 
 void EgressState::onDirectoryChanged() { retries_.setNodes(directory_.all().size()); }
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -2,6 +2,7 @@
 
 /// What all requests of one egress share: the configuration in force, the servers, the budgets.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -156,8 +157,12 @@
   void note(proxy::ServerChange change, const EndpointId& server) const {
     if (log_ != nullptr) log_->onServerChange(change, server);
   }
-  /// The version held is the newest, as far as the source or a node that reads it told just now.
-  void confirmConfiguration() { configuration_confirmed_ = environment_.now(); }
+  /// `age` ago the source had no newer version than the one held.
+  void confirmConfiguration(Duration age = Duration(0)) {
+    configuration_confirmed_ = std::max(configuration_confirmed_, environment_.now() - age);
+  }
+  /// How long ago that was; the time since the clock's start if it never was known.
+  Duration configurationAge() const { return environment_.now() - configuration_confirmed_; }
   /// Whether that was too long ago to tell that a route does not exist.
   bool mayHaveMissedVersion() const;
 
--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -1,6 +1,7 @@
 #include "node/peer_state_exchange.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "node/query.h"
 
@@ -13,6 +14,7 @@
 constexpr int kServiceUnavailable = 503;
 constexpr std::string_view kServersPath = "/v1/state/servers";
 constexpr std::string_view kConfigurationPath = "/v1/state/configuration";
+constexpr std::string_view kAgeHeader = "Coursepond-State-Age-Ms";
 /// A node that has just started knows the servers within some tenths of a second; who asks it waits
 /// for an answer for longer than this (RelaySettings::peer_slack).
 constexpr Duration kFirstWait = std::chrono::milliseconds(300);
@@ -53,6 +55,15 @@
   return response;
 }
 
+std::optional<Duration> ageOf(const runtime::HttpClientResponse& response) {
+  const auto text = runtime::findHeader(response.headers, kAgeHeader);
+  if (!text) return std::nullopt;
+  std::uint32_t age_ms = 0;
+  const auto [end, status] = std::from_chars(text->data(), text->data() + text->size(), age_ms);
+  if (status != std::errc()) return std::nullopt;
+  return std::chrono::milliseconds(age_ms);
+}
+
 Result<std::optional<source::StateUpdate>> interpret(
     const Result<runtime::HttpClientResponse>& response) {
   if (!response) return response.error();
@@ -67,6 +78,7 @@
   }
   Result<source::StateUpdate> update = source::decodeStateUpdate(response->body);
   if (!update) return update.error();
+  update->age = ageOf(*response);
   return std::optional<source::StateUpdate>(std::move(*update));
 }
 
@@ -152,16 +164,27 @@
       });
 }
 
+template <typename Condition>
+void PeerStateServer::answerWaiting(const Condition& is_answered) {
+  std::erase_if(waiting_, [&](const Waiting& waiting) {
+    if (!is_answered(waiting.question)) return false;
+    environment_.cancel(waiting.timer);
+    waiting.responder.respond(makeAnswer(waiting.question));
+    return true;
+  });
+}
+
 void PeerStateServer::onNews(source::Topic topic) {
-  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    if (entry->question.topic != topic || !hasNews(entry->question)) {
-      ++entry;
-      continue;
-    }
-    environment_.cancel(entry->timer);
-    entry->responder.respond(makeAnswer(entry->question));
-    entry = waiting_.erase(entry);
-  }
+  answerWaiting([&](const source::PeerQuestion& question) {
+    return question.topic == topic && hasNews(question);
+  });
+}
+
+void PeerStateServer::onVersionConfirmed() {
+  if (!knows(source::Topic::kConfiguration)) return;
+  answerWaiting([](const source::PeerQuestion& question) {
+    return question.topic == source::Topic::kConfiguration;
+  });
 }
 
 void PeerStateServer::dismissWaiting(source::Topic topic) {
@@ -193,6 +216,12 @@
   runtime::HttpResponse response;
   response.content_type = "application/octet-stream";
   response.body = encodedAnswer(question);
+  const bool is_of_version = question.topic == source::Topic::kConfiguration && version_age_;
+  const std::optional<Duration> age = is_of_version ? version_age_() : std::nullopt;
+  if (age) {
+    const std::string age_ms = std::to_string(toMilliseconds(*age));
+    response.headers.push_back({std::string(kAgeHeader), age_ms});
+  }
   return response;
 }
 
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -5,6 +5,8 @@
 ///   GET /v1/state/configuration?era=ERA&after=REVISION&version=VERSION&wait_ms=MS&fresh=1
 ///     200 with a state update, without changes when there were none before the wait was over: the
 ///         asker then knows that it is current up to the update's revision;
+///         An answer on the configuration names in Coursepond-State-Age-Ms how long ago the source
+///         had nothing newer; without the header the one asked does not know.
 ///     204 to a question that does not wait, when nothing newer is known;
 ///     503 when nothing is known soon, or `fresh` is asked of a node that does not read the source
 ///         or is in an earlier era of it.
@@ -49,6 +51,12 @@
   void onAskerAhead(std::function<void(const std::string& host)> callback) {
     on_asker_ahead_ = std::move(callback);
   }
+  /// How long ago the source had no newer version than the one held; none: not known.
+  void onVersionAgeWanted(std::function<std::optional<Duration>()> callback) {
+    version_age_ = std::move(callback);
+  }
+  /// The source was heard to have no newer version: who waits for one here is told so.
+  void onVersionConfirmed();
   /// What is held of `topic` changed: answers who waits for it.
   void onNews(source::Topic topic);
   /// This node no longer reads `topic` from the source: who waits for it here shall ask another.
@@ -72,6 +80,8 @@
   PeerStateServer(const source::HeldState& held, Environment& environment, FreshnessCheck is_fresh)
       : held_(held), environment_(environment), is_fresh_(std::move(is_fresh)) {}
   void answer(const runtime::HttpRequest& request, runtime::HttpResponder responder);
+  template <typename Condition>
+  void answerWaiting(const Condition& is_answered);
   void wait(const source::PeerQuestion& question, runtime::HttpResponder responder);
   void waitForFirst(const source::PeerQuestion& question, runtime::HttpResponder responder);
   void keepWaiting(const source::PeerQuestion& question, runtime::HttpResponder responder,
@@ -86,6 +96,7 @@
   Environment& environment_;
   FreshnessCheck is_fresh_;
   std::function<void(const std::string& host)> on_asker_ahead_;
+  std::function<std::optional<Duration>()> version_age_;
   std::map<std::string_view, Answerer> others_;  ///< By path.
   WaitingList waiting_;
   EncodedAnswer servers_answer_;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -45,6 +45,8 @@
 constexpr Duration kFoldInterval = std::chrono::seconds(1);
 /// A few lines in the span over which operators bound repeats.
 constexpr Duration kRetryReportInterval = std::chrono::seconds(5);
+/// An older word on the configuration vouches for nothing.
+constexpr Duration kLongestVersionAge = std::chrono::minutes(1);
 /// A follower that is slow, or comes from another reader, may be some versions of a storm behind.
 constexpr std::size_t kVersionsOfReader = 6;
 
@@ -188,7 +190,7 @@
   }
 
   void onBatch(source::Topic topic, const source::WatchBatch& batch, bool is_complete);
-  void takeIn(source::Topic topic, const source::WatchBatch& batch, bool is_complete);
+  bool takeIn(source::Topic topic, const source::WatchBatch& batch, bool is_complete);
   bool takeInConfiguration(const source::WatchBatch& batch);
   bool takeInServers(const source::WatchBatch& batch, bool is_complete);
   void onRestored(source::Topic topic, SourceRevision before);
@@ -311,6 +313,11 @@
                                         [this](source::Topic topic) { return isFresh(topic); });
   if (!server) return server.error();
   peer_server_ = std::move(*server);
+  peer_server_->onVersionAgeWanted([this]() -> std::optional<Duration> {
+    const Duration age = egress_.configurationAge();
+    if (age > kLongestVersionAge) return std::nullopt;
+    return age;
+  });
   peer_server_->onAskerAhead(
       [this](const std::string& host) { peers_.askAbout(source::Topic::kConfiguration, host); });
   peer_server_->serve(kQuotaPath,
@@ -405,15 +412,20 @@
 
 void Implementation::onBatch(source::Topic topic, const source::WatchBatch& batch,
                              bool is_complete) {
+  const TimePoint arrived = environment_.now();
   peers_.onSourceAnswered(topic);
-  takeIn(topic, batch, is_complete);
+  const bool has_news = takeIn(topic, batch, is_complete);
   // A source that lost what it had acknowledged vouches for no version.
-  const bool vouches = topic == source::Topic::kConfiguration && !settling_.mayLackVersion();
-  if (vouches) egress_.confirmConfiguration();
+  const bool vouches =
+      topic == source::Topic::kConfiguration && batch.age && !settling_.mayLackVersion();
+  if (vouches) egress_.confirmConfiguration(*batch.age + (environment_.now() - arrived));
+  if (has_news) peer_server_->onNews(topic);
+  if (vouches) peer_server_->onVersionConfirmed();
   configuration_.watch->start();
 }
 
-void Implementation::takeIn(source::Topic topic, const source::WatchBatch& batch,
+/// Returns whether other nodes have to hear of it.
+bool Implementation::takeIn(source::Topic topic, const source::WatchBatch& batch,
                             bool is_complete) {
   for (const Error& error : batch.rejected) {
     writeLog(runtime::LogLevel::kWarning, "item_rejected", {{"error", describe(error)}});
@@ -426,7 +438,7 @@
   if (held_.restores() > restores) onRestored(topic, before);
   // Also of a node that starts: the source may have been restored just before.
   if (is_first && topic == source::Topic::kConfiguration) askWhatSourceLost();
-  if (has_news) peer_server_->onNews(topic);
+  return has_news;
 }
 
 bool Implementation::takeInConfiguration(const source::WatchBatch& batch) {
@@ -585,7 +597,7 @@
             {"revision", formatRevision(batch->revision)},
             {"version", std::to_string(held_.version().value())}});
   reading(topic).watch->resumeFrom(batch->revision);
-  takeIn(topic, *batch, batch->is_complete);
+  if (takeIn(topic, *batch, batch->is_complete)) peer_server_->onNews(topic);
 }
 
 /// Of all servers that are not leaving.
--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -38,7 +38,9 @@
 }
 
 Duration RelayClient::peerWait() const {
-  return topic_ == Topic::kConfiguration ? settings_.configuration_wait : settings_.peer_wait;
+  if (topic_ == Topic::kServers) return settings_.peer_wait;
+  // A parent answers whenever its own read is answered: half a slack later than that is too late.
+  return settings_.configuration_wait + settings_.peer_slack / 2;
 }
 
 void RelayClient::setReaders(std::vector<std::string> parents, ReaderRole role, std::size_t nodes) {
@@ -220,6 +222,7 @@
   if (!answer->has_value()) {
     WatchBatch unchanged;
     unchanged.revision = read->after;
+    unchanged.age = std::nullopt;
     return read->callback(std::move(unchanged));
   }
   const ConfigurationPointer held = held_.configuration();
--- a/src/source/state_update.cpp
+++ b/src/source/state_update.cpp
@@ -122,6 +122,7 @@
   WatchBatch batch;
   batch.revision = update.revision;
   batch.is_complete = update.is_complete;
+  batch.age = update.age;
   batch.servers = std::move(update.servers);
   batch.removed_servers = std::move(update.removed_servers);
   if (update.drained_zones) {
--- a/src/source/state_update.h
+++ b/src/source/state_update.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/error.h"
+#include "core/time.h"
 #include "model/configuration.h"
 #include "model/delta.h"
 #include "model/server_entry.h"
@@ -19,6 +20,8 @@
 struct StateUpdate {
   SourceRevision revision;   ///< Of the source, up to which this is known.
   bool is_complete = false;  ///< `servers` lists all there are; nothing else is held any more.
+  /// See WatchBatch; not part of what is encoded, since it changes with each answer.
+  std::optional<Duration> age;
   std::vector<model::ServerEntry> servers;
   std::vector<EndpointId> removed_servers;
   /// With what is told of the configuration: all zones that are drained.
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -47,6 +47,8 @@
   SourceRevision revision;   ///< Go on from here.
   bool is_complete = false;  ///< `servers` lists all there are, also where changes were asked for.
   bool is_relayed = false;   ///< Another node told it, and pauses between its reads itself.
+  /// How long ago the source had nothing newer than this; none: whoever told it does not know.
+  std::optional<Duration> age = Duration(0);
   std::vector<ConfigurationPointer> configurations;
   std::vector<ZoneChange> zone_changes;  ///< Of the configuration's topic, in order.
   bool lists_zones = false;              ///< `zone_changes` names all zones that are drained.
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -290,6 +290,9 @@
   settings.configuration_certain_for = seconds(2);
   egress.state.changeSettings(settings);
   egress.begin(1);
+  // That a version is held does not tell that it is the newest.
+  checkAnswered(*egress.send("/nowhere"), 503, proxy::Outcome::kNotRun);
+  egress.state.confirmConfiguration();
   egress.environment.advance(seconds(2));
   checkAnswered(*egress.send("/nowhere"), 404, proxy::Outcome::kNotRun);
   // Nothing was heard of the configuration for longer than versions take: one may have the route.
@@ -302,6 +305,13 @@
   CHECK(egress.send("/stock")->io.plans.size() == 1);
   egress.state.confirmConfiguration();
   checkAnswered(*egress.send("/nowhere"), 404, proxy::Outcome::kNotRun);
+  // An older word does not take that back, and counts from when it was true.
+  egress.state.confirmConfiguration(seconds(5));
+  checkAnswered(*egress.send("/nowhere"), 404, proxy::Outcome::kNotRun);
+  egress.environment.advance(seconds(1));
+  egress.state.confirmConfiguration(milliseconds(900));
+  egress.environment.advance(milliseconds(1101));
+  checkAnswered(*egress.send("/nowhere"), 503, proxy::Outcome::kNotRun);
 }
 
 TEST_CASE("a request that comes before the configuration is served when that comes soon") {
