Relays: a version vouches from when it was asked for, not from when it arrived

What callers could see: 404 for a route whose version was acknowledged longer ago than promised, at nodes to which a large version before it was still on its way.

Cause: an answer that takes seconds (800 kB over 10 Mbit/s) tells what the source held when it was asked, and vouched for the version from its arrival. Failing before: "a version that took long to arrive vouches from when it was asked for", 3 checks (age 0 where 3 s, 0.4 s and 2.1 s are right).

The fix adds the time since the question to the age of an answer that brings a whole version.

--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -17,6 +17,12 @@
                "another peer is asked"};
 }
 
+/// A large version may take seconds to arrive, and tells what the source held when it was asked.
+void addTimeOnWay(WatchBatch& batch, Duration since_asked) {
+  const bool is_large = !batch.configurations.empty();
+  if (batch.age && is_large) *batch.age += since_asked;
+}
+
 Error noPathError() {
   return Error{ErrorKind::kUnavailable, "the readers and the source failed a moment ago",
                "see source_trouble lines; what is in force stays"};
@@ -71,18 +77,21 @@
     return watch(SourceRevision(), Duration(0), timeout, std::move(callback));
   }
   ++statistics_.source_reads;
-  source_.list(timeout, [this, callback = std::move(callback),
-                         alive = std::weak_ptr<int>(alive_)](const Result<WatchBatch>& answer) {
+  source_.list(timeout, [this, callback = std::move(callback), asked = environment_.now(),
+                         alive = std::weak_ptr<int>(alive_)](Result<WatchBatch> answer) {
     if (alive.expired()) return;
-    if (answer) noteSourceAnswer(*answer);
-    callback(answer);
+    if (answer) {
+      addTimeOnWay(*answer, environment_.now() - asked);
+      noteSourceAnswer(*answer);
+    }
+    callback(std::move(answer));
   });
 }
 
 void RelayClient::watch(SourceRevision after, Duration wait, Duration timeout,
                         WatchCallback callback) {
   step(std::make_shared<Read>(Read{after, wait, timeout, std::move(callback), held_.version(),
-                                   environment_.now(), false, std::nullopt}));
+                                   environment_.now(), TimePoint(), false, std::nullopt}));
 }
 
 void RelayClient::step(const ReadPointer& read) {
@@ -130,6 +139,7 @@
 void RelayClient::readSource(const ReadPointer& read) {
   ++statistics_.source_reads;
   read->was_source_asked = true;
+  read->asked = environment_.now();
   const Duration wait = read->failure ? Duration(0) : std::min(read->wait, sourceWait());
   // A caller that does not wait repeats a failed read: it says how patient it is.
   const Duration timeout =
@@ -150,6 +160,7 @@
 
 void RelayClient::onSourceAnswer(const ReadPointer& read, Result<WatchBatch> answer) {
   if (answer) {
+    addTimeOnWay(*answer, environment_.now() - read->asked);
     noteSourceAnswer(*answer);
     // The list after a new version, when there is no newer one: nothing to pause for.
     if (topic_ == Topic::kConfiguration && !lists_next_) answer->configurations.clear();
@@ -196,6 +207,7 @@
 
 void RelayClient::askPeer(const ReadPointer& read, const std::string& host) {
   ++statistics_.peer_reads;
+  read->asked = environment_.now();
   // Of a relay, others go on waiting here: it knows what its parent tells a moment later.
   if (role_ != ReaderRole::kRelay) loseFreshness();
   PeerQuestion question;
@@ -229,6 +241,8 @@
   Result<WatchBatch> batch = toBatch(**answer, held.get());
   if (batch) {
     batch->is_relayed = true;
+    const bool is_whole = (*answer)->configuration != nullptr;
+    if (is_whole) addTimeOnWay(*batch, environment_.now() - read->asked);
     return read->callback(std::move(batch));
   }
   // A delta that does not fit: once more, for the whole configuration.
--- a/src/source/relay_client.h
+++ b/src/source/relay_client.h
@@ -89,6 +89,7 @@
     WatchCallback callback;
     Version version;  ///< That is held; none to get the whole configuration.
     TimePoint began;
+    TimePoint asked;  ///< When its last step was.
     bool was_source_asked = false;
     std::optional<Error> failure;  ///< Of the last step.
   };
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -133,6 +133,41 @@
 
 }  // namespace
 
+// Callers got 404 for routes of a version that was acknowledged while the one before still arrived.
+TEST_CASE("a version that took long to arrive vouches from when it was asked for") {
+  RelayFixture reader(true);
+  reader.watch();
+  reader.environment.advance(seconds(3));
+  reader.source.answer(makeBatch(12, 8));
+  REQUIRE(reader.answers.size() == 1);
+  CHECK(reader.answers[0]->age == Duration(seconds(3)));
+  // The list that follows it.
+  reader.watch();
+  reader.environment.advance(milliseconds(400));
+  reader.source.answer(makeBatch(12, 8));
+  CHECK(reader.answers[1]->age == Duration(milliseconds(400)));
+  // That there is nothing newer is said at the end of the wait.
+  reader.watch();
+  reader.environment.advance(seconds(1));
+  reader.source.answer(makeBatch(13));
+  CHECK(reader.answers[2]->age == Duration(0));
+
+  RelayFixture follower(false);
+  follower.watch();
+  follower.environment.advance(seconds(2));
+  StateUpdate update;
+  update.revision = Generation(14);
+  update.age = milliseconds(100);
+  update.configuration = std::make_shared<const model::Configuration>(makeConfiguration(9));
+  follower.peers.answer(update);
+  CHECK(follower.answers.back()->age == Duration(milliseconds(2100)));
+  follower.watch();
+  update.configuration = nullptr;
+  follower.environment.advance(seconds(1));
+  follower.peers.answer(update);
+  CHECK(follower.answers.back()->age == Duration(milliseconds(100)));
+}
+
 TEST_CASE("a node that is no reader waits at its first reader, and never at the source") {
   for (const Topic topic : kTopics) {
     CAPTURE(topicWord(topic));
