--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -14,7 +14,7 @@
 constexpr int kServiceUnavailable = 503;
 constexpr std::string_view kServersPath = "/v1/state/servers";
 constexpr std::string_view kConfigurationPath = "/v1/state/configuration";
-constexpr std::string_view kAgeHeader = "Coursepond-State-Age-Ms";
+constexpr std::string_view kAgeHeader = "State-Age-Ms";
 /// A node that has just started knows the servers within some tenths of a second; who asks it waits
 /// for an answer for longer than this (RelaySettings::peer_slack).
 constexpr Duration kFirstWait = std::chrono::milliseconds(300);
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -5,7 +5,7 @@
 ///   GET /v1/state/configuration?era=ERA&after=REVISION&version=VERSION&wait_ms=MS&fresh=1
 ///     200 with a state update, without changes when there were none before the wait was over: the
 ///         asker then knows that it is current up to the update's revision;
-///         An answer on the configuration names in Coursepond-State-Age-Ms how long ago the source
+///         An answer on the configuration names in State-Age-Ms how long ago the source
 ///         had nothing newer; without the header the one asked does not know.
 ///     204 to a question that does not wait, when nothing newer is known;
 ///     503 when nothing is known soon, or `fresh` is asked of a node that does not read the source
