--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -176,8 +176,8 @@
 /// How far this node knows its source, and what it has not heard again since a restore.
 void addHeld(MetricTable& table, const source::HeldState& held) {
   using source::Topic;
-  const auto perTopic = [&](const char* name, const char* meaning,
-                            std::function<std::uint64_t(SourceRevision)> value) {
+  const auto add = [&](const char* name, const char* meaning,
+                       std::uint64_t (*value)(SourceRevision)) {
     table.add({name, runtime::MetricType::kGauge, meaning, {"topic"}, [&held, value] {
                  std::vector<runtime::MetricSample> samples;
                  for (const Topic topic : {Topic::kServers, Topic::kConfiguration}) {
@@ -187,10 +187,10 @@
                  return samples;
                }});
   };
-  perTopic("source_era", "How often the source was restored, as far as this node knows.",
-           [](SourceRevision revision) { return revision.era.value(); });
-  perTopic("source_revision", "Up to which revision of that era this node knows the topic.",
-           [](SourceRevision revision) { return revision.number.value(); });
+  add("source_era", "How often the source was restored, as far as this node knows.",
+      [](SourceRevision revision) { return revision.era.value(); });
+  add("source_revision", "Up to which revision of that era this node knows the topic.",
+      [](SourceRevision revision) { return revision.number.value(); });
   table.addCounter("source_restores_total", "Restores of the source that this node saw, by topic.",
                    [&held] { return static_cast<double>(held.restores()); });
   table.addGauge("servers_unconfirmed", "Servers not written again since the source's restore.",
