Restores: a second list of the copy does not vouch for a server that went

Found by reading: within the 4.5 s in which an entry of the copy is doubted, a further list of the same era (a follower's, or after a lost history) told the same entry, and the server was used as if it had been written again. Now only another entry is news.

--- a/src/source/held_servers.cpp
+++ b/src/source/held_servers.cpp
@@ -41,7 +41,12 @@
 
 void HeldServers::put(const model::ServerEntry& entry, ServerChanges& changes) {
   const auto held = servers_.find(entry.id);
-  if (held == servers_.end()) return store(entry, changes);
+  if (held == servers_.end()) {
+    const auto doubted = doubted_.find(entry.id);
+    const bool is_told_again = doubted != doubted_.end() && doubted->second == entry;
+    if (!is_told_again) store(entry, changes);
+    return;
+  }
   if (entry.revision.era > held->second.revision.era) return putOfCopy(entry, changes);
   if (entry.revision < held->second.revision) return;
   unconfirmed_.erase(entry.id);
--- a/tests/source/restored_source_test.cpp
+++ b/tests/source/restored_source_test.cpp
@@ -161,6 +161,10 @@
     // Who was told of it by this node hears of its end.
     CHECK(held.serversSince(at(2, 45)).removed_servers == std::vector{EndpointId("i-2")});
   }
+  SUBCASE("also when a list of the same era tells it again") {
+    CHECK(held.updateServers(copy, true).empty());
+    CHECK(held.servers().doubted() == 1);
+  }
   SUBCASE("it is there after all: its entry stays") {
     CHECK(idsOf(held.acceptDoubtedServers().updated) == Ids{"i-2"});
   }
