Restores: the waits for writers begin anew when the source is away again

Found by reading: a source that comes back from a copy and is away again at once gives servers no chance to write their entries, and a node dropped those that the copy lacks after 2 s all the same; drained zones after 10 s. A failed read restarts the waits that have not ended; what has ended stays.

--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -582,6 +582,7 @@
   writeLog(runtime::LogLevel::kWarning, "source_trouble",
            {{"topic", std::string(source::topicWord(topic))}, {"error", describe(error)}});
   peers_.onSourceFailed(topic);
+  settling_.onSourceFailed(topic);
   configuration_.watch->start();
 }
 
--- a/src/source/restore_settling.cpp
+++ b/src/source/restore_settling.cpp
@@ -16,30 +16,44 @@
 }  // namespace
 
 RestoreSettling::RestoreSettling(HeldState& held, Environment& environment, Handlers handlers)
-    : held_(held), environment_(environment), handlers_(std::move(handlers)) {}
+    : held_(held), environment_(environment), handlers_(std::move(handlers)) {
+  servers_write_ = {kServersWrite,
+                    [this] { handlers_.on_servers(held_.dropUnconfirmedServers()); }};
+  entries_lapse_ = {kEntryLife, [this] { handlers_.on_servers(held_.acceptDoubtedServers()); }};
+  operators_write_ = {kOperatorsWrite, [this] {
+                        may_lack_version_ = false;
+                        handlers_.on_zones(held_.settleZones());
+                      }};
+}
 
 RestoreSettling::~RestoreSettling() {
-  environment_.cancel(written_timer_);
-  environment_.cancel(lapse_timer_);
-  environment_.cancel(operators_timer_);
+  for (const Wait* wait : {&servers_write_, &entries_lapse_, &operators_write_}) {
+    environment_.cancel(wait->timer);
+  }
+}
+
+std::vector<RestoreSettling::Wait*> RestoreSettling::waitsOf(Topic topic) {
+  if (topic == Topic::kConfiguration) return {&operators_write_};
+  return {&servers_write_, &entries_lapse_};
 }
 
 void RestoreSettling::onRestored(Topic topic) {
-  if (topic == Topic::kConfiguration) {
-    may_lack_version_ = true;
-    return restart(operators_timer_, kOperatorsWrite, [this] {
-      may_lack_version_ = false;
-      handlers_.on_zones(held_.settleZones());
-    });
+  if (topic == Topic::kConfiguration) may_lack_version_ = true;
+  for (Wait* wait : waitsOf(topic)) restart(*wait);
+}
+
+void RestoreSettling::onSourceFailed(Topic topic) {
+  for (Wait* wait : waitsOf(topic)) {
+    if (wait->timer != 0) restart(*wait);
   }
-  restart(written_timer_, kServersWrite,
-          [this] { handlers_.on_servers(held_.dropUnconfirmedServers()); });
-  restart(lapse_timer_, kEntryLife, [this] { handlers_.on_servers(held_.acceptDoubtedServers()); });
 }
 
-void RestoreSettling::restart(TimerId& timer, Duration wait, std::function<void()> action) {
-  environment_.cancel(timer);
-  timer = environment_.schedule(wait, std::move(action));
+void RestoreSettling::restart(Wait& wait) {
+  environment_.cancel(wait.timer);
+  wait.timer = environment_.schedule(wait.length, [&wait] {
+    wait.timer = 0;
+    wait.on_end();
+  });
 }
 
 }  // namespace coursepond::source
--- a/src/source/restore_settling.h
+++ b/src/source/restore_settling.h
@@ -5,6 +5,7 @@
 /// for no longer than that.
 
 #include <functional>
+#include <vector>
 
 #include "core/environment.h"
 #include "source/held_state.h"
@@ -27,20 +28,30 @@
 
   /// What is held of `topic` is of another era since now.
   void onRestored(Topic topic);
+  /// A read of `topic` failed: waits that have not ended begin anew, since writers wait as well.
+  void onSourceFailed(Topic topic);
   /// Operators wrote a version that is newer than all that was held.
   void onNewerVersion() { may_lack_version_ = false; }
   /// Whether the source may still lack a version that it had acknowledged.
   bool mayLackVersion() const { return may_lack_version_; }
 
  private:
-  void restart(TimerId& timer, Duration wait, std::function<void()> action);
+  /// One wait, and what its end does.
+  struct Wait {
+    Duration length;
+    std::function<void()> on_end;
+    TimerId timer = 0;  ///< Zero: not begun, or over.
+  };
+
+  std::vector<Wait*> waitsOf(Topic topic);
+  void restart(Wait& wait);
 
   HeldState& held_;
   Environment& environment_;
   Handlers handlers_;
-  TimerId written_timer_ = 0;
-  TimerId lapse_timer_ = 0;
-  TimerId operators_timer_ = 0;
+  Wait servers_write_;
+  Wait entries_lapse_;
+  Wait operators_write_;
   bool may_lack_version_ = false;
 };
 
--- a/tests/source/restored_source_test.cpp
+++ b/tests/source/restored_source_test.cpp
@@ -272,14 +272,24 @@
   settling.onRestored(Topic::kServers);
   environment.advance(milliseconds(1900));
   CHECK(all.empty());
+  // Nobody can write while the source is away again.
+  settling.onSourceFailed(Topic::kServers);
+  settling.onSourceFailed(Topic::kConfiguration);
+  environment.advance(milliseconds(1900));
+  CHECK(all.empty());
   environment.advance(milliseconds(200));
   CHECK(all.removed == std::vector{EndpointId("i-2")});
   environment.advance(seconds(3));
   CHECK(idsOf(all.updated) == Ids{"i-1"});
   CHECK_FALSE(have_zones_changed);
-  environment.advance(seconds(4));
+  environment.advance(seconds(5));
   CHECK(have_zones_changed);
   CHECK_FALSE(settling.mayLackVersion());
+  // What has ended does not begin anew.
+  all = {};
+  settling.onSourceFailed(Topic::kServers);
+  environment.advance(seconds(10));
+  CHECK(all.empty());
 }
 
 }  // namespace coursepond::source
