Soak: the life of an entry and the end of a store's trouble stand once

The 4.5 s after which a silent server's entry lapses stood in two files, and what makes the store well again in two functions. Nothing is judged otherwise; a restored store's end of trouble has its line in the log now, as the others have.

--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -22,8 +22,6 @@
 constexpr std::uint16_t kAdminPort = 8302;
 constexpr std::uint16_t kStorePort = 8309;
 constexpr std::uint16_t kPeerPort = 7620;
-/// A server that fell silent loses its entry after three heartbeats of 1.5 s.
-constexpr Duration kEntryLife = std::chrono::milliseconds(4500);
 /// A server that a request crashed is back after this.
 constexpr Duration kCrashAway = std::chrono::milliseconds(2500);
 /// A log limit that changes with each change of the settings.
--- a/tests/platform/soak/machine.h
+++ b/tests/platform/soak/machine.h
@@ -27,6 +27,11 @@
   Duration grace = std::chrono::seconds(6);
 };
 
+/// Between two writes of a server's entry.
+inline constexpr Duration kHeartbeat = std::chrono::milliseconds(1500);
+/// A server that fell silent loses its entry after three heartbeats.
+inline constexpr Duration kEntryLife = 3 * kHeartbeat;
+
 /// Whether no soak listens on a network now: each listens for its first machine's store.
 bool isNetworkFree(std::uint32_t network);
 
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -29,9 +29,6 @@
 constexpr Duration kTroublesEnd = seconds(10);
 /// After that and `contact`, every machine must serve the newest version within this.
 constexpr Duration kFinal = seconds(4);
-constexpr Duration kHeartbeat = milliseconds(1500);
-/// Three heartbeats.
-constexpr Duration kEntryLife = 3 * kHeartbeat;
 /// Copies that the store may come back from.
 constexpr Duration kCopyInterval = milliseconds(250);
 constexpr Duration kOldestCopy = seconds(8);
@@ -145,6 +142,7 @@
   void beatHearts();
   void play(const Event& event);
   void playStore(const Event& event);
+  void endStoreTrouble();
   void copyStore();
   void restoreStore(const Event& event);
   void writeAgain(std::size_t trouble);
@@ -425,13 +423,18 @@
   }
   environment_.schedule(event.length, [this, trouble] {
     troubles_.end(trouble, now());
-    if (--store_troubles_ > 0) return;
-    store_.setDelay(Duration(0));
-    store_.setTrouble(platform::StoreTrouble::kNone);
-    log("store well again");
+    endStoreTrouble();
   });
 }
 
+/// One of them; the store is well when it was the last.
+void Soak::Implementation::endStoreTrouble() {
+  if (--store_troubles_ > 0) return;
+  store_.setDelay(Duration(0));
+  store_.setTrouble(platform::StoreTrouble::kNone);
+  log("store well again");
+}
+
 void Soak::Implementation::copyStore() {
   copies_.push_back({now(), store_.copy()});
   while (copies_.front().taken + kOldestCopy < now()) copies_.pop_front();
@@ -454,10 +457,7 @@
     store_.restore(*chosen.copy);
     log("store back from a copy: era " + std::to_string(store_.era()) + ", revision " +
         std::to_string(before) + " to " + std::to_string(store_.revision()));
-    if (--store_troubles_ == 0) {
-      store_.setDelay(Duration(0));
-      store_.setTrouble(platform::StoreTrouble::kNone);
-    }
+    endStoreTrouble();
     writeAgain(trouble);
   });
 }
