--- a/bench/simulation/configuration_checks.cpp
+++ b/bench/simulation/configuration_checks.cpp
@@ -5,6 +5,9 @@
 namespace coursepond::simulation {
 namespace {
 
+/// How long after the loss of all processes a published version may be adopted.
+constexpr Duration kAdoptionWindow = std::chrono::seconds(40);
+
 std::string describe(const ProxyStatus& proxy) {
   return proxy.process.node.value() + "#" + std::to_string(proxy.process.start_number);
 }
@@ -71,7 +74,8 @@
 }
 
 bool ConfigurationChecks::mayBeInForce(Version version) const {
-  if (memory_.wasAdopted(version)) return true;
+  const bool is_adoptable = time_.now() < adoptable_until_ || adoptable_.contains(version);
+  if (is_adoptable && memory_.wasAdopted(version)) return true;
   return std::any_of(confirmations_.begin(), confirmations_.end(),
                      [version](const Confirmation& confirmation) {
                        return confirmation.version == version &&
@@ -79,6 +83,11 @@
                      });
 }
 
+void ConfigurationChecks::onAllLost() {
+  adoptable_until_ = time_.now() + kAdoptionWindow;
+  for (const auto& [version, document] : published_) adoptable_.insert(version);
+}
+
 ConfirmationNumber ConfigurationChecks::onConfirmSent(Version version) {
   confirmations_.push_back({version, std::nullopt, time_.now()});
   return confirmations_.size() - 1;
--- a/bench/simulation/configuration_checks.h
+++ b/bench/simulation/configuration_checks.h
@@ -54,6 +54,11 @@
   /// Called whenever a proxy starts to use a different snapshot.
   void onInForce(const ProxyStatus& proxy, const model::SnapshotPointer& snapshot);
 
+  /// Called when all processes end at once, and at the start, when none exists. Only the versions
+  /// published by then, or adopted shortly afterwards, may be in force although every confirmation
+  /// of them was refused.
+  void onAllLost();
+
   ConfirmationNumber onConfirmSent(Version version);
   /// `base` is the version that the plan was based on, if the answer names it.
   void onConfirmationAnswered(ConfirmationNumber confirmation, ConfirmationOutcome outcome,
@@ -108,6 +113,8 @@
   std::map<Version, Acceptance> accepted_;
   std::map<Version, Version> accepted_by_base_;
   std::vector<Change> changes_;
+  std::set<Version> adoptable_;
+  TimePoint adoptable_until_{};
 };
 
 }  // namespace coursepond::simulation
--- a/bench/simulation/fault_injector.cpp
+++ b/bench/simulation/fault_injector.cpp
@@ -126,6 +126,7 @@
 
 void FaultInjector::loseAll(const Fault& fault) {
   disturbMesh(fault.length + kHerdReturn + kAdoptionTime);
+  targets_.configuration_checks.onAllLost();
   for (std::size_t machine = 0; machine < targets_.mesh.machineCount(); ++machine) {
     targets_.mesh.crash(machine);
     const Duration back = fault.length + random_.between(Duration(0), kHerdReturn);
--- a/bench/simulation/fault_injector.h
+++ b/bench/simulation/fault_injector.h
@@ -20,6 +20,7 @@
   Mesh& mesh;
   BackendFleet& fleet;
   Operators& operators;
+  ConfigurationChecks& configuration_checks;
   Trace& trace;
   const Deployment& deployment;
   Calm& mesh_calm;      ///< Disturbances of processes and the links between them.
--- a/bench/simulation/simulation.cpp
+++ b/bench/simulation/simulation.cpp
@@ -39,8 +39,8 @@
         operators_(time_, mesh_, platform_, configuration_checks_, trace_, deployment_, draw(),
                    options.without),
         traffic_(time_, mesh_, request_checks_, deployment_, draw()),
-        injector_({time_, network_, platform_, mesh_, fleet_, operators_, trace_, deployment_,
-                   mesh_calm_, platform_calm_},
+        injector_({time_, network_, platform_, mesh_, fleet_, operators_, configuration_checks_,
+                   trace_, deployment_, mesh_calm_, platform_calm_},
                   draw()) {}
 
   RunReport run() {
@@ -73,6 +73,7 @@
         drawFaults(random_, scenario.faults, scenario.most_faults, phases::kFaults));
     platform_.setReadObserver([this](const NodeId& reader) { onRead(reader); });
     operators_.publish();
+    configuration_checks_.onAllLost();  // No record exists yet.
     mesh_.startAll();
     time_.schedule(phases::kWarmUp, [this, &scenario] {
       operators_.start(scenario.operators, phases::kOperatorsEnd);
--- a/tests/simulation/checks_test.cpp
+++ b/tests/simulation/checks_test.cpp
@@ -88,6 +88,7 @@
   const auto other = bench.publish(2);
   bench.confirm(1, ConfirmationOutcome::kRefused);
   bench.confirm(2, ConfirmationOutcome::kRefused);
+  bench.configurations.onAllLost();
   bench.memory.onAdoption(NodeId("node-1"), Version(1));
   CHECK(bench.memory.losses() == 1);
   bench.configurations.onInForce(bench.proxy, adopted);
@@ -96,6 +97,20 @@
   CHECK(bench.violatedPromise() == promises::kRefusedNotContradicted);
 }
 
+TEST_CASE("a refused version that faults short of the loss of all processes let in is reported") {
+  Bench bench;
+  bench.configurations.onAllLost();
+  const auto adopted = bench.publish(1);
+  bench.confirm(1, ConfirmationOutcome::kRefused);
+  bench.memory.onAdoption(NodeId("node-1"), Version(1));
+  bench.time.runUntil(seconds(39));
+  bench.configurations.onInForce(bench.proxy, adopted);
+  CHECK(bench.violatedPromise().empty());
+  bench.time.runUntil(seconds(41));
+  bench.configurations.onInForce(bench.proxy, adopted);
+  CHECK(bench.violatedPromise() == promises::kRefusedNotContradicted);
+}
+
 TEST_CASE("an adoption while another process holds an acceptance record is reported") {
   Bench bench;
   bench.holders = {{NodeId("node-2"), Version(1)}};
