Ingress: the line of an egress that leaves says whether the server had the request

Now its reason is run_cancelled, wait_cancelled or answer_abandoned, each ingress line has queued_ms, and ingress_callers_gone_total and ingress_runs_cancelled_total count them. Test: "the log line of a caller that disconnects says whether the server had the request".

--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -21,6 +21,10 @@
 constexpr int kGatewayTimeout = 504;
 constexpr Duration kMinRemaining = std::chrono::milliseconds(1);
 const ServiceName kOwnServer("own");
+/// Reasons of DecisionKind::kCallerGone: what the disconnected caller left behind.
+constexpr std::string_view kWaitCancelled = "wait_cancelled";
+constexpr std::string_view kRunCancelled = "run_cancelled";
+constexpr std::string_view kAnswerAbandoned = "answer_abandoned";
 
 class IngressFlow final : public proxy::Exchange, private Waiter, private proxy::DeadlineEntry {
  public:
@@ -68,6 +72,7 @@
     return proxy::isProperAnswer(answer, head_.request_id, state_.settings().expects_signature);
   }
   void onServerRefused(const AnswerHead& answer, TimePoint now);
+  std::string_view abandonedStage() const;
 
   void note(proxy::DecisionKind kind, std::string_view reason, int status) const;
   void finish(TimePoint now);
@@ -277,12 +282,18 @@
   finish(now);
 }
 
+std::string_view IngressFlow::abandonedStage() const {
+  if (phase_ == Phase::kWaiting) return kWaitCancelled;
+  return phase_ == Phase::kAttempting ? kRunCancelled : kAnswerAbandoned;
+}
+
 void IngressFlow::onCallerGone() {
   if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
   ++state_.statistics().caller_gone;
-  note(proxy::DecisionKind::kCallerGone, "", 0);
+  note(proxy::DecisionKind::kCallerGone, abandonedStage(), 0);
   if (phase_ != Phase::kWaiting) {
     if (io_.bytesSent(attempt_)) may_have_run_ = true;
+    if (phase_ == Phase::kAttempting) ++state_.statistics().runs_cancelled;
     io_.cancelAttempt(attempt_);
   }
   finish(environment_.now());
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -52,6 +52,7 @@
   std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
   std::uint64_t bad_answers = 0;
   std::uint64_t caller_gone = 0;
+  std::uint64_t runs_cancelled = 0;  ///< Of these, while the server had the request.
 };
 
 /// The server's answer to a health check.
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -73,7 +73,10 @@
         &S::server_unreachable},
        {"ingress_server_lost_total", "Connections lost with a request on them.", &S::server_lost},
        {"ingress_bad_answers_total", "Answers of the server that were not the request's own.",
-        &S::bad_answers}},
+        &S::bad_answers},
+       {"ingress_callers_gone_total", "Egresses that left before their answer.", &S::caller_gone},
+       {"ingress_runs_cancelled_total", "Of these, while the server had the request.",
+        &S::runs_cancelled}},
       [&state] { return state.statistics(); });
   table.addGauge("ingress_running", "Requests at the server.",
                  [&state] { return static_cast<double>(state.running()); });
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -703,6 +703,7 @@
   } else {
     fields.push_back({"running", std::to_string(inputs.running)});
     fields.push_back({"waiting", std::to_string(inputs.waiting)});
+    fields.push_back({"queued_ms", std::to_string(toMilliseconds(inputs.queued))});
   }
   writeLog(runtime::LogLevel::kInfo, decisionName(decision.kind), std::move(fields));
 }
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -383,6 +383,31 @@
   CHECK(third->io.plans.size() == 1);
 }
 
+TEST_CASE("the log line of a caller that disconnects says whether the server had the request") {
+  struct ReasonLog final : proxy::DecisionLog {
+    void onDecision(const proxy::Decision& decision) override {
+      if (decision.kind != proxy::DecisionKind::kCallerGone) return;
+      reasons.emplace_back(decision.reason);
+    }
+    void onServerChange(proxy::ServerChange, const EndpointId&) override {}
+    std::vector<std::string> reasons;
+  };
+  IngressFixture ingress;
+  ReasonLog log;
+  ingress.state.setDecisionLog(&log);
+  const auto running = ingress.send("r1");
+  const auto sending = ingress.send("r2");
+  const auto waiting = ingress.send("r3");
+  sending->answer(TestExchange::properHead(sending->id));
+  waiting->flow->onCallerGone();
+  running->flow->onCallerGone();
+  sending->flow->onCallerGone();
+  CHECK(log.reasons ==
+        std::vector<std::string>{"wait_cancelled", "run_cancelled", "answer_abandoned"});
+  CHECK(ingress.state.statistics().caller_gone == 3);
+  CHECK(ingress.state.statistics().runs_cancelled == 1);
+}
+
 TEST_CASE("a request that times out in the queue has not run; one at the server may have") {
   IngressFixture ingress;
   const auto first = ingress.send("r1");
