Source: a watch that brings a whole burst of versions is aborted, and the newest is listed

Cause: a watch returns each version written since its revision, whole. What is written while a reader's list is on its way, or before a node became a reader, comes in one answer. Fix: the answer to a watch of the configuration may have twice the size of the last list; if it announces more, it is aborted at its header and the reader lists at once, without losing its followers. So what a reader that is behind receives no longer grows with the number of versions that it missed.

--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -170,6 +170,10 @@
     });
   };
   add("relay_source_reads_total", "Reads of the source by this node.", &S::source_reads);
+  add("relay_source_watches_aborted_total",
+      "Watches of the source that were given up, since a list is smaller.",
+      &S::source_watches_aborted);
+  add("relay_source_bytes_total", "Bytes of the source's answers to this node.", &S::source_bytes);
   add("relay_source_failures_total", "Those that failed.", &S::source_failures);
   add("relay_peer_reads_total", "Questions to nodes that read the source.", &S::peer_reads);
   add("relay_peer_failures_total", "Those that failed.", &S::peer_failures);
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -381,6 +381,12 @@
   clients.relay = std::make_unique<source::RelayClient>(settings_.relay, topic, *clients.client,
                                                         peer_client_, held_, environment_);
   clients.relay->onFreshnessLost([this, topic] { onFreshnessLost(topic); });
+  clients.relay->onVersionsRead([this](const source::VersionsRead& read) {
+    writeLog(runtime::LogLevel::kInfo, "versions_read",
+             {{"read", read.is_list ? "list" : "watch"},
+              {"bytes", std::to_string(read.bytes)},
+              {"elapsed_ms", std::to_string(toMilliseconds(read.elapsed))}});
+  });
   clients.relay->onParentFailed([this, topic](const std::string& host, const Error& error) {
     writeLog(runtime::LogLevel::kInfo, "reader_failed",
              {{"topic", std::string(source::topicName(topic))},
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -124,6 +124,7 @@
         timer_(client_->context()),
         callback_(std::move(callback)),
         stall_limit_(request.stall_limit),
+        body_bytes_(request.body_bytes),
         answer_timeout_(request.answer_timeout.value_or(client_->limits().answer_timeout)) {
     fill(std::move(request));
   }
@@ -200,7 +201,7 @@
     if (error) return onLost(error);
     parser_.emplace();
     parser_->header_limit(client_->limits().header_bytes);
-    parser_->body_limit(client_->limits().body_bytes);
+    parser_->body_limit(body_bytes_.value_or(client_->limits().body_bytes));
     parser_->skip(message_.method() == http::verb::head);
     read();
   }
@@ -296,6 +297,7 @@
   BootTimer timer_;
   Callback callback_;
   std::optional<Duration> stall_limit_;
+  std::optional<std::uint64_t> body_bytes_;
   Duration answer_timeout_;
   Clock::time_point due_;
   std::optional<Clock::time_point> answer_deadline_;  ///< Set once the answer has begun.
--- a/src/runtime/http_message.h
+++ b/src/runtime/http_message.h
@@ -55,6 +55,8 @@
   /// With a stall limit: upper bound for receiving the answer after its first byte. If not set, the
   /// client's own limit (HttpClientLimits) applies.
   std::optional<Duration> answer_timeout = std::nullopt;
+  /// Replaces HttpClientLimits::body_bytes. An answer that announces more is aborted at its header.
+  std::optional<std::uint64_t> body_bytes = std::nullopt;
 };
 
 /// An answer that the one-shot client received completely.
--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -86,8 +86,9 @@
                          alive = std::weak_ptr<int>(alive_)](Result<WatchBatch> answer) {
     if (alive.expired()) return;
     if (answer) {
-      addTransferTime(*answer, environment_.now() - asked);
-      noteSourceAnswer(*answer);
+      const Duration elapsed = environment_.now() - asked;
+      addTransferTime(*answer, elapsed);
+      noteSourceAnswer(*answer, true, elapsed);
     }
     callback(std::move(answer));
   });
@@ -96,7 +97,7 @@
 void RelayClient::watch(SourceRevision after, Duration wait, Duration timeout,
                         WatchCallback callback) {
   step(std::make_shared<Read>(Read{after, wait, timeout, std::move(callback), held_.version(),
-                                   environment_.now(), TimePoint(), false, std::nullopt}));
+                                   environment_.now(), TimePoint(), false, false, std::nullopt}));
 }
 
 void RelayClient::step(const ReadPointer& read) {
@@ -154,7 +155,8 @@
                             alive = std::weak_ptr<int>(alive_)](Result<WatchBatch> answer) {
     if (!alive.expired()) onSourceAnswer(read, std::move(answer));
   };
-  if (lists_next_ || read->after == SourceRevision()) {
+  read->is_list = lists_next_ || read->after == SourceRevision();
+  if (read->is_list) {
     return source_.list(std::max(timeout, sourceWait() + settings_.source_slack),
                         [callback = std::move(callback)](Result<WatchBatch> answer) {
                           if (answer) answer->is_complete = true;
@@ -166,13 +168,21 @@
 
 void RelayClient::onSourceAnswer(const ReadPointer& read, Result<WatchBatch> answer) {
   if (answer) {
-    addTransferTime(*answer, environment_.now() - read->asked);
-    noteSourceAnswer(*answer);
+    const Duration elapsed = environment_.now() - read->asked;
+    addTransferTime(*answer, elapsed);
+    noteSourceAnswer(*answer, read->is_list, elapsed);
     // This list follows a new version and has no newer one. Without a change in the batch, the
     // caller does not pause before its next read.
     if (topic_ == Topic::kConfiguration && !lists_next_) answer->configurations.clear();
     return read->callback(std::move(answer));
   }
+  // The answer has many versions, or one that is much larger than before. A list has the newest
+  // alone. Its followers keep waiting, since none of them would get the version sooner.
+  if (answer.error().kind == ErrorKind::kTooLarge && !read->is_list) {
+    ++statistics_.source_watches_aborted;
+    lists_next_ = true;
+    return readSource(read);
+  }
   ++statistics_.source_failures;
   loseFreshness();
   if (answer.error().kind == ErrorKind::kBaseMismatch) return read->callback(std::move(answer));
@@ -181,7 +191,10 @@
   step(read);
 }
 
-void RelayClient::noteSourceAnswer(const WatchBatch& batch) {
+void RelayClient::noteSourceAnswer(const WatchBatch& batch, bool is_list, Duration elapsed) {
+  statistics_.source_bytes += batch.bytes;
+  const bool has_versions = !batch.configurations.empty();
+  if (has_versions && on_versions_read_) on_versions_read_({is_list, batch.bytes, elapsed});
   const bool is_new =
       !batch.configurations.empty() && batch.configurations.back()->version > held_.version();
   lists_next_ = is_new;
--- a/src/source/relay_client.h
+++ b/src/source/relay_client.h
@@ -47,10 +47,20 @@
   Duration avoid_source = std::chrono::seconds(2);
 };
 
+/// An answer of the source that contained versions of the configuration.
+struct VersionsRead {
+  /// A list has the newest version, a watch each one since its revision.
+  bool is_list = false;
+  std::uint64_t bytes = 0;
+  Duration elapsed{};  ///< From the request until the whole answer was received.
+};
+
 /// Counters for /metrics. Never reset.
 struct RelayStatistics {
   std::uint64_t source_reads = 0;
   std::uint64_t source_failures = 0;
+  std::uint64_t source_watches_aborted = 0;  ///< Because a list is smaller.
+  std::uint64_t source_bytes = 0;            ///< Received from the source.
   std::uint64_t peer_reads = 0;
   std::uint64_t peer_failures = 0;
 };
@@ -66,6 +76,10 @@
   void setParents(std::vector<std::string> parents, ReaderRole role, std::size_t nodes = 0);
   /// Called when this node is no longer fresh; see isFresh().
   void onFreshnessLost(std::function<void()> callback) { on_freshness_lost_ = std::move(callback); }
+  /// Called when the source answered with versions of the configuration.
+  void onVersionsRead(std::function<void(const VersionsRead&)> callback) {
+    on_versions_read_ = std::move(callback);
+  }
   /// Called when a parent did not answer or refused to. The read continues on another path.
   void onParentFailed(std::function<void(const std::string& host, const Error& error)> callback) {
     on_reader_failed_ = std::move(callback);
@@ -92,6 +106,7 @@
     TimePoint began;
     TimePoint asked;  ///< Start of the last step.
     bool was_source_asked = false;
+    bool is_list = false;          ///< The last step lists the source.
     std::optional<Error> failure;  ///< Error of the last step.
   };
   using ReadPointer = std::shared_ptr<Read>;
@@ -106,7 +121,7 @@
                     const Result<std::optional<StateUpdate>>& answer);
   void onPeerFailed(const ReadPointer& read, const std::string& host, const Error& error);
   std::optional<std::string> nextPeer();
-  void noteSourceAnswer(const WatchBatch& batch);
+  void noteSourceAnswer(const WatchBatch& batch, bool is_list, Duration elapsed);
   void noteParentAnswer();
   void fail(const ReadPointer& read);
   void loseFreshness();
@@ -122,6 +137,7 @@
   const HeldState& held_;
   Environment& environment_;
   std::function<void()> on_freshness_lost_;
+  std::function<void(const VersionsRead&)> on_versions_read_;
   std::function<void(const std::string&, const Error&)> on_reader_failed_;
   /// Callbacks hold a weak reference, and do nothing once the client is destroyed.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -5,6 +5,7 @@
 /// Unlike with PlatformClient, a version that such a source returns is in force without a
 /// confirmation. A source may be restored from a copy that is some seconds old; see SourceRevision.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,6 +50,7 @@
   bool is_relayed = false;   ///< From another node, which already pauses between its own reads.
   /// Time since the source was known to have nothing newer; none if the sender does not know.
   std::optional<Duration> age = Duration(0);
+  std::uint64_t bytes = 0;  ///< Size of the source's answer. Zero if from another node.
   std::vector<ConfigurationPointer> configurations;
   std::vector<ZoneChange> zone_changes;  ///< In order; only in the topic kConfiguration.
   bool lists_zones = false;              ///< `zone_changes` lists all drained zones.
@@ -69,7 +71,8 @@
 /// Reads one topic of a source. Each call makes one read (a list may need several pages) and calls
 /// back exactly once, never from inside the call. Errors: kBaseMismatch (the source no longer has
 /// the changes since that revision, or is in another era: list again), kOverloaded (too many
-/// reads), kUnavailable, kTimeout, kMalformed.
+/// reads), kUnavailable, kTimeout, kMalformed. A watch may also fail with kTooLarge: the changes
+/// since that revision are much larger than a list.
 class WatchClient {
  public:
   virtual ~WatchClient() = default;
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -139,6 +139,7 @@
     on_failure_(error);
     if (is_first) return list();
   } else {
+    must_list_ = must_list_ || error.kind == ErrorKind::kTooLarge;
     on_failure_(error);
   }
   backoff_.onFailure();
--- a/tests/platform/large_configuration_test.cpp
+++ b/tests/platform/large_configuration_test.cpp
@@ -73,4 +73,24 @@
   CHECK(refused == 0);
 }
 
+// The list that follows a new version takes seconds. The versions written meanwhile came in the
+// answer to the next watch, each one whole, which delayed the newest by the time of all others.
+TEST_CASE("versions written during a list of the source do not arrive one after the other") {
+  NodeOnStore bench(kSlowLink);
+  startSmall(bench);
+  bench.configure(2, "/large/", kManyRoutes);
+  REQUIRE(bench.becomes("/large/x", 200));
+  // Lets the list that follows a version begin.
+  bench.context().run_for(std::chrono::seconds(1));
+  const std::uint64_t before = bench.link().bytesPassed();
+  constexpr int kNewest = 8;
+  for (int version = 3; version < kNewest; ++version) {
+    bench.configure(version, "/large/", kManyRoutes);
+  }
+  bench.configure(kNewest, "/newest/", kManyRoutes);
+  CHECK(bench.becomes("/newest/x", 200));
+  const std::uint64_t answer_bytes = configurationText(2, "/large/", kManyRoutes).size() * 4 / 3;
+  CHECK(bench.link().bytesPassed() - before < 3 * answer_bytes);
+}
+
 }  // namespace coursepond::platform
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -170,6 +170,25 @@
   }
 }
 
+TEST_CASE("a watch of many versions is aborted as too large, a watch of one is not") {
+  Bench bench;
+  const std::string routes(200'000, ' ');
+  const auto write = [&] { bench.store.put("op/config", std::string(kConfiguration) + routes); };
+  write();
+  const Result<WatchBatch> list = bench.listConfiguration();
+  REQUIRE(list.has_value());
+  CHECK(list->bytes > routes.size());
+  const std::uint64_t listed = list->revision.number.value();
+  write();
+  CHECK(bench.watchConfiguration(listed, Duration(0)).has_value());
+  write();
+  write();
+  const Result<WatchBatch> many = bench.watchConfiguration(listed, Duration(0));
+  REQUIRE_FALSE(many.has_value());
+  CHECK(many.error().kind == ErrorKind::kTooLarge);
+  CHECK(bench.listConfiguration().has_value());
+}
+
 TEST_CASE("lost history is reported as kBaseMismatch, and the loop lists again") {
   Bench bench;
   bench.store.put("servers/i-3", serverText("10.0.0.3:80"));
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -308,6 +308,30 @@
   CHECK(fixture.peers.reads.empty());
 }
 
+// Versions that were written while a reader received another one came in one answer, each one
+// whole. Over a link of 10 Mbit/s the newest was in force nine seconds late.
+TEST_CASE("a reader lists at once if the changes are larger than a list, and stays fresh") {
+  RelayFixture fixture(true);
+  fixture.watch();
+  REQUIRE_FALSE(fixture.source.reads.back().is_list);
+  fixture.source.fail(ErrorKind::kTooLarge);
+  REQUIRE(fixture.source.reads.size() == 2);
+  CHECK(fixture.source.reads.back().is_list);
+  CHECK(fixture.answers.empty());
+  CHECK(fixture.freshness_lost == 0);
+  CHECK(fixture.client.isFresh());
+  CHECK(fixture.client.statistics().source_failures == 0);
+  fixture.source.answer(makeBatch(17, 14));
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0]->is_complete);
+  CHECK(fixture.held.version() == Version(14));
+  // A list that is too large is a failed read.
+  fixture.watch();
+  REQUIRE(fixture.source.reads.back().is_list);
+  fixture.source.fail(ErrorKind::kTooLarge);
+  CHECK(fixture.client.statistics().source_failures == 1);
+}
+
 TEST_CASE(
     "after a new version a reader lists the newest state instead of each version of a burst") {
   RelayFixture fixture(true);
