Source: the time in which an answer arrived counts towards the pause after a change

Cause and evidence (versions_read lines): the version was written just after the store had answered a list of 1.0 MB. It waited 0.82 s for the rest of that list, 0.5 s of pause and 0.89 s for the next one: 2.2 s of the 2 s allowed. Fix: the pause exists so that a burst comes in few reads, and a read that takes longer than the pause does that by itself. Reads of large versions over slow links follow each other while versions change; all others are as before. Test, red before: "the time in which an answer arrived shortens the pause after it".

--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -227,6 +227,9 @@
     if (message.keep_alive() && buffer_.size() == 0) {
       client_->keepIdle(address_, std::move(connection_));
     }
+    if (answer_deadline_) {
+      response.receive_time = std::chrono::duration_cast<Duration>(Clock::now() - answer_began_);
+    }
     succeed(std::move(response));
   }
 
@@ -234,7 +237,10 @@
   void onProgress() {
     if (!stall_limit_) return;
     const Clock::time_point now = Clock::now();
-    if (!answer_deadline_) answer_deadline_ = now + answer_timeout_;
+    if (!answer_deadline_) {
+      answer_began_ = now;
+      answer_deadline_ = now + answer_timeout_;
+    }
     due_ = std::min(now + *stall_limit_, *answer_deadline_);
     // The timer rechecks the deadline when it fires; only an earlier deadline needs a new timer.
     if (due_ < timer_.expiry()) armTimer();
@@ -300,6 +306,7 @@
   std::optional<std::uint64_t> body_bytes_;
   Duration answer_timeout_;
   Clock::time_point due_;
+  Clock::time_point answer_began_;                    ///< Valid if answer_deadline_ is set.
   std::optional<Clock::time_point> answer_deadline_;  ///< Set once the answer has begun.
   std::unique_ptr<Connection> connection_;
   http::request<http::string_body> message_;
--- a/src/runtime/http_message.h
+++ b/src/runtime/http_message.h
@@ -64,6 +64,8 @@
   int status = 0;
   HeaderFields headers;
   std::string body;
+  /// From the answer's first bytes until it was whole. Zero without a stall limit.
+  Duration receive_time{};
 };
 
 }  // namespace coursepond::runtime
--- a/src/source/watch_client.h
+++ b/src/source/watch_client.h
@@ -50,6 +50,8 @@
   bool is_relayed = false;   ///< From another node, which already pauses between its own reads.
   /// Time since the source was known to have nothing newer; none if the sender does not know.
   std::optional<Duration> age = Duration(0);
+  /// How long the link took to carry the source's answer. Zero if from another node.
+  Duration transfer_time{};
   std::uint64_t bytes = 0;  ///< Size of the source's answer. Zero if from another node.
   std::vector<ConfigurationPointer> configurations;
   std::vector<ZoneChange> zone_changes;  ///< In order; only in the topic kConfiguration.
--- a/src/source/watch_loop.cpp
+++ b/src/source/watch_loop.cpp
@@ -109,7 +109,9 @@
       !is_stale && (!answer->configurations.empty() || !answer->zone_changes.empty() ||
                     !answer->servers.empty() || !answer->removed_servers.empty());
   // No pause after an answer of another node: that node already limits the rate of its reads.
-  has_changes && !answer->is_relayed ? watchLater(settings_.gather) : watch();
+  const Duration pause = settings_.gather - answer->transfer_time;
+  const bool pauses = has_changes && !answer->is_relayed && pause > Duration(0);
+  pauses ? watchLater(pause) : watch();
 }
 
 void WatchLoop::noteAnswer(const WatchBatch& batch) {
--- a/src/source/watch_loop.h
+++ b/src/source/watch_loop.h
@@ -20,7 +20,8 @@
   /// noticed.
   Duration wait = std::chrono::milliseconds(2000);
   /// Pause after a read of the source that returned changes, so that changes in quick succession
-  /// are returned by one read.
+  /// are returned by one read. The time that the answer took to arrive counts towards it, since the
+  /// next read already returns what was changed in that time.
   Duration gather = std::chrono::milliseconds(500);
   /// A read that is not answered within this time after its wait counts as failed.
   Duration answer_timeout = std::chrono::milliseconds(700);
--- a/tests/source/watch_loop_test.cpp
+++ b/tests/source/watch_loop_test.cpp
@@ -93,6 +93,23 @@
   CHECK(fixture.client.reads[2].after == Generation(11));
 }
 
+// Two transfers of a large version and the pause between them took longer than a version may take
+// until it is in force: a version written during the first came with the second.
+TEST_CASE("the time in which an answer arrived shortens the pause after it") {
+  LoopFixture fixture;
+  fixture.answer(LoopFixture::batch(10));
+  WatchBatch slow = LoopFixture::batch(11, true);
+  slow.transfer_time = fixture.settings.gather - milliseconds(100);
+  fixture.answer(slow);
+  CHECK(fixture.client.reads.size() == 2);
+  fixture.environment.advance(milliseconds(100));
+  REQUIRE(fixture.client.reads.size() == 3);
+  WatchBatch slower = LoopFixture::batch(12, true);
+  slower.transfer_time = fixture.settings.gather + milliseconds(100);
+  fixture.answer(slower);
+  CHECK(fixture.client.reads.size() == 4);
+}
+
 TEST_CASE("there is no pause after a relayed answer") {
   LoopFixture fixture;
   fixture.answer(LoopFixture::batch(4));
