--- a/tests/platform/soak/client.cpp
+++ b/tests/platform/soak/client.cpp
@@ -273,10 +273,7 @@
 }
 
 void Client::Implementation::onLost(const ConnectionPointer& connection) {
-  const Request* front = nullptr;
   for (Request* const request : std::exchange(connection->waiting, {})) {
-    request->cut_behind = front;
-    if (front == nullptr) front = request;
     end(*request, RequestEnd::kCut);
   }
   closeNow();
--- a/tests/platform/soak/judge.cpp
+++ b/tests/platform/soak/judge.cpp
@@ -81,7 +81,6 @@
                      std::to_string(toMilliseconds(request.deadline)) + " sent " +
                      formatTime(request.sent);
   if (request.was_pipelined) text += " behind others";
-  if (request.cut_behind) text += " cut with " + request.cut_behind->id + " ahead of it";
   if (request.injected_fault != AnswerFault::kNone) text += " with a fault injected by its server";
   text += " " + endWord(request.end);
   if (request.end != RequestEnd::kOpen) {
@@ -315,25 +314,19 @@
          describeRequest(request, "its server was executing it while " + whose));
 }
 
-/// Returns true if there was no fault wherever the request may have been.
-bool PromiseChecker::isPathFaultFree(const Request& request) const {
-  if (request.injected_fault != AnswerFault::kNone) return false;
-  const TimePoint from = request.sent - bounds_.contact;
-  if (!isUndisturbed(request.machine, from, request.ended)) return false;
-  return request.runs.empty() ? isEverythingFaultFree(from, request.ended)
-                              : areServersFaultFree(request);
-}
-
-/// Without any fault, no connection is cut and no outcome is unknown before the deadline. An answer
-/// that is cut by a fault ends its connection, and the requests behind it cannot be answered.
+/// Without any fault, no connection is cut and no outcome is unknown before the deadline.
 void PromiseChecker::checkFailure(const Request& request) {
   const bool is_cut = request.end == RequestEnd::kCut;
   const bool is_unknown =
       request.end == RequestEnd::kAnswered && !request.is_from_server && isUnknown(request.status);
   if (!is_cut && !is_unknown) return;
-  if (!isPathFaultFree(request)) return;
-  if (request.cut_behind && !isPathFaultFree(*request.cut_behind)) return;
+  if (request.injected_fault != AnswerFault::kNone) return;
+  const TimePoint from = request.sent - bounds_.contact;
+  if (!isUndisturbed(request.machine, from, request.ended)) return;
   const bool was_run = !request.runs.empty();
+  const bool is_calm =
+      was_run ? areServersFaultFree(request) : isEverythingFaultFree(from, request.ended);
+  if (!is_calm) return;
   const Duration age = request.ended - request.sent;
   if (age >= std::min(request.deadline, kRouteTimeout) - kClockSlack) return;
   // A persistent connection may be closed just when a request is sent.
--- a/tests/platform/soak/judge.h
+++ b/tests/platform/soak/judge.h
@@ -100,7 +100,6 @@
   void checkVersion(const Request& request);
   void checkStop(const Request& request);
   void checkFailure(const Request& request);
-  bool isPathFaultFree(const Request& request) const;
   void checkHeld(const Request& request);
   void checkUnserved(const Request& request);
 
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -45,8 +45,6 @@
   std::uint32_t node_incarnation = 0;  ///< Incarnation of the node process, from 1.
   bool is_repeatable = true;
   bool was_pipelined = false;  ///< Sent while other requests were pending on its connection.
-  /// The request whose answer was due when the connection was closed, if this one was behind it.
-  const Request* cut_behind = nullptr;
   AnswerFault injected_fault = AnswerFault::kNone;
   std::uint64_t crasher = 0;  ///< Number of the crashing request; 0 if it does not crash servers.
   bool abandoned_early = false;  ///< The client gave it up before its timeout, on purpose or with
--- a/tests/platform/soak_parts_test.cpp
+++ b/tests/platform/soak_parts_test.cpp
@@ -223,32 +223,6 @@
   CHECK(bench.violationsOf(held).empty());
 }
 
-// A reset link cut the answer of the request ahead, whose server was on another machine, and with
-// it the connection of the caller.
-TEST_CASE("a request that is cut behind another one is a violation unless a fault cut that one") {
-  CheckerBench bench;
-  bench.writeVersion(0, 1, 0);
-  Request& front = bench.addRequest(kReadRoute, 10'000, 0);
-  Request& behind = bench.addRequest(kReadRoute, 10'010, 0);
-  front.end = behind.end = RequestEnd::kCut;
-  bench.addRun(behind, true);
-  bench.addRun(front, true);
-  behind.cut_behind = &front;
-  CHECK(bench.violationsOf(behind) == Kinds{"cut_when_calm"});
-  CHECK(bench.violationsOf(front) == Kinds{"cut_when_calm"});
-  front.injected_fault = AnswerFault::kHalf;
-  CHECK(bench.violationsOf(behind).empty());
-  front.injected_fault = AnswerFault::kNone;
-  front.runs.front().machine = "m2";
-  bench.faults().end(bench.faults().begin("m2", FaultKind::kUnplanned, bench.at(9'990)),
-                     bench.at(9'995));
-  CHECK(bench.violationsOf(front).empty());
-  CHECK(bench.violationsOf(behind).empty());
-  // Behind an answer that arrived, the request is checked by its own path alone.
-  behind.cut_behind = nullptr;
-  CHECK(bench.violationsOf(behind) == Kinds{"cut_when_calm"});
-}
-
 TEST_CASE("the same seed gives the same schedule, and another seed another one") {
   const auto text = [](std::uint64_t seed) {
     ScheduleSettings settings;
