--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -131,10 +131,10 @@
   void releaseServer();
 
   void note(proxy::DecisionKind kind, std::string_view reason, int status) const {
-    noteOf(attempt_, server_, kind, reason, status);
+    noteAttempt(attempt_, server_, kind, reason, status);
   }
-  void noteOf(AttemptId attempt, const ServerPointer& server, proxy::DecisionKind kind,
-              std::string_view reason, int status) const;
+  void noteAttempt(AttemptId attempt, const ServerPointer& server, proxy::DecisionKind kind,
+                   std::string_view reason, int status) const;
   void finish();
   void conclude(Reason reason);
   void concludeFull(TimePoint now);
@@ -534,8 +534,8 @@
   const bool is_from_server = is_proper && !answer.not_run && answer.node_outcome.empty();
   if (is_from_server && answer.status < kLowestServerError) return takeKept();
   const std::string_view reason = is_from_server ? "server_failed" : answer.node_reason;
-  noteOf(kept_->id, kept_->server, proxy::DecisionKind::kAttemptEnded,
-         is_proper ? reason : "not_its_answer", 0);
+  noteAttempt(kept_->id, kept_->server, proxy::DecisionKind::kAttemptEnded,
+              is_proper ? reason : "not_its_answer", 0);
   if (!is_proper) ++state_.statistics().bad_answers;
   if (!is_proper || !answer.not_run) may_have_run_ = true;
   if (answer.node_reason == reasonName(Reason::kConnectionLost)) ++lost_runs_;
@@ -544,7 +544,8 @@
 }
 
 void EgressFlow::onKeptFailed(AttemptFailure failure, TimePoint now) {
-  noteOf(kept_->id, kept_->server, proxy::DecisionKind::kAttemptEnded, failureName(failure), 0);
+  noteAttempt(kept_->id, kept_->server, proxy::DecisionKind::kAttemptEnded, failureName(failure),
+              0);
   ++state_.statistics().hop_failures;
   state_.onUnreachable(*kept_->server, now);
   may_have_run_ = true;
@@ -583,7 +584,7 @@
 
 void EgressFlow::cancelKept(std::string_view reason) {
   if (!kept_) return;
-  noteOf(kept_->id, kept_->server, proxy::DecisionKind::kAttemptEnded, reason, 0);
+  noteAttempt(kept_->id, kept_->server, proxy::DecisionKind::kAttemptEnded, reason, 0);
   dropKept();
 }
 
@@ -793,8 +794,8 @@
   finish();
 }
 
-void EgressFlow::noteOf(AttemptId attempt, const ServerPointer& server, proxy::DecisionKind kind,
-                        std::string_view reason, int status) const {
+void EgressFlow::noteAttempt(AttemptId attempt, const ServerPointer& server,
+                             proxy::DecisionKind kind, std::string_view reason, int status) const {
   const TimePoint now = environment_.now();
   proxy::Decision decision;
   decision.kind = kind;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -152,13 +152,13 @@
   /// Cancels the attempt. Its connection must be closed and not reused. No event for the attempt
   /// may follow.
   virtual void cancelAttempt(AttemptId attempt) = 0;
-  /// Keeps the attempt open while another one is started, because its server may be running the
-  /// request. Its events are still reported, except that only the head of its answer is: the flow
-  /// must then resume it, cancel it or discard the answer. Returns false if the attempt cannot be
-  /// kept; it then remains the current one. At most one attempt is kept at a time.
+  /// Keeps the current attempt open beside the next one, because its server may be running the
+  /// request. Returns false if that is not possible; nothing has changed then. At most one attempt
+  /// is kept at a time. Its acknowledgement, its failure and the head of its answer are reported.
+  /// When the head is reported, the flow must resume or cancel the attempt, or discard the answer.
   virtual bool keepAttempt(AttemptId) { return false; }
-  /// Makes the kept attempt the current one again, after the other one has ended. If this is called
-  /// while its answer's head is being reported, the head is reported once more.
+  /// Makes the kept attempt the current one again. The other attempt must have ended. If this is
+  /// called while the head of its answer is reported, the head is reported again, to be forwarded.
   virtual void resumeAttempt(AttemptId) {}
   /// Returns whether the first byte of the request may have been sent to the server. Called just
   /// before cancelAttempt(). Must return true if that is not known; the outcome for the caller is
--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -176,8 +176,8 @@
     if (topic_ == Topic::kConfiguration && !lists_next_) answer->configurations.clear();
     return read->callback(std::move(answer));
   }
-  // The answer has many versions, or one that is much larger than before. A list has the newest
-  // alone. Its followers keep waiting, since none of them would get the version sooner.
+  // The answer has many versions, or one that is much larger than before; a list has only the
+  // newest. Followers keep waiting at this node, since no other path is faster.
   if (answer.error().kind == ErrorKind::kTooLarge && !read->is_list) {
     ++statistics_.source_watches_aborted;
     lists_next_ = true;
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -788,9 +788,8 @@
   checkAnswered(*stock, 504, proxy::Outcome::kUnknown);
 }
 
-// Nodes cancelled the attempt at a silent ingress, whose server was running the request, and then
-// found no other server that took the repeat: the caller got 502, also when the node was stopped
-// in between.
+// Guards against a 502 for a request that is taken away from the server that runs it, although no
+// other server takes the repeat.
 TEST_CASE("a request whose repeat is refused everywhere is answered by its silent first server") {
   EgressFixture egress;
   egress.begin(3);
@@ -838,7 +837,7 @@
   CHECK(stock->io.forwarded == std::vector<proxy::AttemptId>{1});
 }
 
-// An ingress that acknowledged the request may still refuse it, or its server may.
+// Guards against cancelling for an acknowledgement: the ingress or its server may still refuse.
 TEST_CASE("a silent attempt and its repeat stay open until the answer of either") {
   for (const proxy::AttemptId first : {1U, 2U}) {
     EgressFixture egress;
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -670,8 +670,8 @@
   Duration delay_;
 };
 
-// The first ingress takes longer to acknowledge the request than the egress waits, and the server
-// of the repeat loses its answer. The caller got 502 although the first server was at work.
+// Guards against a 502 while a server is at work: the first ingress acknowledges later than the
+// egress waits, and the server of the repeat loses its answer.
 TEST_CASE("the late answer of a silent ingress reaches the caller if the repeat fails") {
   Fixture mesh;
   const Address slow{"127.0.0.5", mesh.ingressPort()};
--- a/tests/platform/large_configuration_test.cpp
+++ b/tests/platform/large_configuration_test.cpp
@@ -73,8 +73,8 @@
   CHECK(refused == 0);
 }
 
-// The list that follows a new version takes seconds. The versions written meanwhile came in the
-// answer to the next watch, each one whole, which delayed the newest by the time of all others.
+// Guards against a version that waits for all versions written before it: the answer to a watch
+// contains each one as a whole.
 TEST_CASE("versions written during a list of the source do not arrive one after the other") {
   NodeOnStore bench(kSlowLink);
   startSmall(bench);
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -308,8 +308,7 @@
   CHECK(fixture.peers.reads.empty());
 }
 
-// Versions that were written while a reader received another one came in one answer, each one
-// whole. Over a link of 10 Mbit/s the newest was in force nine seconds late.
+// Guards against a reader that receives each version of a burst before the newest.
 TEST_CASE("a reader lists at once if the changes are larger than a list, and stays fresh") {
   RelayFixture fixture(true);
   fixture.watch();
--- a/tests/source/watch_loop_test.cpp
+++ b/tests/source/watch_loop_test.cpp
@@ -93,8 +93,8 @@
   CHECK(fixture.client.reads[2].after == Generation(11));
 }
 
-// Two transfers of a large version and the pause between them took longer than a version may take
-// until it is in force: a version written during the first came with the second.
+// Guards against a version in force late because a pause follows a slow transfer, during which the
+// version was written.
 TEST_CASE("the time in which an answer arrived shortens the pause after it") {
   LoopFixture fixture;
   fixture.answer(LoopFixture::batch(10));
