--- a/bench/simulation/configuration_checks.cpp
+++ b/bench/simulation/configuration_checks.cpp
@@ -74,7 +74,8 @@
 }
 
 bool ConfigurationChecks::mayBeInForce(Version version) const {
-  const bool is_adoptable = time_.now() < adoptable_until_ || adoptable_.contains(version);
+  const bool is_adoptable =
+      allows_late_adoption_ || time_.now() < adoptable_until_ || adoptable_.contains(version);
   if (is_adoptable && memory_.wasAdopted(version)) return true;
   return std::any_of(confirmations_.begin(), confirmations_.end(),
                      [version](const Confirmation& confirmation) {
--- a/bench/simulation/configuration_checks.h
+++ b/bench/simulation/configuration_checks.h
@@ -58,6 +58,8 @@
   /// published by then, or adopted shortly afterwards, may be in force although every confirmation
   /// of them was refused.
   void onAllLost();
+  /// Allows the same for a version that is adopted at any time after all records were lost.
+  void allowLateAdoption() { allows_late_adoption_ = true; }
 
   ConfirmationNumber onConfirmSent(Version version);
   /// `base` is the version that the plan was based on, if the answer names it.
@@ -115,6 +117,7 @@
   std::vector<Change> changes_;
   std::set<Version> adoptable_;
   TimePoint adoptable_until_{};
+  bool allows_late_adoption_ = false;
 };
 
 }  // namespace coursepond::simulation
--- a/bench/simulation/simulation.cpp
+++ b/bench/simulation/simulation.cpp
@@ -74,6 +74,7 @@
     platform_.setReadObserver([this](const NodeId& reader) { onRead(reader); });
     operators_.publish();
     configuration_checks_.onAllLost();  // No record exists yet.
+    if (options_.allows_late_adoption) configuration_checks_.allowLateAdoption();
     mesh_.startAll();
     time_.schedule(phases::kWarmUp, [this, &scenario] {
       operators_.start(scenario.operators, phases::kOperatorsEnd);
--- a/bench/simulation/simulation.h
+++ b/bench/simulation/simulation.h
@@ -24,6 +24,8 @@
   std::optional<std::vector<Fault>> faults;
   /// Stream that every event is printed to; null to print none.
   std::ostream* trace_output = nullptr;
+  /// See ConfigurationChecks::allowLateAdoption().
+  bool allows_late_adoption = false;
 };
 
 struct Percentiles {
