Ingress: the limit that a server names is read, logged and counted

Nothing acts on the limit yet.

- headers.server_limit and headers.draining name the two headers; the template for the users' platform has their names.
- AnswerHead::limit; a value that is no number, negative or infinite is unreadable: what was known stays, and it is counted.
- ServerLimit holds what the server said last.
An answer without a limit lifts it only if its request was sent after the last report, since answers to earlier requests may be older than that.
- event=server_limit with the change, the limit and the requests sent so far; gauge ingress_server_limit, counters ingress_sends_total and ingress_unreadable_limits_total.

Test over real sockets: the limit is shown, six unreadable values leave it, and an answer without it lifts it.

--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -20,6 +20,9 @@
 inline constexpr char kReason[] = "X-Reason";
 /// From a back end: "1" while it is leaving and takes no new work.
 inline constexpr char kDraining[] = "X-Draining";
+/// From a back end: the requests per second that it accepts from all callers together, a decimal
+/// number. Absent: no limit.
+inline constexpr char kServerLimit[] = "X-Server-Limit";
 /// From a back end: its load as "busy/slots", for example "3/20". May be stale or wrong.
 inline constexpr char kLoad[] = "X-Load";
 /// Towards a back end: number of the attempt of this request, counted from 1.
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -218,6 +218,7 @@
     return conclude(Reason::kMalformedAnswer, now);
   }
   if (was_refused) return onServerRefused(answer, now);
+  state_.onLimitReport(answer.limit, proxy::AnswerSource::kRun, instance_, attempt_started_, now);
   note(proxy::DecisionKind::kForwarded, "", answer.status);
   state_.onAnswered(target, now - attempt_started_);
   noteSize(answer.body_bytes);
@@ -252,6 +253,11 @@
       answer.status == kMisdirected && !answer.instance.empty() && answer.instance != instance_;
   if (was_started_anew) {
     state_.learnInstance(answer.instance);
+    instance_ = answer.instance;
+  }
+  state_.onLimitReport(answer.limit, proxy::AnswerSource::kRefusal, instance_, attempt_started_,
+                       now);
+  if (was_started_anew) {
     return conclude(Reason::kOtherInstance, now);
   }
   if (answer.status != kMisdirected) state_.pause(state_.settings().refused_pause, now);
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -27,6 +27,7 @@
     // This may be a new instance with the same id.
     server_ends_.onRestart(now);
     rejections_ = RejectionRate();
+    server_limit_.reset();
     cold_start_.suspectTurnedCold(now);
   }
   const Duration cold_before = server_ && !is_new_start ? server_->remaining_warm_up : Duration(0);
@@ -41,7 +42,9 @@
 void IngressState::learnInstance(const std::string& instance) {
   const bool is_new_start = !instance_.empty() && instance != instance_;
   instance_ = instance;
-  if (is_new_start) server_ends_.onRestart(environment_.now());
+  if (!is_new_start) return;
+  server_ends_.onRestart(environment_.now());
+  server_limit_.reset();
 }
 
 void IngressState::setZoneDrained(bool is_drained) {
@@ -135,6 +138,7 @@
 
 void IngressState::startOne(Waiter& waiter, TimePoint now) {
   ++running_;
+  ++statistics_.sends;
   cold_start_.onStarted(settings_.cold_start, now);
   checkHealthIfSuspected(now);
   waiter.onSlot(now);
@@ -213,6 +217,16 @@
   return Duration(static_cast<Duration::rep>(known));
 }
 
+void IngressState::onLimitReport(const proxy::LimitReport& report, proxy::AnswerSource source,
+                                 const std::string& instance, TimePoint sent, TimePoint now) {
+  const bool is_of_earlier_instance = !instance_.empty() && instance != instance_;
+  if (is_of_earlier_instance) return;
+  const proxy::LimitChange change = server_limit_.onAnswer(report, source, sent, now);
+  if (change == proxy::LimitChange::kNone) return;
+  if (change == proxy::LimitChange::kUnreadable) ++statistics_.unreadable_limits;
+  if (limit_changed_) limit_changed_(change);
+}
+
 void IngressState::pause(Duration length, TimePoint now) {
   paused_until_ = std::max(paused_until_, now + length);
 }
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -28,6 +28,7 @@
 #include "proxy/decision_log.h"
 #include "proxy/request_flow.h"
 #include "proxy/retry_accounts.h"
+#include "proxy/server_limit.h"
 
 namespace coursepond::ingress {
 
@@ -47,6 +48,8 @@
   std::uint64_t displaced = 0;          ///< Removed from the queue for a more urgent request.
   std::uint64_t expired = 0;            ///< The deadline passed.
   std::uint64_t repeated_runs = 0;      ///< Sent to the server after another may have seen them.
+  std::uint64_t sends = 0;              ///< Requests sent to the server.
+  std::uint64_t unreadable_limits = 0;  ///< Limits of the server that could not be read.
   std::uint64_t server_refusals = 0;
   std::uint64_t server_unreachable = 0;
   std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
@@ -135,6 +138,15 @@
   void onServerAnswer(bool is_rejection, TimePoint now) {
     rejections_.onAnswer(settings_.rejections, is_rejection, now);
   }
+  /// Called for each answer of `instance` to a request that was sent at `sent`, with what it says
+  /// about the limit of the server.
+  void onLimitReport(const proxy::LimitReport& report, proxy::AnswerSource source,
+                     const std::string& instance, TimePoint sent, TimePoint now);
+  const proxy::ServerLimit& serverLimit() const { return server_limit_; }
+  /// Sets the handler for changes of the server's limit.
+  void onLimitChanged(std::function<void(proxy::LimitChange)> handler) {
+    limit_changed_ = std::move(handler);
+  }
   /// Returns whether a request that can go elsewhere should be refused, because the server rejects
   /// many requests. Random; see RejectionRate.
   bool turnsAway(TimePoint now) const {
@@ -194,6 +206,8 @@
   double service_time_us_;                     ///< Moving average over all requests.
   AverageByTarget service_time_by_target_us_;  ///< The same for each target latency.
   RejectionRate rejections_;
+  proxy::ServerLimit server_limit_;
+  std::function<void(proxy::LimitChange)> limit_changed_;
   ServerEndWatch server_ends_;
   admission::CrashSuspects* suspects_ = nullptr;
   std::set<RequestFingerprint> trials_;  ///< Trials that wait or run here.
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -71,6 +71,9 @@
        {"ingress_expired_total", "Requests whose deadline passed.", &S::expired},
        {"ingress_repeated_runs_total", "Requests that another server may have seen before.",
         &S::repeated_runs},
+       {"ingress_sends_total", "Requests sent to the server.", &S::sends},
+       {"ingress_unreadable_limits_total", "Limits named by the server that could not be read.",
+        &S::unreadable_limits},
        {"ingress_server_refusals_total", "Refusals by the server.", &S::server_refusals},
        {"ingress_server_unreachable_total", "Connections the server did not take.",
         &S::server_unreachable},
@@ -81,6 +84,9 @@
        {"ingress_runs_cancelled_total", "Of these, while the server had the request.",
         &S::runs_cancelled}},
       [&state] { return state.statistics(); });
+  table.addGauge("ingress_server_limit",
+                 "Requests per second that the server says it accepts; -1 while it names no limit.",
+                 [&state] { return state.serverLimit().perSecond().value_or(-1); });
   table.addGauge("ingress_running", "Requests at the server.",
                  [&state] { return static_cast<double>(state.running()); });
   table.addGauge("ingress_waiting", "Requests that wait for a slot.",
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -1,6 +1,8 @@
 #include "node/two_hop_node.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <map>
 #include <optional>
 #include <set>
@@ -44,6 +46,7 @@
 /// Interval at which a stopping node checks whether it is idle.
 constexpr Duration kIdlePollInterval = std::chrono::milliseconds(10);
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
+constexpr Duration kLimitLineInterval = std::chrono::seconds(1);
 constexpr Duration kFoldInterval = std::chrono::seconds(1);
 /// Gives a few reports within the time window over which operators limit repeats.
 constexpr Duration kRetryReportInterval = std::chrono::seconds(5);
@@ -111,6 +114,12 @@
   return ingress;
 }
 
+std::string formatRate(double per_second) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%g", per_second);
+  return text.data();
+}
+
 /// Returns whether `entry` describes a later start than `other`, a server at the same address. A
 /// source that was restored from a copy may list a server that crashed before the other started.
 bool isNewerAtAddress(const model::ServerEntry& entry, const model::ServerEntry& other) {
@@ -154,6 +163,7 @@
                    [this](bool has_changed) { onZonesSettled(has_changed); }}) {
     ingress_.setAddress(settings_.two_hop.server);
     ingress_.onHealthCheckNeeded([this] { fetchServerHealth(); });
+    ingress_.onLimitChanged([this](proxy::LimitChange change) { onLimitChanged(change); });
     egress_.setSuspects(&crashes_.suspects());
     ingress_.setSuspects(&crashes_.suspects());
     egress_.setQuotas(&quotas_);
@@ -210,6 +220,7 @@
   void forgetLapsedServers();
   void updateLocalServer();
   void fetchServerHealth();
+  void onLimitChanged(proxy::LimitChange change);
   void onWatchFailed(source::Topic topic, const Error& error);
   void onPeerState(source::Topic topic, const source::StateUpdate& update);
   std::vector<source::NodeMachine> machinesOfNodes() const;
@@ -254,6 +265,7 @@
   std::unique_ptr<AdminServer> admin_;
   std::optional<model::ServerEntry> local_server_;
   TimerId lapse_timer_ = 0;
+  TimePoint next_limit_line_;
   bool stopping_ = false;
   int draining_servers_ = 0;
   std::function<void(StopOutcome)> stopped_;
@@ -594,6 +606,24 @@
   });
 }
 
+/// Logs the limit that the server names. A server may name another limit in each answer, so there
+/// is at most one line per kLimitLineInterval, unless the limit begins or ends.
+void Implementation::onLimitChanged(proxy::LimitChange change) {
+  const TimePoint now = environment_.now();
+  const bool is_frequent =
+      change == proxy::LimitChange::kChanged || change == proxy::LimitChange::kUnreadable;
+  if (is_frequent && now < next_limit_line_) return;
+  next_limit_line_ = now + kLimitLineInterval;
+  const std::optional<double> limit = ingress_.serverLimit().perSecond();
+  writeLog(runtime::LogLevel::kInfo, "server_limit",
+           {{"server", ingress_.instanceOr("")},
+            {"change", std::string(proxy::limitChangeName(change))},
+            {"per_second", limit ? formatRate(*limit) : std::string("none")},
+            {"running", std::to_string(ingress_.running())},
+            {"waiting", std::to_string(ingress_.waiting())},
+            {"sends", std::to_string(ingress_.statistics().sends)}});
+}
+
 void Implementation::onWatchFailed(source::Topic topic, const Error& error) {
   writeLog(runtime::LogLevel::kWarning, "source_trouble",
            {{"topic", std::string(source::topicName(topic))}, {"error", describe(error)}});
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -20,6 +20,7 @@
 #include "core/request_fingerprint.h"
 #include "model/endpoint.h"
 #include "model/snapshot.h"
+#include "proxy/server_limit.h"
 
 namespace coursepond::proxy {
 
@@ -118,6 +119,7 @@
   int status = 0;
   bool not_run = false;   ///< X-Outcome: not-run, or the server's own header for it.
   bool draining = false;  ///< X-Draining: 1.
+  LimitReport limit;      ///< X-Server-Limit.
   std::optional<Duration> retry_after;
   std::optional<double> load;  ///< busy/slots of X-Load.
   /// The answer has X-Configuration-Version: another node deeper in the call created it.
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "core/http_headers.h"
 #include "core/time_arithmetic.h"
@@ -202,6 +203,15 @@
   return static_cast<double>(*busy) / *slots;
 }
 
+/// Parses a number of requests per second.
+proxy::LimitReport parseLimit(std::string_view text) {
+  const auto per_second = parseNumber<double>(text);
+  if (!per_second || !std::isfinite(*per_second) || *per_second < 0) {
+    return {proxy::LimitReport::Kind::kUnreadable, 0};
+  }
+  return {proxy::LimitReport::Kind::kLimit, *per_second};
+}
+
 }  // namespace
 
 void CallerRequest::clear() {
@@ -282,6 +292,9 @@
       case FieldRole::kDraining:
         answer.draining = field.value == "1";
         break;
+      case FieldRole::kServerLimit:
+        answer.limit = parseLimit(field.value);
+        break;
       case FieldRole::kLoad:
         answer.load = parseLoad(field.value);
         break;
--- a/src/runtime/header_names.h
+++ b/src/runtime/header_names.h
@@ -13,6 +13,10 @@
   std::string request_id = http_headers::kRequestId;
   std::string deadline = http_headers::kDeadlineMs;
   std::string load = http_headers::kLoad;
+  /// In a server's answer: "1" while it is leaving.
+  std::string draining = http_headers::kDraining;
+  /// In a server's answer: the requests per second that it accepts from all nodes together.
+  std::string server_limit = http_headers::kServerLimit;
   /// In a server's answer: the request was not run.
   std::string not_run = http_headers::kNotRun;
   /// In a server's answer: proves that the server produced it. Empty: servers do not sign answers.
--- a/src/runtime/http_field.h
+++ b/src/runtime/http_field.h
@@ -30,6 +30,7 @@
   kOutcome,
   kDraining,
   kLoad,
+  kServerLimit,
   kConfigurationVersion,
   kRetryAfter,
   kContentEncoding,
@@ -44,7 +45,7 @@
   kHopLoad,
   kReason,
 };
-inline constexpr std::size_t kFieldRoleCount = 27;
+inline constexpr std::size_t kFieldRoleCount = 28;
 
 /// Maps field names to roles, for one set of header names.
 class FieldTable {
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -491,6 +491,11 @@
   add("deadline", "Number of milliseconds that the caller will still wait.",
       FIELD(headers.deadline));
   add("load", "A server's load.", FIELD(headers.load));
+  add("draining", "In a server's answer: \"1\" while it is leaving.", FIELD(headers.draining));
+  add("server_limit",
+      "In a server's answer: the requests per second that it accepts from all nodes together. "
+      "Absent: no limit.",
+      FIELD(headers.server_limit));
   add("not_run", "In a server's answer: it did not run the request.", FIELD(headers.not_run));
   add("signature",
       "In a server's answer: proves that the server produced it. Empty: no signature is expected.",
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -736,3 +736,34 @@
   CHECK(node.error().kind == ErrorKind::kInvalidArgument);
   CHECK_FALSE(node.error().remedy.empty());
 }
+
+TEST_CASE("the limit that a server reports is shown until its answers contain none") {
+  Fixture mesh;
+  std::string limit = "13.4";
+  mesh.setBehaviour(
+      [&limit](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
+        runtime::HttpResponse response = properAnswer(request, "");
+        if (!limit.empty()) response.headers.push_back({"X-Server-Limit", limit});
+        responder.respond(std::move(response));
+      });
+  // Both servers of the service have answered before and after each change.
+  const auto sendSome = [&mesh] {
+    for (int number = 0; number < 8; ++number) mesh.send("GET", "/read/1");
+  };
+  const auto pagesShow = [&mesh](const std::string& value) {
+    const std::string line = "coursepond_ingress_server_limit " + value + "\n";
+    return mesh.metricsPage(1).find(line) != std::string::npos ||
+           mesh.metricsPage(2).find(line) != std::string::npos;
+  };
+  sendSome();
+  CHECK(pagesShow("13.4"));
+  for (const char* const text : {"soon", "-3", "nan", "inf", "1e400", "7 a second"}) {
+    CAPTURE(text);
+    limit = text;
+    sendSome();
+    CHECK(pagesShow("13.4"));
+  }
+  limit.clear();
+  sendSome();
+  CHECK_FALSE(pagesShow("13.4"));
+}
