Failing tests: servers that name a limit, or say in their answers that they leave

ServerNotices checks both rules from outside in the operators' bounds: what servers receive, and which machines have forwarded an answer with the notice. The simulated two-hop mesh gets servers that name a limit (also one that cannot be read) or say that they leave while their entry stays.

--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -22,6 +22,7 @@
 #include "ingress/ingress_flow.h"
 #include "ingress/ingress_state.h"
 #include "support/arrival_ledger.h"
+#include "support/server_notices.h"
 #include "support/virtual_environment.h"
 
 namespace coursepond::testing {
@@ -138,6 +139,28 @@
   /// Crashes the server of this node immediately. The server is back after kServerAway.
   void crashServer(std::size_t index) { crash(*nodes_[index]); }
 
+  /// Makes the server of this node report this limit in its answers; empty: none.
+  void setLimit(std::size_t index, std::optional<double> per_second) {
+    Node& node = *nodes_[index];
+    node.limit = per_second;
+    notices_.setLimit(node.entry.id.value(), per_second, now());
+  }
+  /// Makes the server of this node report a limit that cannot be read.
+  void setUnreadableLimit(std::size_t index) { nodes_[index]->has_unreadable_limit = true; }
+  /// Makes the server of this node say in its answers that it is leaving. Its entry stays.
+  void announceLeaving(std::size_t index) { nodes_[index]->is_leaving = true; }
+  /// Returns the arrivals so far at the server of this node.
+  std::size_t arrivals(std::size_t index) const { return nodes_[index]->arrivals; }
+  /// Windows in which a server got more requests than its limit allows.
+  const std::vector<FullestWindow>& limitViolations() const { return limit_violations_; }
+  const ServerNotices& notices() const { return notices_; }
+  /// Number of requests that arrived at servers whose leaving their machine had been told.
+  std::size_t leavingViolations() const { return leaving_violations_; }
+  /// Longest time from the arrival of a caller's request until it was answered with 503.
+  Duration longestRefusal() const { return longest_refusal_; }
+  /// Retry delays of all requests of callers that were answered with 503.
+  const std::vector<Duration>& retryDelays() const { return retry_delays_; }
+
   void run(Duration span) { environment_.advance(span); }
 
   /// Restarts the node's process, which loses its state. Requests that it has begun continue to
@@ -146,6 +169,11 @@
     Node& old = *nodes_[index];
     auto fresh = std::make_unique<Node>(*this, old.service, old.entry, environment_);
     fresh->is_server_up = old.is_server_up;
+    fresh->limit = old.limit;
+    fresh->has_unreadable_limit = old.has_unreadable_limit;
+    fresh->is_leaving = old.is_leaving;
+    fresh->arrivals = old.arrivals;
+    notices_.excuse(old.entry.address.host);
     old_nodes_.push_back(std::move(nodes_[index]));
     nodes_[index] = std::move(fresh);
     begin(*nodes_[index]);
@@ -222,6 +250,10 @@
     bool is_gossip_cut = false;
     bool is_server_up = true;
     int server_starts = 1;
+    std::optional<double> limit;  ///< Limit that the server reports.
+    bool has_unreadable_limit = false;
+    bool is_leaving = false;   ///< The server says that it is leaving.
+    std::size_t arrivals = 0;  ///< Requests that the server received.
     std::set<Hop*> at_server;  ///< Requests that run at the server.
   };
 
@@ -238,6 +270,7 @@
           parent_is_repeat_(parent_is_repeat) {}
 
     void start(Duration deadline) {
+      sent_ = mesh_.now();
       proxy::RequestHead head;
       head.request_id = id_;
       head.method = "GET";
@@ -255,19 +288,30 @@
     void resumeAttempt(proxy::AttemptId attempt) override { resumed_ = attempt; }
     void discardAnswer(proxy::AttemptId) override {}
     void forwardAnswer(proxy::AttemptId attempt) override {
+      const bool has_limit = head_.limit.kind == proxy::LimitReport::Kind::kLimit;
+      mesh_.notices_.onForwarded(server_, machine(), has_limit, head_.draining, mesh_.now());
       mesh_.environment_.schedule(Duration(0), [this, attempt] {
         flow_->onAnswerComplete(attempt);
         finish(status_);
       });
     }
     void answerLocally(const proxy::LocalAnswer& answer) override {
+      if (answer.status == 503) {
+        mesh_.longest_refusal_ = std::max(mesh_.longest_refusal_, mesh_.now() - sent_);
+        mesh_.retry_delays_.push_back(answer.retry_after.value_or(Duration(0)));
+      }
       mesh_.environment_.schedule(Duration(0), [this, status = answer.status] { finish(status); });
     }
 
     const std::string& path() const { return path_; }
+    const std::string& machine() const { return node_.entry.address.host; }
+    TimePoint sent() const { return sent_; }
     void onReceived(proxy::AttemptId attempt) { flow_->onAttemptReceived(attempt); }
-    void onHead(proxy::AttemptId attempt, const proxy::AnswerHead& head) {
+    void onHead(proxy::AttemptId attempt, const std::string& server,
+                const proxy::AnswerHead& head) {
       status_ = head.status;
+      head_ = head;
+      server_ = server;
       resumed_ = 0;
       flow_->onAnswerHead(attempt, head);
       if (resumed_ == attempt) flow_->onAnswerHead(attempt, head);
@@ -284,7 +328,10 @@
     std::string id_;
     std::function<void(int)> done_;
     bool parent_is_repeat_;
+    TimePoint sent_;
     int status_ = 0;
+    proxy::AnswerHead head_;        ///< The last one.
+    std::string server_;            ///< The server that it came from.
     proxy::AttemptId resumed_ = 0;  ///< Attempt that was resumed during the current event.
     std::unique_ptr<proxy::Exchange> flow_;
     std::map<proxy::AttemptId, Hop*> hops_;
@@ -324,6 +371,9 @@
       run_ = plan.id;
       if (!node_.is_server_up) return fail(plan.id, proxy::AttemptFailure::kConnectFailed);
       node_.at_server.insert(this);
+      instance_ = node_.entry.id.value();
+      ++node_.arrivals;
+      mesh_.recordArrival({instance_, origin_.machine(), origin_.sent()});
       if (CrashRecord* const record = mesh_.crashRecordOf(origin_.path())) {
         record->arrivals.push_back(mesh_.now());
         mesh_.environment_.schedule(kCrashDelay, [this, run = plan.id, record] {
@@ -348,7 +398,9 @@
     void forwardAnswer(proxy::AttemptId attempt) override {
       proxy::AnswerHead head = answerHead(status_);
       head.is_signed = true;
-      toOrigin([this, head] { origin_.onHead(plan_.id, head); });
+      head.limit = limit_;
+      head.draining = is_leaving_;
+      toOrigin([this, head] { origin_.onHead(plan_.id, instance_, head); });
       mesh_.environment_.schedule(Duration(0),
                                   [this, attempt] { flow_->onAnswerComplete(attempt); });
     }
@@ -359,7 +411,7 @@
       reason_ = answer.reason;
       head.node_reason = reason_;
       head.retry_after = answer.retry_after;
-      toOrigin([this, head] { origin_.onHead(plan_.id, head); });
+      toOrigin([this, head] { origin_.onHead(plan_.id, instance_, head); });
     }
 
    private:
@@ -371,6 +423,16 @@
       return head;
     }
 
+    /// Adds what the server reports in all its answers.
+    void addNotices(proxy::AnswerHead& head) {
+      using Kind = proxy::LimitReport::Kind;
+      if (node_.limit) limit_ = {Kind::kLimit, *node_.limit};
+      if (node_.has_unreadable_limit) limit_ = {Kind::kUnreadable, 0};
+      is_leaving_ = node_.is_leaving;
+      head.limit = limit_;
+      head.draining = is_leaving_;
+    }
+
     void toOrigin(std::function<void()> message) {
       mesh_.environment_.schedule(kHopDelay, [this, message = std::move(message)] {
         if (!is_cancelled_) message();
@@ -430,6 +492,7 @@
       head.status = status_;
       head.request_id = id_;
       head.is_signed = true;
+      addNotices(head);
       flow_->onAnswerHead(run, head);
     }
 
@@ -445,6 +508,9 @@
     int calls_open_ = 0;
     int status_ = 0;
     std::string reason_;
+    std::string instance_;  ///< Instance of the server that received the request.
+    proxy::LimitReport limit_;
+    bool is_leaving_ = false;
     proxy::AttemptId run_ = 0;
     std::unique_ptr<proxy::Exchange> flow_;
   };
@@ -531,6 +597,9 @@
 
   void restartServer(Node& node) {
     node.is_server_up = true;
+    node.limit.reset();
+    node.has_unreadable_limit = false;
+    node.is_leaving = false;
     ++node.server_starts;
     node.entry.id = EndpointId(node.entry.id.value().substr(0, node.entry.id.value().find('-')) +
                                "-" + std::to_string(node.server_starts));
@@ -540,6 +609,12 @@
     for (const auto& each : nodes_) list(*each, nodes_.size());
   }
 
+  void recordArrival(const NoticedArrival& arrival) {
+    if (notices_.lateForLeaving(arrival)) ++leaving_violations_;
+    const std::optional<FullestWindow> over = notices_.overLimit(arrival, now());
+    if (over) limit_violations_.push_back(*over);
+  }
+
   Node& nodeAt(const std::string& host) {
     for (const auto& node : nodes_) {
       if (node->entry.address.host == host) return *node;
@@ -570,6 +645,11 @@
   std::map<std::string, CrashRecord> crash_records_;  ///< By path.
   std::map<int, int> answered_;
   std::map<int, int> crashing_answered_;
+  ServerNotices notices_;
+  std::vector<FullestWindow> limit_violations_;
+  std::size_t leaving_violations_ = 0;
+  Duration longest_refusal_{};
+  std::vector<Duration> retry_delays_;
   std::size_t next_node_ = 0;
   std::size_t next_crashing_node_ = 0;
   std::uint64_t last_id_ = 0;
