Mesh form: each node uses its share of the limit that a server reports

Here no node is the only sender of a server, so that each holds to the limit divided by the nodes in use. A share may be one request in many seconds; it expires after a second, and the nodes' first ones are spread at random, or nodes that had nothing to send would have one request each for the same moment.

A server without a request left counts as one without room: others are chosen, requests wait no longer than they may, and what no server can take is refused with the time until one can (server_limit).

Tests: one and four nodes at 100 requests a second on two servers, one with a limit of 8: the node sends its share there and all others elsewhere; 200 nodes that were idle stay within one and a half times 13.4, 2 and 0.4 a second. A node's answer from deeper in a call says nothing of the server.

--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -39,7 +39,7 @@
 }
 
 bool Balancer::hasRoom(const ServerState& server, const PickRequest& request, TimePoint now) const {
-  if (server.isBackingOff(now)) return false;
+  if (server.isBackingOff(now) || !server.rate.mayStart(now)) return false;
   const std::uint32_t room =
       std::min(server.limit.value(), server.connections.value(request.connection_share, now));
   if (server.in_flight >= room) return false;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -270,7 +270,7 @@
     io_.discardAnswer(attempt_);
     return conclude(Reason::kServerRefused, now);
   }
-  service_->onRefused(*server_, head, now);
+  service_->onRefused(*server_, head, now - attempt_started_, now);
   io_.discardAnswer(attempt_);
   server_retry_after_ = head.retry_after;
   addTried(*server_);
--- a/src/proxy/server_limit.cpp
+++ b/src/proxy/server_limit.cpp
@@ -14,6 +14,8 @@
 constexpr double kBurstSeconds = 0.25;
 /// Lower limits count as this one: only the answer to a request shows that a limit was lifted.
 constexpr double kMinPerSecond = 0.25;
+/// How long a node that has a share of the limit may use one token.
+constexpr double kSharedTokenLifeSeconds = 1.0;
 /// Fraction of a token that may be missing, because of rounding.
 constexpr double kTokenTolerance = 1e-6;
 
@@ -70,15 +72,16 @@
 
 void ServerLimit::reset() {
   const double share = share_;
+  const double phase = phase_;
   *this = ServerLimit();
-  share_ = share;
+  setShare(share, phase);
 }
 
 /// The bucket starts empty, because the requests that the server has now were sent without a limit.
 LimitChange ServerLimit::setLimit(double per_second, TimePoint now) {
   is_known_ = true;
   if (per_second_ == per_second) return LimitChange::kNone;
-  const double tokens = per_second_ ? tokensAt(now) : 0;
+  const double tokens = per_second_ ? tokensAt(now) : phase_;
   const bool is_first = !std::exchange(per_second_, per_second).has_value();
   tokens_ = std::min(tokens, depth());
   filled_at_ = now;
@@ -90,7 +93,11 @@
 double ServerLimit::depth() const { return std::max(1.0, rate() * kBurstSeconds); }
 
 double ServerLimit::tokensAt(TimePoint now) const {
-  return std::min(depth(), tokens_ + rate() * toSeconds(now - filled_at_));
+  const double tokens = tokens_ + rate() * toSeconds(now - filled_at_);
+  const bool expires = share_ < 1 && rate() * kSharedTokenLifeSeconds < 1;
+  if (!expires || tokens <= 1) return std::min(depth(), tokens);
+  const double since_last_token = std::fmod(tokens - 1, 1) / rate();
+  return since_last_token <= kSharedTokenLifeSeconds ? 1 : since_last_token * rate();
 }
 
 Duration ServerLimit::waitFor(double requests, TimePoint now) const {
--- a/src/proxy/server_limit.h
+++ b/src/proxy/server_limit.h
@@ -50,8 +50,16 @@
   LimitChange onTold(double per_second, TimePoint now);
   /// Forgets the limit, because the server was started anew.
   void reset();
-  /// Sets the fraction of the limit that this node may use. The default is all of it.
-  void setShare(double share) { share_ = share; }
+  /// Sets the fraction of the limit that this node may use. The default is all of it. `phase` (0 to
+  /// 1) tells how soon the first request may be sent after the limit is named; it should differ
+  /// between the nodes.
+  ///
+  /// A share may be one request in many seconds. It then expires if it is not used within a second,
+  /// or nodes that had nothing to send would together have one request each for the same moment.
+  void setShare(double share, double phase) {
+    share_ = share;
+    phase_ = phase;
+  }
 
   /// The limit in requests per second; empty if there is none.
   std::optional<double> perSecond() const { return per_second_; }
@@ -73,6 +81,7 @@
   double tokensAt(TimePoint now) const;
 
   double share_ = 1;
+  double phase_ = 0;
   bool is_known_ = false;
   std::optional<double> per_second_;
   TimePoint reported_at_;  ///< When the limit was last reported.
--- a/src/proxy/server_state.h
+++ b/src/proxy/server_state.h
@@ -9,6 +9,7 @@
 #include "proxy/connection_share.h"
 #include "proxy/decaying_average.h"
 #include "proxy/outlier_detector.h"
+#include "proxy/server_limit.h"
 
 namespace coursepond::proxy {
 
@@ -32,6 +33,7 @@
   OutlierRecord outlier;
   TimePoint warm_since;  ///< When slow start began.
   TimePoint backoff_until;
+  ServerLimit rate;  ///< This node's share of the limit that the server reports.
   bool draining = false;
 };
 
--- a/src/proxy/service_state.cpp
+++ b/src/proxy/service_state.cpp
@@ -27,6 +27,11 @@
 /// either, so it does not increase the concurrency limit.
 constexpr int kServiceUnavailable = 503;
 
+double randomFraction(Environment& environment) {
+  constexpr std::uint64_t kSteps = 1000;
+  return static_cast<double>(environment.random(kSteps)) / kSteps;
+}
+
 double asMilliseconds(Duration duration) { return static_cast<double>(duration.count()) / 1000.0; }
 
 }  // namespace
@@ -62,6 +67,7 @@
       return std::nullopt;
     }
   }
+  if (now + waitForLimits(now) > latest) return Reason::kServerLimit;
   const double ahead = queue_.expectedAhead(waiter.priority());
   if (ahead >= kMinAhead && now + expectedWait(ahead) > latest) {
     return Reason::kDeadlineTooShort;
@@ -138,6 +144,7 @@
   ++server->in_flight;
   ++in_flight_;
   if (waiter.priority() == model::Priority::kBatch) ++server->batch_in_flight;
+  server->rate.onStarted(now);
   waiter.onServerAssigned(server, now);
 }
 
@@ -157,7 +164,8 @@
   if (is_linked()) return;
   TimePoint due = now + kMaxWakeInterval;
   for (const ServerPointer& server : servers_.usable()) {
-    const TimePoint usable_at = std::max(server->backoff_until, server->outlier.ejected_until);
+    const TimePoint usable_at = std::max(
+        {server->backoff_until, server->outlier.ejected_until, server->rate.nextStart(now)});
     if (usable_at > now) due = std::min(due, usable_at);
   }
   context_.deadlines.arm(*this, std::max(due, now + kMinWakeInterval));
@@ -166,6 +174,7 @@
 void ServiceState::onAnswered(ServerState& server, const AnswerHead& head, Duration latency,
                               TimePoint now) {
   recordLoad(server, head);
+  recordLimit(server, head, AnswerSource::kRun, now - latency, now);
   if (head.draining) servers_.markLeaving(server, now);
   if (head.status != kServiceUnavailable) {
     const double full_load = context_.settings.concurrency.full_report_load;
@@ -189,8 +198,10 @@
   server.limit.onAnswered(server.in_flight, reports_full, context_.settings.concurrency);
 }
 
-void ServiceState::onRefused(ServerState& server, const AnswerHead& head, TimePoint now) {
+void ServiceState::onRefused(ServerState& server, const AnswerHead& head, Duration latency,
+                             TimePoint now) {
   recordLoad(server, head);
+  recordLimit(server, head, AnswerSource::kRefusal, now - latency, now);
   if (head.draining) return servers_.markLeaving(server, now);
   const Duration service_time = serviceTime(server, now);
   server.limit.onRefused(server.in_flight, service_time, now, context_.settings.concurrency);
@@ -263,6 +274,27 @@
   if (head.load) server.reported_load = std::clamp(*head.load, 0.0, 1.0);
 }
 
+/// All nodes send to the server, so that each one uses an even share of the limit.
+void ServiceState::recordLimit(ServerState& server, const AnswerHead& head, AnswerSource source,
+                               TimePoint sent, TimePoint now) const {
+  if (head.from_node) return;
+  const bool is_named = head.limit.kind == LimitReport::Kind::kLimit && !server.rate.perSecond();
+  if (is_named) {
+    const auto nodes = static_cast<double>(std::max<std::size_t>(context_.node_count, 1));
+    const double phase = nodes > 1 ? randomFraction(context_.environment) : 0;
+    server.rate.setShare(1 / nodes, phase);
+  }
+  server.rate.onAnswer(head.limit, source, sent, now);
+}
+
+Duration ServiceState::waitForLimits(TimePoint now) const {
+  Duration shortest = Duration::max();
+  for (const ServerPointer& server : servers_.usable()) {
+    shortest = std::min(shortest, server->rate.waitFor(1, now));
+  }
+  return servers_.usable().empty() ? Duration(0) : shortest;
+}
+
 void ServiceState::recordServed(TimePoint now) {
   if (serving_) serving_interval_ms_.add(asMilliseconds(now - last_served_), kAverageWeight, now);
   serving_ = true;
@@ -282,7 +314,8 @@
 }
 
 Duration ServiceState::retryAfter() const {
-  const Duration wait = expectedWait(static_cast<double>(queue_.size() + 1));
+  const Duration by_limits = waitForLimits(context_.environment.now());
+  const Duration wait = std::max(expectedWait(static_cast<double>(queue_.size() + 1)), by_limits);
   if (wait <= Duration(0)) return context_.settings.default_retry_after;
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
--- a/src/proxy/service_state.h
+++ b/src/proxy/service_state.h
@@ -52,8 +52,8 @@
 
   /// Called when the head of an answer arrived `latency` after the attempt began.
   void onAnswered(ServerState& server, const AnswerHead& head, Duration latency, TimePoint now);
-  /// Called when the server answered that it did not run the request.
-  void onRefused(ServerState& server, const AnswerHead& head, TimePoint now);
+  /// Called when the server answered that it did not run the request, which was sent `latency` ago.
+  void onRefused(ServerState& server, const AnswerHead& head, Duration latency, TimePoint now);
   void onFailed(ServerState& server, AttemptFailure failure, TimePoint now);
   /// Called when the attempt was cancelled at the deadline and the server had enough time to count
   /// this as its failure.
@@ -89,6 +89,10 @@
   /// Sends no requests to a server for about the time until one of its slots is free.
   void backOffUntilSlotFrees(ServerState& server, TimePoint now) const;
   static void recordLoad(ServerState& server, const AnswerHead& head);
+  void recordLimit(ServerState& server, const AnswerHead& head, AnswerSource source, TimePoint sent,
+                   TimePoint now) const;
+  /// Returns the time until some server's limit allows a request.
+  Duration waitForLimits(TimePoint now) const;
   void recordAccepted(ServerState& server, bool reports_full) const;
   void recordFailure(ServerState& server, TimePoint now);
   PeerHealth peersOf(const ServerState& server, TimePoint now) const;
--- a/tests/proxy/server_limit_test.cpp
+++ b/tests/proxy/server_limit_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <vector>
+
 namespace coursepond::proxy {
 namespace {
 
@@ -102,13 +104,30 @@
 
 TEST_CASE("a node that shares a server uses its share of the limit") {
   ServerLimit limit;
-  limit.setShare(0.25);
+  limit.setShare(0.25, 0);
   report(limit, 8, 0);
   const int sent = sendAll(limit, 0, 10'000);
   CHECK(sent >= 19);
   CHECK(sent <= 20);
 }
 
+TEST_CASE("many nodes with a share each do not send together what they did not use before") {
+  constexpr int kNodes = 200;
+  for (const double per_second : {13.4, 2.0, 0.4}) {
+    CAPTURE(per_second);
+    std::vector<ServerLimit> limits(kNodes);
+    for (int node = 0; node < kNodes; ++node) {
+      limits[node].setShare(1.0 / kNodes, (node * 7 % kNodes) / double{kNodes});
+      report(limits[node], per_second, 0);
+    }
+    // All have nothing to send for a while, then all have requests waiting.
+    int sent = 0;
+    for (ServerLimit& limit : limits) sent += sendAll(limit, 700'000, 704'000);
+    CHECK(sent <= 1.5 * per_second * 4 + 5);
+    CHECK(sent >= per_second * 3);
+  }
+}
+
 TEST_CASE("limits are read as decimal numbers, and anything else is unreadable") {
   CHECK(readLimit("13.4").per_second == 13.4);
   CHECK(readLimit("0").kind == LimitReport::Kind::kLimit);
--- a/tests/proxy/service_test.cpp
+++ b/tests/proxy/service_test.cpp
@@ -294,4 +294,65 @@
   CHECK(proxy.state.connectionBudget(proxy.service.name, EndpointId("s1")) == 2);
 }
 
+namespace {
+
+AnswerHead withLimit(double per_second) {
+  AnswerHead head;
+  head.status = 200;
+  head.limit = {LimitReport::Kind::kLimit, per_second};
+  return head;
+}
+
+/// Sends a request each 10 ms for `span`. Every server answers at once; `limited` reports a limit.
+/// Returns the number of requests that each server got.
+std::map<std::string, int> sendFor(ProxyFixture& node, Duration span, const std::string& limited,
+                                   double per_second) {
+  std::map<std::string, int> got;
+  for (Duration passed{}; passed < span; passed += milliseconds(10)) {
+    const auto request = node.get();
+    if (request->running()) {
+      ++got[request->server()];
+      if (request->server() != limited) {
+        request->answerWhole();
+      } else {
+        request->answer(withLimit(per_second));
+        request->flow.onAnswerComplete(request->attempt());
+      }
+    }
+    node.environment.advance(milliseconds(10));
+  }
+  return got;
+}
+
+}  // namespace
+
+TEST_CASE("a node uses its share of a server's limit, and other servers for the rest") {
+  for (const std::size_t nodes : {1, 4}) {
+    CAPTURE(nodes);
+    ProxyFixture node;
+    node.begin(2);
+    node.state.setNodeCount(nodes);
+    sendFor(node, seconds(1), "s1", 8);
+    std::map<std::string, int> got = sendFor(node, seconds(10), "s1", 8);
+    CHECK(got["s1"] <= 80 / static_cast<int>(nodes) + 2);
+    CHECK(got["s1"] >= 80 / static_cast<int>(nodes) - 2);
+    CHECK(got["s1"] + got["s2"] == 1000);
+  }
+}
+
+TEST_CASE("requests that the limits of all servers leave out are refused with the time to wait") {
+  ProxyFixture node;
+  node.begin(1);
+  const auto first = node.get();
+  first->answer(withLimit(0.25));
+  first->flow.onAnswerComplete(first->attempt());
+  const auto second = node.get();
+  REQUIRE(second->answers.size() == 1);
+  CHECK(second->answers[0].status == 503);
+  CHECK(second->answers[0].reason == "server_limit");
+  CHECK(second->answers[0].retry_after >= milliseconds(3900));
+  node.environment.advance(seconds(4));
+  CHECK(node.get()->running());
+}
+
 }  // namespace coursepond::proxy
