Soak: servers that report limits and say that they leave, judged by the operators' bounds

Events server-limit (on one server or all of a service, changed several times, a third below one a second) and server-says-leaving (the entry stays), beside all other events; servers that drain say so in their answers too. The judge reports over_limit and late_at_server_that_said_leaving from what servers received and clients were told, by ServerNotices. The parts test holds both checks against cases that break them.

--- a/tests/platform/soak/back_end.cpp
+++ b/tests/platform/soak/back_end.cpp
@@ -90,9 +90,16 @@
   response.status = status;
   response.headers = {
       {wire::kRequestId, work.id}, {wire::kNotRun, "1"}, {wire::kInstance, instance_}};
+  addNotices(response);
   work.responder.respond(std::move(response));
 }
 
+/// Adds what the server reports of itself in all its answers.
+void BackEnd::addNotices(runtime::HttpResponse& response) const {
+  if (limit_) response.headers.push_back({wire::kServerLimit, std::to_string(*limit_)});
+  if (is_leaving_) response.headers.push_back({wire::kServerLeaving, "1"});
+}
+
 void BackEnd::start(const WorkPointer& work) {
   running_.insert(work);
   if (Request* const request = ledger_.find(work->id)) {
@@ -121,6 +128,7 @@
   response.headers = {{wire::kRequestId, work.id},
                       {wire::kSignature, signatureOf(work.id)},
                       {wire::kInstance, instance_}};
+  addNotices(response);
   if (injected_fault == AnswerFault::kFailure) response.status = kServerFailure;
   std::string body = standin::makeAnswerBody(work.id, work.answer_bytes);
   if (injected_fault != AnswerFault::kHalf) {
--- a/tests/platform/soak/back_end.h
+++ b/tests/platform/soak/back_end.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -43,6 +44,10 @@
   std::size_t busy() const { return running_.size() + waiting_.size(); }
   /// Multiplies the execution time of requests that start from now on.
   void setSlowdown(double factor) { slowdown_ = factor; }
+  /// Sets the limit that its answers report from now on; empty: none.
+  void setLimit(std::optional<double> per_second) { limit_ = per_second; }
+  /// Makes its answers say from now on that it is leaving.
+  void announceLeaving() { is_leaving_ = true; }
   static constexpr std::uint32_t kSlots = 12;
 
  private:
@@ -51,6 +56,7 @@
 
   void serve(const runtime::HttpRequest& request, const runtime::HttpResponder& responder);
   void refuse(const Work& work, int status) const;
+  void addNotices(runtime::HttpResponse& response) const;
   void start(const WorkPointer& work);
   void finish(const WorkPointer& work);
   void answer(const Work& work) const;
@@ -65,6 +71,8 @@
   ArrivalHandler on_arrival_;
   CrashHandler on_crash_;
   double slowdown_ = 1.0;
+  std::optional<double> limit_;
+  bool is_leaving_ = false;
   std::set<WorkPointer> running_;
   std::deque<WorkPointer> waiting_;
   std::unique_ptr<runtime::HttpServer> server_;
--- a/tests/platform/soak/client.cpp
+++ b/tests/platform/soak/client.cpp
@@ -258,6 +258,9 @@
   connection->waiting.pop_front();
   request.status = static_cast<int>(answer.result_int());
   request.is_from_server = answer.count(wire::kSignature) > 0;
+  request.answered_by = std::string(answer[wire::kInstance]);
+  request.has_limit = answer.count(wire::kServerLimit) > 0;
+  request.says_leaving = answer[wire::kServerLeaving] == "1";
   request.answer_error = answerErrorOf(request, answer);
   const bool stays = connection->parser->keep_alive() && settings_.style != ClientStyle::kFresh;
   end(request, RequestEnd::kAnswered);
--- a/tests/platform/soak/judge.cpp
+++ b/tests/platform/soak/judge.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kLostSlack = milliseconds(200);
 /// Tolerance for the timers of the soak and for the transit time of a request.
 constexpr Duration kClockSlack = milliseconds(60);
+/// After the end of a link fault, delayed requests arrive within this time.
+constexpr Duration kLinkSettled = milliseconds(500);
 constexpr Duration kRouteTimeout = std::chrono::seconds(3);
 constexpr Duration kHeldSlack = milliseconds(500);
 /// Number of servers that a request may crash before it must be known as a crashing request.
@@ -145,6 +147,7 @@
     return report("unasked", instance + " received a request that no client sent: '" + id + "'");
   }
   if (request->crasher > 0) checkCrasher(*request, instance, now);
+  checkNotices(machine, instance, *request, now);
   const std::optional<TimePoint> left = machine.leavingSince(instance);
   if (!left || now <= *left + bounds_.drain) return;
   const bool is_promised = isInTouch(machine.name(), now) && isInTouch(request->machine, now) &&
@@ -156,6 +159,50 @@
                                        std::to_string(toMilliseconds(now - *left)) + " ms later"));
 }
 
+/// Checks what servers report in their answers: a limit, and that they are leaving.
+void PromiseChecker::checkNotices(const Machine& machine, const std::string& instance,
+                                  const Request& request, TimePoint now) {
+  const testing::NoticedArrival arrival{instance, request.machine, request.sent};
+  if (const std::optional<Duration> late = notices_.lateForLeaving(arrival)) {
+    report("late_at_server_that_said_leaving",
+           describeRequest(request, instance + " received a request that was sent " +
+                                        std::to_string(toMilliseconds(*late)) +
+                                        " ms after its machine was told"));
+  }
+  if (notices_.wasToldOfLeaving(arrival)) ++counts_.leavings_judged;
+  if (hasLinkFault(machine.name(), now)) return notices_.forgetArrivals(instance);
+  const auto over = notices_.overLimit(arrival, now);
+  if (notices_.judgesLimitOf(instance, now)) ++counts_.limits_judged;
+  const bool is_judged =
+      faults_.isFaultFree(kSoakComponent, now - testing::NoticeBounds().window, now);
+  if (!over || !is_judged) return;
+  report("over_limit",
+         describeRequest(request, instance + " received " + std::to_string(over->arrivals) +
+                                      " requests in a window that allows " +
+                                      std::to_string(over->allowed)));
+}
+
+void PromiseChecker::onLinkFault(const std::string& machine, bool begins, TimePoint now) {
+  LinkFaults& faults = link_faults_[machine];
+  faults.active += begins ? 1 : -1;
+  faults.ended = now;
+  notices_.excuseFromLimits(machine);
+}
+
+bool PromiseChecker::hasLinkFault(const std::string& machine, TimePoint now) const {
+  const auto found = link_faults_.find(machine);
+  if (found == link_faults_.end()) return false;
+  return found->second.active > 0 || now < found->second.ended + kLinkSettled;
+}
+
+void PromiseChecker::onEnd(const Request& request) {
+  ended_.push_back(&request);
+  const bool is_forwarded = request.end == RequestEnd::kAnswered && request.is_from_server;
+  if (!is_forwarded || request.answered_by.empty()) return;
+  notices_.onForwarded(request.answered_by, request.machine, request.has_limit,
+                       request.says_leaving, request.ended);
+}
+
 /// After a request has crashed three servers, all machines in touch must know it within `contact`.
 void PromiseChecker::checkCrasher(const Request& request, const std::string& instance,
                                   TimePoint now) {
--- a/tests/platform/soak/judge.h
+++ b/tests/platform/soak/judge.h
@@ -12,6 +12,7 @@
 
 #include "ledger.h"
 #include "machine.h"
+#include "support/server_notices.h"
 #include "trouble_book.h"
 #include "version_book.h"
 
@@ -39,6 +40,8 @@
   std::uint64_t by_stop = 0;          ///< Requests in flight while their node was stopping.
   std::uint64_t crashes = 0;          ///< Servers that crashed from crashing requests.
   std::uint64_t crashers_judged = 0;  ///< Crashing requests that crashed three or more servers.
+  std::uint64_t limits_judged = 0;    ///< Arrivals at servers that reported a limit.
+  std::uint64_t leavings_judged = 0;  ///< Requests sent after their machine was told of a leaving.
   std::uint64_t stops_judged = 0;  ///< Requests in flight during a stop and without another fault.
 };
 
@@ -53,7 +56,8 @@
         versions_(versions),
         faults_(faults),
         machines_(machines),
-        origin_(origin) {}
+        origin_(origin),
+        notices_({.contact = bounds.contact, .drain = bounds.drain}) {}
 
   /// Sets the callback for each violation that is found.
   void onViolation(std::function<void(const Violation&)> callback) {
@@ -71,7 +75,14 @@
   /// Called when the crashing request with this number crashed a server.
   void onCrash(std::uint64_t crasher, TimePoint now) { crashers_[crasher].crashes.push_back(now); }
   /// Called when a request has ended. It is checked later, when its back end has recorded the end.
-  void onEnd(const Request& request) { ended_.push_back(&request); }
+  void onEnd(const Request& request);
+  /// Called when a server reports another limit from now on; empty: none.
+  void onLimit(const std::string& instance, std::optional<double> per_second, TimePoint now) {
+    notices_.setLimit(instance, per_second, now);
+  }
+  /// Called when a node process starts, is paused or goes on.
+  void onNodeDisturbed(const std::string& machine) { notices_.excuse(machine); }
+  void onLinkFault(const std::string& machine, bool begins, TimePoint now);
   /// Checks the requests that ended long enough ago.
   void checkEnded(TimePoint now);
   /// Runs the checks that need all requests. Called at the end of the soak.
@@ -94,6 +105,15 @@
   /// Machine name and incarnation.
   using NodeProcess = std::pair<std::string, std::uint32_t>;
 
+  /// Faults of a machine's link, which also delay requests on the way to its server.
+  struct LinkFaults {
+    int active = 0;
+    TimePoint ended;
+  };
+
+  void checkNotices(const Machine& machine, const std::string& instance, const Request& request,
+                    TimePoint now);
+  bool hasLinkFault(const std::string& machine, TimePoint now) const;
   void checkCrasher(const Request& request, const std::string& instance, TimePoint now);
   void check(const Request& request);
   void count(const Request& request);
@@ -129,6 +149,8 @@
   /// Consecutive unserved requests by machine.
   std::map<std::string, std::vector<const Request*>> unserved_;
   std::map<std::uint64_t, Crasher> crashers_;
+  testing::ServerNotices notices_;
+  std::map<std::string, LinkFaults> link_faults_;  ///< By machine.
   std::vector<Violation> violations_;
   CheckCounts counts_;
 };
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -57,6 +57,9 @@
   RequestEnd end = RequestEnd::kOpen;
   int status = 0;
   bool is_from_server = false;  ///< The response has the signature of a server.
+  std::string answered_by;      ///< Instance that the response names.
+  bool has_limit = false;       ///< The response reports a limit of its server.
+  bool says_leaving = false;    ///< The response says that its server is leaving.
   std::string answer_error;     ///< What is wrong with the response itself; empty if correct.
   std::vector<Run> runs;
 };
--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -84,6 +84,7 @@
        << "[platform]\naddress = \"" << own << ":" << kStorePort << "\"\n\n"
        << "[headers]\nrequest_id = \"Coursepond-Request-Id\"\n"
        << "deadline = \"Coursepond-Deadline-Ms\"\nload = \"Coursepond-Server-Load\"\n"
+       << "draining = \"Server-Leaving\"\nserver_limit = \"Server-Limit\"\n"
        << "not_run = \"Coursepond-Not-Executed\"\n"
        << "signature = \"Coursepond-Response-Signature\"\n"
        << "target_instance = \"Coursepond-Target-Instance\"\n"
@@ -115,6 +116,7 @@
   is_expected_to_end_ = false;
   terminated_at_.reset();
   link_.setOpen(true);
+  soak_.on_node_disturbed(name());
   if (downtime_fault_) soak_.faults.end(*std::exchange(downtime_fault_, std::nullopt), now());
   soak_.faults.end(soak_.faults.begin(name(), FaultKind::kPlannedStop, now()), now());
   log("process started, incarnation " + std::to_string(incarnation_));
@@ -160,6 +162,7 @@
   if (!process_) return;
   const std::size_t fault = soak_.faults.begin(name(), FaultKind::kUnplanned, now());
   ++active_pauses_;
+  soak_.on_node_disturbed(name());
   process_->signal(SIGSTOP);
   log((is_suspension ? "suspended for " : "SIGSTOP for ") + milliseconds(length));
   scheduleFaultEnd(fault, length, [this, incarnation = incarnation_, length, is_suspension] {
@@ -168,6 +171,7 @@
     const auto lost_ms = static_cast<int>(toMilliseconds(length));
     if (is_suspension) process_->signal(clockSignal(), lost_ms);
     if (--active_pauses_ > 0) return;
+    soak_.on_node_disturbed(name());
     process_->signal(SIGCONT);
     log("SIGCONT");
   });
@@ -208,11 +212,19 @@
   });
 }
 
+void Machine::scheduleLinkFaultEnd(std::size_t fault, Duration length, std::function<void()> undo) {
+  soak_.on_link_fault(name(), true);
+  scheduleFaultEnd(fault, length, [this, undo = std::move(undo)] {
+    undo();
+    soak_.on_link_fault(name(), false);
+  });
+}
+
 void Machine::delayLink(Duration one_way, Duration length) {
   const std::size_t fault = soak_.faults.begin(name(), FaultKind::kUnplanned, now());
   link_.setDelay(one_way);
   log("link delayed by " + milliseconds(one_way) + " for " + milliseconds(length));
-  scheduleFaultEnd(fault, length, [this] {
+  scheduleLinkFaultEnd(fault, length, [this] {
     link_.setDelay(Duration(0));
     log("link delay removed");
   });
@@ -223,7 +235,7 @@
   link_.setRate(bytes_per_second);
   log("link bandwidth limited to " + std::to_string(bytes_per_second) + " B/s for " +
       milliseconds(length));
-  scheduleFaultEnd(fault, length, [this] {
+  scheduleLinkFaultEnd(fault, length, [this] {
     link_.setRate(settings_.link_rate);
     log("link bandwidth restored");
   });
@@ -234,13 +246,15 @@
   const std::string way = direction == Direction::kIn ? "inbound" : "outbound";
   link_.setSilent(direction, true);
   log("link silent " + way + " for " + milliseconds(length));
-  scheduleFaultEnd(fault, length, [this, direction, way] {
+  scheduleLinkFaultEnd(fault, length, [this, direction, way] {
     link_.setSilent(direction, false);
     log("link no longer silent " + way);
   });
 }
 
 void Machine::resetLink() {
+  soak_.on_link_fault(name(), true);
+  soak_.on_link_fault(name(), false);
   soak_.faults.end(soak_.faults.begin(name(), FaultKind::kUnplanned, now()), now());
   link_.reset();
   log("link reset");
@@ -284,6 +298,7 @@
     state_.clear();
     soak_.store.remove(entryKey(instance));
   }
+  server_->announceLeaving();
   leaving_since_.try_emplace(instance, now());
   log("server " + instance + (is_announced ? " draining" : " removed without draining") +
       ", serves for another " + milliseconds(length));
@@ -292,6 +307,31 @@
   });
 }
 
+void Machine::announceServerLeaving(Duration length, Duration downtime) {
+  if (!server_ || std::exchange(is_server_leaving_, true)) return;
+  const std::string instance = server_->instance();
+  server_->announceLeaving();
+  log("server " + instance + " says in its answers that it leaves, serves for another " +
+      milliseconds(length));
+  soak_.environment.schedule(length, [this, instance, downtime] {
+    if (server_ && server_->instance() == instance) endServer(instance, downtime);
+  });
+}
+
+void Machine::limitServer(double per_second, Duration length) {
+  if (!server_) return;
+  const std::string instance = server_->instance();
+  server_->setLimit(per_second);
+  soak_.on_limit(instance, per_second);
+  log("server " + instance + " reports a limit of " + std::to_string(per_second) + " per second");
+  soak_.environment.schedule(length, [this, instance, number = ++limits_set_] {
+    if (!server_ || server_->instance() != instance || limits_set_ != number) return;
+    server_->setLimit(std::nullopt);
+    soak_.on_limit(instance, std::nullopt);
+    log("server " + instance + " reports no limit");
+  });
+}
+
 void Machine::endServer(const std::string& instance, Duration downtime) {
   const std::size_t fault = soak_.faults.begin(serverComponent(), FaultKind::kUnplanned, now());
   server_.reset();
--- a/tests/platform/soak/machine.h
+++ b/tests/platform/soak/machine.h
@@ -63,6 +63,14 @@
   /// Called when a node process does something that it must never do.
   std::function<void(const std::string& kind, const std::string& description)> on_violation;
   std::function<void(const std::string& line)> log;
+  /// Called when the server with this instance id reports another limit from now on.
+  std::function<void(const std::string& instance, std::optional<double> per_second)> on_limit =
+      [](const auto&, const auto&) {};
+  /// Called when a node process starts, is paused or goes on.
+  std::function<void(const std::string& machine)> on_node_disturbed = [](const auto&) {};
+  /// Called when a fault of a machine's link begins, and when it ends.
+  std::function<void(const std::string& machine, bool begins)> on_link_fault = [](const auto&,
+                                                                                  bool) {};
 };
 
 class Machine {
@@ -107,6 +115,11 @@
   void drainServer(bool is_announced, Duration length, Duration downtime);
   void crashServer(Duration downtime);
   void slowServer(double factor, Duration length);
+  /// Makes the server report this limit for `length`, or until the next call.
+  void limitServer(double per_second, Duration length);
+  /// Makes the server say in its answers that it is leaving. It continues to serve for `length`,
+  /// then stops and restarts after `downtime`. Its entry stays until it stops.
+  void announceServerLeaving(Duration length, Duration downtime);
   /// Removes the entry of a running server and restores it after `length`.
   void lapseEntry(Duration length);
   void heartbeat();
@@ -121,6 +134,7 @@
   void onServerCrashed(const std::string& instance, std::uint64_t crasher);
   void onNodeEnded(int status);
   void scheduleFaultEnd(std::size_t fault, Duration length, std::function<void()> undo);
+  void scheduleLinkFaultEnd(std::size_t fault, Duration length, std::function<void()> undo);
   std::string entryText(const std::string& state) const;
   std::string entryKey(const std::string& instance) const { return "servers/" + instance; }
   void endServer(const std::string& instance, Duration downtime);
@@ -142,6 +156,7 @@
 
   std::unique_ptr<BackEnd> server_;
   std::uint32_t server_starts_ = 0;
+  std::uint32_t limits_set_ = 0;
   std::uint64_t heartbeats_written_ = 0;
   std::string state_;  ///< State in the entry; empty if there is no entry.
   bool is_server_leaving_ = false;
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -128,8 +128,10 @@
             << " unknown=" << counts.unknown << " cut=" << counts.cut
             << " not_found=" << counts.not_found << " on_new_routes=" << counts.on_new_routes
             << " crashes=" << counts.crashes << " crashers_judged=" << counts.crashers_judged
-            << " by_stop=" << counts.by_stop << " stops_judged=" << counts.stops_judged
-            << " versions=" << outcome.versions << " routes=" << outcome.routes
+            << " limits_judged=" << counts.limits_judged
+            << " leavings_judged=" << counts.leavings_judged << " by_stop=" << counts.by_stop
+            << " stops_judged=" << counts.stops_judged << " versions=" << outcome.versions
+            << " routes=" << outcome.routes
             << " longest_version_bytes=" << outcome.longest_version_bytes
             << " longest_lag_ms=" << toMilliseconds(outcome.longest_lag)
             << " violations=" << outcome.violations.size() << std::endl;
--- a/tests/platform/soak/schedule.cpp
+++ b/tests/platform/soak/schedule.cpp
@@ -60,6 +60,8 @@
     KindName{EventKind::kStoreRestored, "store-restored"},
     KindName{EventKind::kVersion, "version"},
     KindName{EventKind::kCrashingRequest, "crashing-request"},
+    KindName{EventKind::kServerLimit, "server-limit"},
+    KindName{EventKind::kServerSaysLeaving, "server-says-leaving"},
     KindName{EventKind::kSuspend, "suspend"},
 };
 
@@ -78,6 +80,8 @@
       makeCrashingRequests();
       makeSuspensions();
       makeRestores();
+      makeLimits();
+      makeAnnouncedLeavings();
     }
     std::erase_if(events_, [this](const Event& event) { return event.at >= settings_.length; });
     std::stable_sort(events_.begin(), events_.end(),
@@ -102,6 +106,9 @@
   void makeCrashingRequests();
   void makeSuspensions();
   void makeRestores();
+  void makeLimits();
+  void makeAnnouncedLeavings();
+  std::vector<std::size_t> oneServerOrAllOfService(double all_fraction);
   void addRestore(Duration at);
   void addVersion(Duration at, std::uint64_t added, std::uint64_t removed);
   void makePeriod(Duration start);
@@ -113,8 +120,8 @@
 
   const ScheduleSettings& settings_;
   std::mt19937_64 random_;
-  /// Separate generator for crashing requests, suspensions and restores, so that they do not change
-  /// the other events of a seed.
+  /// Separate generator for all events after the periods, so that they do not change the other
+  /// events of a seed.
   std::mt19937_64 later_random_;
   std::vector<Event> events_;
   std::size_t routes_ = 0;
@@ -185,6 +192,44 @@
   }
 }
 
+/// Adds limits that servers report: one by one or on all servers of a service at once, some changed
+/// several times, some below one request per second.
+void ScheduleMaker::makeLimits() {
+  for (Duration at = time(500, 4000); at < settings_.length; at += time(2000, 9000)) {
+    const std::vector<std::size_t> machines = oneServerOrAllOfService(0.3);
+    for (std::uint64_t left = number(1, 4); left > 0; --left) {
+      const bool is_low = chance(0.3);
+      const std::uint64_t amount = is_low ? number(0, 1000) : number(1000, 25'000);
+      const Duration length = time(2000, 8000);
+      for (const std::size_t machine : machines) {
+        addEvent(at, EventKind::kServerLimit, machine);
+        events_.back().amount = amount;
+        events_.back().length = length;
+      }
+      at += time(300, 2500);
+    }
+  }
+}
+
+/// Adds servers that say in their answers that they leave.
+void ScheduleMaker::makeAnnouncedLeavings() {
+  for (Duration at = time(500, 8000); at < settings_.length; at += time(4000, 14'000)) {
+    for (const std::size_t machine : oneServerOrAllOfService(0.15)) {
+      addEvent(at, EventKind::kServerSaysLeaving, machine);
+    }
+  }
+}
+
+std::vector<std::size_t> ScheduleMaker::oneServerOrAllOfService(double all_fraction) {
+  const std::size_t one = number(0, settings_.machines - 1);
+  if (!chance(all_fraction)) return {one};
+  std::vector<std::size_t> machines;
+  for (std::size_t machine = one % kServices; machine < settings_.machines; machine += kServices) {
+    machines.push_back(machine);
+  }
+  return machines;
+}
+
 void ScheduleMaker::addRestore(Duration at) {
   Event event;
   event.at = at;
@@ -257,6 +302,7 @@
       break;
     case EventKind::kServerDrain:
     case EventKind::kServerGoes:
+    case EventKind::kServerSaysLeaving:
       event.length = time(2400, 5000);
       event.downtime = time(300, 2000);
       break;
--- a/tests/platform/soak/schedule.h
+++ b/tests/platform/soak/schedule.h
@@ -10,6 +10,9 @@
 
 namespace coursepond::soak {
 
+/// Machine N has a server of service N modulo this.
+inline constexpr std::size_t kServices = 3;
+
 enum class EventKind {
   kTerminate,
   kKill,
@@ -33,8 +36,10 @@
   kStoreForgets,
   kStoreRestored,  ///< Unavailable for a short time, then restored from a copy.
   kVersion,
-  kCrashingRequest,  ///< Callers send a request that crashes each server that executes it.
-  kSuspend,          ///< A machine and its steady clock stand still.
+  kCrashingRequest,    ///< Callers send a request that crashes each server that executes it.
+  kServerLimit,        ///< A server reports a limit in its answers.
+  kServerSaysLeaving,  ///< A server says so in its answers; its entry stays until it ends.
+  kSuspend,            ///< A machine and its steady clock stand still.
 };
 
 struct Event {
@@ -44,7 +49,7 @@
   Duration length{};    ///< Length of the fault, or downtime of a node process.
   Duration downtime{};  ///< Downtime of a server.
   /// Depending on the kind: bytes per second, delay or age of a copy in microseconds, slowdown
-  /// factor, number of added routes, or number of a crashing request.
+  /// factor, requests per 1000 s, number of added routes, or number of a crashing request.
   std::uint64_t amount = 0;
   std::uint64_t removed = 0;  ///< Number of removed routes.
 };
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -21,8 +21,9 @@
 
 constexpr char kConfigurationKey[] = "op/config";
 constexpr int kOk = 200;
-constexpr std::size_t kServices = 3;
 constexpr std::size_t kZones = 3;
+/// The amount of a kServerLimit event is in thousandths of a request per second.
+constexpr double kLimitUnits = 1000.0;
 /// Time for the nodes to start serving.
 constexpr Duration kWarmUp = seconds(5);
 /// Time after the last event until all faults have ended: the longest fault (a planned stop and its
@@ -211,7 +212,14 @@
       [this](const std::string& kind, const std::string& description) {
         checker_.report(kind, description);
       },
-      [this](const std::string& line) { log(line); }};
+      [this](const std::string& line) { log(line); },
+      [this](const std::string& instance, std::optional<double> per_second) {
+        checker_.onLimit(instance, per_second, now());
+      },
+      [this](const std::string& machine) { checker_.onNodeDisturbed(machine); },
+      [this](const std::string& machine, bool begins) {
+        checker_.onLinkFault(machine, begins, now());
+      }};
   for (std::size_t number = 0; number < settings_.schedule.machines; ++number) {
     MachineSettings machine;
     machine.name = "m" + std::to_string(number + 1);
@@ -389,6 +397,10 @@
       return machine.crashServer(event.downtime);
     case EventKind::kServerSlow:
       return machine.slowServer(static_cast<double>(event.amount), event.length);
+    case EventKind::kServerLimit:
+      return machine.limitServer(static_cast<double>(event.amount) / kLimitUnits, event.length);
+    case EventKind::kServerSaysLeaving:
+      return machine.announceServerLeaving(event.length, event.downtime);
     case EventKind::kEntryLapse:
       return machine.lapseEntry(event.length);
     case EventKind::kVersion:
--- a/tests/platform/soak/wire.h
+++ b/tests/platform/soak/wire.h
@@ -18,6 +18,9 @@
 inline constexpr char kTargetInstance[] = "Coursepond-Target-Instance";
 inline constexpr char kInstance[] = "Coursepond-Instance-Id";
 
+inline constexpr char kServerLimit[] = "Server-Limit";
+inline constexpr char kServerLeaving[] = "Server-Leaving";
+
 /// Returns the number after "name=" in the query, or 0 if there is none.
 inline std::uint64_t numberIn(std::string_view query, std::string_view name) {
   const std::size_t start = query.find(std::string(name) + "=");
--- a/tests/platform/soak_parts_test.cpp
+++ b/tests/platform/soak_parts_test.cpp
@@ -91,6 +91,29 @@
     checker_.onArrival(*machines_.front(), "i-1", request.id, &request, at(ms));
     return kindsFrom(before);
   }
+  /// Makes the server i-1 of m1 report a limit from this moment on.
+  void limit(std::int64_t ms, std::optional<double> per_second) {
+    checker_.onLimit("i-1", per_second, at(ms));
+  }
+  /// Makes m1 forward an answer of i-1 with these notices.
+  void forward(std::int64_t ms, bool has_limit, bool says_leaving) {
+    Request& request = addRequest(0, ms - 50, 200);
+    request.answered_by = "i-1";
+    request.has_limit = has_limit;
+    request.says_leaving = says_leaving;
+    checker_.onEnd(request);
+  }
+  /// Makes requests of m1 arrive at i-1 with this interval.
+  std::vector<std::string> violationsOfArrivals(std::int64_t from_ms, std::int64_t to_ms,
+                                                std::int64_t interval_ms) {
+    const std::size_t before = checker_.violations().size();
+    for (std::int64_t ms = from_ms; ms < to_ms; ms += interval_ms) {
+      Request& request = addRequest(0, ms, 200);
+      checker_.onArrival(*machines_.front(), "i-1", request.id, &request, at(ms));
+    }
+    return kindsFrom(before);
+  }
+  PromiseChecker& checker() { return checker_; }
   static constexpr std::uint64_t kCrasher = 1;
   FaultLog& faults() { return faults_; }
   std::size_t newestMarker() const { return versions_.markers().back(); }
@@ -223,6 +246,42 @@
   CHECK(bench.violationsOf(held).empty());
 }
 
+TEST_CASE("more requests than a reported limit allows are a violation after the contact time") {
+  CheckerBench bench;
+  bench.writeVersion(0, 1, 0);
+  bench.limit(10'000, 10.0);
+  bench.forward(10'200, true, false);
+  // 20 a second for 2.3 s do not exceed 1.5 * 10 * 4 + 5.
+  CHECK(bench.violationsOfArrivals(10'700, 13'000, 50).empty());
+  CHECK(bench.violationsOfArrivals(13'000, 15'000, 50) == Kinds{"over_limit"});
+  CHECK(bench.violationsOfArrivals(30'000, 40'000, 70).empty());
+}
+
+TEST_CASE("arrivals from machines that were not told of a limit or were disturbed do not count") {
+  CheckerBench bench;
+  bench.writeVersion(0, 1, 0);
+  bench.limit(10'000, 1.0);
+  CHECK(bench.violationsOfArrivals(14'000, 18'000, 50).empty());
+  bench.forward(18'000, true, false);
+  bench.checker().onNodeDisturbed("m1");
+  CHECK(bench.violationsOfArrivals(19'000, 22'000, 50).empty());
+  bench.forward(22'000, true, false);
+  CHECK(bench.violationsOfArrivals(22'600, 23'400, 50) == Kinds{"over_limit"});
+  bench.limit(24'000, std::nullopt);
+  CHECK(bench.violationsOfArrivals(24'500, 28'000, 50).empty());
+}
+
+TEST_CASE("a request sent after the drain time to a server that said it leaves is a violation") {
+  CheckerBench bench;
+  bench.writeVersion(0, 1, 0);
+  bench.forward(10'000, false, true);
+  CHECK(bench.violationsOfArrivals(10'500, 12'000, 500).empty());
+  CHECK(bench.violationsOfArrivals(12'100, 12'200, 100) ==
+        Kinds{"late_at_server_that_said_leaving"});
+  bench.checker().onNodeDisturbed("m1");
+  CHECK(bench.violationsOfArrivals(12'300, 13'000, 500).empty());
+}
+
 TEST_CASE("the same seed gives the same schedule, and another seed another one") {
   const auto text = [](std::uint64_t seed) {
     ScheduleSettings settings;
--- a/tests/support/server_notices.h
+++ b/tests/support/server_notices.h
@@ -66,7 +66,14 @@
     if (has_limit) of.told_limit.try_emplace(machine, now);
     if (is_leaving) of.told_leaving.try_emplace(machine, now);
   }
-  /// Called for a restart, freeze or partition of `machine`.
+  /// Called for a partition of `machine`, which excuses it from limits only.
+  void excuseFromLimits(const std::string& machine) {
+    for (auto& [id, server] : servers_) server.told_limit.erase(machine);
+  }
+  /// Called when the arrivals so far at this server are not judged, because they were delayed on
+  /// the way from the node beside it.
+  void forgetArrivals(const std::string& server) { servers_[server].arrivals.clear(); }
+  /// Called for a restart or freeze of `machine`.
   void excuse(const std::string& machine) {
     for (auto& [id, server] : servers_) {
       server.told_limit.erase(machine);
@@ -86,6 +93,19 @@
     return since;
   }
 
+  /// Returns whether the request was sent by a machine that was told that the server leaves.
+  bool wasToldOfLeaving(const NoticedArrival& arrival) const {
+    const auto server = servers_.find(arrival.server);
+    if (server == servers_.end()) return false;
+    const auto told = server->second.told_leaving.find(arrival.machine);
+    return told != server->second.told_leaving.end() && told->second <= arrival.sent;
+  }
+  /// Returns whether the server has reported a limit for long enough to be judged.
+  bool judgesLimitOf(const std::string& server, TimePoint now) const {
+    const auto found = servers_.find(server);
+    return found != servers_.end() && allowedIn(found->second, now).has_value();
+  }
+
   /// Records an arrival. Returns the window that ends with it if that exceeds the limit; the next
   /// such window begins after it.
   std::optional<FullestWindow> overLimit(const NoticedArrival& arrival, TimePoint now) {
