Ingress: a request that a lifted limit lets in doesn't take the connection of the answer at hand

Cause: the ingress reads the limit in the answer's head and dispatched waiting requests at once. A buffered answer is handled when it is complete; its connection is already free then, while its head still lies in the connection's parser. The dispatched request took that connection and cleared it, and the answer went out without its signature. Until now requests were dispatched only after an answer had been forwarded.

Fix: a changed limit schedules the dispatch as an event of its own.

--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -275,8 +275,13 @@
   if (limit_changed_) limit_changed_(change);
   if (change == proxy::LimitChange::kUnreadable) return;
   refuseLateWaiting(now);
-  environment_.cancel(std::exchange(wake_timer_, 0));
-  dispatch(now);
+  // Not dispatched here: the answer that is being handled is still held by its connection, which
+  // the next request might get.
+  environment_.cancel(wake_timer_);
+  wake_timer_ = environment_.schedule(Duration(0), [this] {
+    wake_timer_ = 0;
+    dispatch(environment_.now());
+  });
 }
 
 /// Refuses waiting requests that will not get a slot in time with the limit that holds now, from
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -768,3 +768,46 @@
   sendSome();
   CHECK(pagesShow("-1"));
 }
+
+// Guards against an answer that is lost because the request that its end lets in takes over the
+// connection that still holds it.
+TEST_CASE("requests that wait when a limit is lifted all get their own answers") {
+  Fixture mesh;
+  bool has_limit = true;
+  mesh.setBehaviour(
+      [&has_limit](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
+        runtime::HttpResponse response = properAnswer(request, request.target);
+        if (has_limit) response.headers.push_back({"X-Server-Limit", "6"});
+        responder.respond(std::move(response));
+      });
+  // The other server of the service takes almost nothing.
+  mesh.machine(2).behaviour = [](const runtime::HttpRequest& request,
+                                 const runtime::HttpResponder& responder) {
+    runtime::HttpResponse response = properAnswer(request, request.target);
+    response.headers.push_back({"X-Server-Limit", "0"});
+    responder.respond(std::move(response));
+  };
+  for (int number = 0; number < 8; ++number) mesh.send("GET", "/read/0");
+  has_limit = false;
+  constexpr std::size_t kRequests = 6;
+  std::vector<std::unique_ptr<runtime::HttpClient>> clients;
+  std::vector<runtime::HttpClientResponse> answers;
+  for (std::size_t number = 0; number < kRequests; ++number) {
+    clients.push_back(std::make_unique<runtime::HttpClient>(mesh.context()));
+    clients.back()->request(mesh.machine(0).node->addresses().caller,
+                            Fixture::makeRequest("GET", "/read/" + std::to_string(number), ""), 5s,
+                            [&answers](const Result<runtime::HttpClientResponse>& answer) {
+                              REQUIRE(answer.has_value());
+                              answers.push_back(*answer);
+                            });
+  }
+  REQUIRE(mesh.runUntil([&answers] { return answers.size() == kRequests; }));
+  std::size_t served = 0;
+  for (const runtime::HttpClientResponse& answer : answers) {
+    if (answer.status == 503) continue;  // Its wait would have been too long.
+    CHECK(answer.status == 200);
+    CHECK(runtime::findHeader(answer.headers, kSignature) == "signed");
+    ++served;
+  }
+  CHECK(served >= 2);
+}
