Simulation: servers that report limits and that only say in answers that they leave

Scenarios notices and notices-and-restarts: limits of 0 to 30 a second on one server or all of a service, overlapping, and servers whose leaving the platform's list doesn't show, beside crashes, slow servers, outages, stops, crashes and pauses of nodes. Checked by ServerNotices in the operators' bounds; the existing check of leaving servers counts the list only where it shows the leaving.

Found: a node that shares a limit kept a token of the higher rate when the limit was lowered; its part is now scaled (test of 24 nodes).

--- a/bench/simulation/backend_fleet.cpp
+++ b/bench/simulation/backend_fleet.cpp
@@ -78,8 +78,8 @@
   for (const auto& server : servers_) {
     if (!server->running()) continue;
     model::Endpoint endpoint = server->endpoint();
-    endpoint.state =
-        server->leavingSince() ? model::MachineState::kLeaving : model::MachineState::kLive;
+    const bool shows_leaving = server->leavingSince() && !server->behaviour().is_listed_as_live;
+    endpoint.state = shows_leaving ? model::MachineState::kLeaving : model::MachineState::kLive;
     backends.push_back({server->service(), std::move(endpoint)});
   }
   return backends;
--- a/bench/simulation/backend_fleet.h
+++ b/bench/simulation/backend_fleet.h
@@ -22,6 +22,7 @@
   /// Number of places for servers; each has one current server.
   std::size_t placeCount() const { return places_.size(); }
   BackendModel& current(std::size_t place) { return *places_[place].current; }
+  const ServiceName& serviceOf(std::size_t place) const { return places_[place].service.name; }
   /// Finds a current or former server by id; null if there was none.
   BackendModel* find(const EndpointId& server);
 
--- a/bench/simulation/backend_model.cpp
+++ b/bench/simulation/backend_model.cpp
@@ -45,6 +45,7 @@
 
 void BackendModel::receive(const ServerRequest& request) {
   if (!running_ || !request.connection->open_at_server) return;
+  checks_.onReceived(endpoint_.id, request.connection->node, request.sent);
   const bool full = waiting_.size() >= kQueuePerSlot * service_.slots;
   if (full || refusesNewWork() || (behaviour_.sheds && random_.chance(kShedPart))) {
     refuse(request);
@@ -109,6 +110,7 @@
   head.status = status;
   head.not_run = not_run;
   head.draining = leaving_since_.has_value() && behaviour_.announces_leaving;
+  if (behaviour_.limit) head.limit = {proxy::LimitReport::Kind::kLimit, *behaviour_.limit};
   head.load = behaviour_.lies ? 0.0 : static_cast<double>(busy_slots_) / service_.slots;
   send(request.connection, {ServerEvent::Kind::kHead, request.id, head});
 }
--- a/bench/simulation/backend_model.h
+++ b/bench/simulation/backend_model.h
@@ -22,6 +22,9 @@
   bool lies = false;           ///< Reports zero load regardless of its load.
   /// Announces on its answers that it is leaving. The platform's list always shows it.
   bool announces_leaving = true;
+  /// The platform's list does not show that it is leaving.
+  bool is_listed_as_live = false;
+  std::optional<double> limit;  ///< Reported in all answers, in requests per second.
 };
 
 class BackendModel {
--- a/bench/simulation/fault.cpp
+++ b/bench/simulation/fault.cpp
@@ -71,6 +71,12 @@
       return "shed-backend";
     case FaultKind::kLyingBackend:
       return "lying-backend";
+    case FaultKind::kLimitBackend:
+      return "limit-backend";
+    case FaultKind::kLimitService:
+      return "limit-service";
+    case FaultKind::kAnnounceLeaving:
+      return "announce-leaving";
   }
   return "unknown";
 }
--- a/bench/simulation/fault.h
+++ b/bench/simulation/fault.h
@@ -36,6 +36,9 @@
   kSlowBackend,
   kShedBackend,
   kLyingBackend,
+  kLimitBackend,     ///< A server reports a limit in its answers.
+  kLimitService,     ///< All servers of a service do.
+  kAnnounceLeaving,  ///< A server says only in its answers that it leaves, until it ends.
 };
 
 /// Name of the fault in reports, such as "crash-node".
--- a/bench/simulation/fault_injector.cpp
+++ b/bench/simulation/fault_injector.cpp
@@ -1,6 +1,8 @@
 #include "fault_injector.h"
 
 #include <algorithm>
+#include <array>
+#include <optional>
 
 namespace coursepond::simulation {
 namespace {
@@ -117,6 +119,7 @@
   }
   while (!herd.empty() && !targets_.mesh.recordSurvivesLossOf(herd)) herd.pop_back();
   disturbMesh(fault.length + kHerdReturn);
+  targets_.request_checks.onMeshDisturbed(fault.length + kHerdReturn);
   for (const std::size_t machine : herd) {
     targets_.mesh.crash(machine);
     const Duration back = fault.length + random_.between(Duration(0), kHerdReturn);
@@ -126,6 +129,7 @@
 
 void FaultInjector::loseAll(const Fault& fault) {
   disturbMesh(fault.length + kHerdReturn + kAdoptionTime);
+  targets_.request_checks.onMeshDisturbed(fault.length + kHerdReturn);
   targets_.configuration_checks.onAllLost();
   for (std::size_t machine = 0; machine < targets_.mesh.machineCount(); ++machine) {
     targets_.mesh.crash(machine);
@@ -161,6 +165,7 @@
 
 void FaultInjector::cut(const std::vector<ZoneLink>& links, Duration length) {
   targets_.mesh_calm.begin();
+  targets_.request_checks.onMeshDisturbed(length);
   ++zone_cuts_;
   cuts_changed_ = targets_.time.now();
   for (const ZoneLink& link : links) targets_.network.cut(link);
@@ -201,6 +206,7 @@
 
 void FaultInjector::degrade(double NetworkQuality::*field, double value, Duration length) {
   disturbMesh(length);
+  targets_.request_checks.onMeshDisturbed(length);
   targets_.network.quality().*field += value;
   end([this, field, value] { targets_.network.quality().*field -= value; }, length);
 }
@@ -232,6 +238,24 @@
       random_.between(Duration(0), kBusySpread));
 }
 
+/// Makes the server of this place report a limit. A later fault may change it before it ends.
+void FaultInjector::limit(std::size_t place, const Fault& fault) {
+  constexpr std::array kLimits = {0.0, 0.4, 2.0, 7.5, 30.0};
+  BackendModel& server = targets_.fleet.current(place);
+  const double per_second = kLimits[fault.target / targets_.fleet.placeCount() % kLimits.size()];
+  const auto set = [this, &server](std::optional<double> limit) {
+    server.behaviour().limit = limit;
+    targets_.request_checks.onLimit(server.endpoint().id, limit);
+  };
+  set(per_second);
+  const std::uint64_t number = ++limits_set_[place];
+  end(
+      [this, place, number, set] {
+        if (limits_set_[place] == number) set(std::nullopt);
+      },
+      fault.length);
+}
+
 void FaultInjector::misbehave(const Fault& fault) {
   const std::size_t place = fault.target % targets_.fleet.placeCount();
   BackendModel& server = targets_.fleet.current(place);
@@ -244,6 +268,16 @@
     case FaultKind::kSlowBackend:
       server.behaviour().slowness = kSlowness;
       return end([&server] { server.behaviour().slowness = 1; }, fault.length);
+    case FaultKind::kLimitBackend:
+      return limit(place, fault);
+    case FaultKind::kLimitService:
+      for (std::size_t other = 0; other < targets_.fleet.placeCount(); ++other) {
+        if (targets_.fleet.serviceOf(other) == server.service()) limit(other, fault);
+      }
+      return;
+    case FaultKind::kAnnounceLeaving:
+      server.behaviour().is_listed_as_live = true;
+      return targets_.fleet.leave(place);
     case FaultKind::kShedBackend:
       server.behaviour().sheds = true;
       return end([&server] { server.behaviour().sheds = false; }, fault.length);
--- a/bench/simulation/fault_injector.h
+++ b/bench/simulation/fault_injector.h
@@ -2,6 +2,7 @@
 
 /// Executes a fault schedule.
 
+#include <map>
 #include <vector>
 
 #include "backend_fleet.h"
@@ -20,6 +21,7 @@
   Mesh& mesh;
   BackendFleet& fleet;
   Operators& operators;
+  RequestChecks& request_checks;
   ConfigurationChecks& configuration_checks;
   Trace& trace;
   const Deployment& deployment;
@@ -55,6 +57,7 @@
   /// Polls until the server has requests in progress (at most `tries` times), then crashes it.
   void crashWhenBusy(std::size_t place, int tries, Duration length);
   void misbehave(const Fault& fault);
+  void limit(std::size_t place, const Fault& fault);
   void disturbMesh(Duration length);
 
   FaultTargets targets_;
@@ -63,6 +66,7 @@
   int other_mesh_faults_ = 0;
   int platform_faults_ = 0;
   TimePoint cuts_changed_{};
+  std::map<std::size_t, std::uint64_t> limits_set_;  ///< Number of limits set, by place.
 };
 
 }  // namespace coursepond::simulation
--- a/bench/simulation/node_process.cpp
+++ b/bench/simulation/node_process.cpp
@@ -70,6 +70,7 @@
   paused_at_ = context_.time.now();
   knew_peers_before_pause_ = control_->view().nodeCount() > 1;
   environment_.pause();
+  context_.request_checks.onNodeDisturbed(status().process.node);
 }
 
 void NodeProcess::resume() {
@@ -78,6 +79,7 @@
       !knew_peers_before_pause_ || context_.time.now() - paused_at_ < kShortestNoticedPause;
   resumed_at_ = context_.time.now();
   environment_.resume();
+  context_.request_checks.onNodeDisturbed(status().process.node);
 }
 
 void NodeProcess::beginPlannedStop(std::function<void()> ended) {
--- a/bench/simulation/request_checks.cpp
+++ b/bench/simulation/request_checks.cpp
@@ -1,6 +1,14 @@
 #include "request_checks.h"
 
+#include <algorithm>
+
 namespace coursepond::simulation {
+namespace {
+
+/// After a fault, nodes know again how many of them share the servers within this time.
+constexpr Duration kMeshSettleTime = std::chrono::seconds(12);
+
+}  // namespace
 
 void RequestChecks::onSent(const RequestId& request, bool may_repeat) {
   records_[request].may_repeat = may_repeat;
@@ -56,6 +64,32 @@
   return found != records_.end() && found->second.concluded;
 }
 
+void RequestChecks::onLimit(const EndpointId& server, std::optional<double> per_second) {
+  notices_.setLimit(server.value(), per_second, time_.now());
+}
+
+void RequestChecks::onAnswerOf(const EndpointId& server, const NodeId& node, bool has_limit,
+                               bool is_leaving) {
+  notices_.onForwarded(server.value(), node.value(), has_limit, is_leaving, time_.now());
+}
+
+void RequestChecks::onMeshDisturbed(Duration length) {
+  mesh_disturbed_until_ = std::max(mesh_disturbed_until_, time_.now() + length + kMeshSettleTime);
+}
+
+void RequestChecks::onReceived(const EndpointId& server, const NodeId& node, TimePoint sent) {
+  const testing::NoticedArrival arrival{server.value(), node.value(), sent};
+  if (const auto late = notices_.lateForLeaving(arrival)) {
+    onWorkForLeavingServer(server, node, *late);
+  }
+  if (time_.now() < mesh_disturbed_until_) return notices_.forgetArrivals(server.value());
+  const auto over = notices_.overLimit(arrival, time_.now());
+  if (!over) return;
+  violations_.report(promises::kServerLimit,
+                     server.value() + " received " + std::to_string(over->arrivals) +
+                         " requests in a window that allows " + std::to_string(over->allowed));
+}
+
 void RequestChecks::onCutByPlannedStop(const RequestId& request, const NodeId& node) {
   violations_.report(promises::kPlannedStop, request + " was in flight when the planned stop of " +
                                                  node.value() + " ended");
--- a/bench/simulation/request_checks.h
+++ b/bench/simulation/request_checks.h
@@ -4,9 +4,11 @@
 /// planned stops.
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/ids.h"
+#include "support/server_notices.h"
 #include "violations.h"
 #include "virtual_time.h"
 
@@ -58,9 +60,29 @@
   /// node had time to learn about it.
   void onWorkForLeavingServer(const EndpointId& server, const NodeId& node, Duration since);
 
+  /// Called when a server reports another limit from now on; empty: none.
+  void onLimit(const EndpointId& server, std::optional<double> per_second);
+  /// Called when `node` received an answer of `server` with these notices.
+  void onAnswerOf(const EndpointId& server, const NodeId& node, bool has_limit, bool is_leaving);
+  /// Called when a server received a request that a caller sent to `node` at `sent`.
+  void onReceived(const EndpointId& server, const NodeId& node, TimePoint sent);
+  /// Called when `node` was started, paused or resumed.
+  void onNodeDisturbed(const NodeId& node) { notices_.excuse(node.value()); }
+  /// Called for faults of the network or of most nodes: requests may be delayed, and nodes may
+  /// share a limit among fewer nodes than there are.
+  void onMeshDisturbed(Duration length);
+
   const RequestStatistics& statistics() const { return statistics_; }
 
  private:
+  /// No node is the only sender of a server here: each one learns of a changed limit with its own
+  /// next answer, so that it has the contact time for that.
+  static testing::NoticeBounds noticeBounds() {
+    testing::NoticeBounds bounds;
+    bounds.change_known = bounds.contact;
+    return bounds;
+  }
+
   struct Record {
     bool may_repeat = true;
     std::uint32_t runs = 0;
@@ -71,6 +93,8 @@
   VirtualTime& time_;
   Violations& violations_;
   RequestStatistics statistics_;
+  testing::ServerNotices notices_{noticeBounds()};
+  TimePoint mesh_disturbed_until_;
   std::map<RequestId, Record> records_;
 };
 
--- a/bench/simulation/scenario.cpp
+++ b/bench/simulation/scenario.cpp
@@ -14,6 +14,11 @@
 const std::vector<FaultKind> kRaces = {kLoss, kCrossing, kCutZone};
 const std::vector<FaultKind> kBackends = {kCrashBackend, kLeaveBackend, kSlowBackend, kShedBackend,
                                           kLyingBackend};
+const std::vector<FaultKind> kNotices = {kLimitBackend, kLimitService, kAnnounceLeaving,
+                                         kCrashBackend, kSlowBackend,  kPlatformDown};
+const std::vector<FaultKind> kNoticesAndRestarts = {kLimitBackend, kLimitService, kAnnounceLeaving,
+                                                    kStopNode,     kCrashNode,    kReplaceNode,
+                                                    kPauseNode};
 const std::vector<FaultKind> kEverything = {
     kCrashNode,     kReplaceNode,    kHerd,          kPauseNode,    kPauseReader,
     kCutZone,       kCutOneWay,      kSplit,         kLoss,         kCrossing,
@@ -50,6 +55,8 @@
       {"operator-race", std::nullopt, kRaces, 3, racing()},
       {"everything", std::nullopt, kEverything, 10, pair()},
       {"backends", std::nullopt, kBackends, 30, {}},
+      {"notices", std::nullopt, kNotices, 30, {}},
+      {"notices-and-restarts", std::nullopt, kNoticesAndRestarts, 20, {}},
       {"lose-all", std::nullopt, {kLoseAll}, 1, {}},
   };
   return all;
--- a/bench/simulation/upstream.h
+++ b/bench/simulation/upstream.h
@@ -44,6 +44,7 @@
   RequestId id;
   TimePoint deadline;  ///< On the virtual clock.
   UpstreamConnectionPointer connection;
+  TimePoint sent;  ///< When the caller sent it.
 };
 
 }  // namespace coursepond::simulation
--- a/bench/simulation/violations.h
+++ b/bench/simulation/violations.h
@@ -45,6 +45,7 @@
 inline constexpr char kAtMostOnce[] = "unrepeatable-at-most-once";
 inline constexpr char kConcluded[] = "given-up-is-answered-at-once";
 inline constexpr char kLeaving[] = "leaving-server-gets-no-new-work";
+inline constexpr char kServerLimit[] = "server-gets-no-more-than-it-accepts";
 inline constexpr char kPlannedStop[] = "planned-stop-cuts-nothing";
 inline constexpr char kConverged[] = "accepted-is-in-force-within-seconds";
 inline constexpr char kAcceptedNotContradicted[] = "accepted-is-not-contradicted";
--- a/src/proxy/server_limit.cpp
+++ b/src/proxy/server_limit.cpp
@@ -81,9 +81,14 @@
 LimitChange ServerLimit::setLimit(double per_second, TimePoint now) {
   is_known_ = true;
   if (per_second_ == per_second) return LimitChange::kNone;
-  const double tokens = per_second_ ? tokensAt(now) : phase_;
-  const bool is_first = !std::exchange(per_second_, per_second).has_value();
+  const bool is_first = !per_second_.has_value();
+  const double tokens = is_first ? phase_ : tokensAt(now);
+  const double rate_before = is_first ? 0 : rate();
+  per_second_ = per_second;
   tokens_ = std::min(tokens, depth());
+  // Each node that shares the limit may have a token of the higher rate.
+  const bool is_lowered = !is_first && rate() < rate_before;
+  if (share_ < 1 && is_lowered) tokens_ = tokens * rate() / rate_before;
   filled_at_ = now;
   return is_first ? LimitChange::kNamed : LimitChange::kChanged;
 }
--- a/tests/proxy/server_limit_test.cpp
+++ b/tests/proxy/server_limit_test.cpp
@@ -128,6 +128,21 @@
   }
 }
 
+TEST_CASE("nodes with a share send no more after a limit is lowered than the new limit allows") {
+  constexpr int kNodes = 24;
+  int sent = 0;
+  for (int node = 0; node < kNodes; ++node) {
+    ServerLimit limit;
+    limit.setShare(1.0 / kNodes, node / double{kNodes});
+    report(limit, 30, 0);
+    // Most have a token that they have not used.
+    sendAll(limit, 0, 5'000 + 10 * node);
+    report(limit, 0.4, 6'000);
+    sent += sendAll(limit, 6'000, 10'000);
+  }
+  CHECK(sent <= 1.5 * 0.4 * 4 + 5);
+}
+
 TEST_CASE("limits are read as decimal numbers, and anything else is unreadable") {
   CHECK(readLimit("13.4").per_second == 13.4);
   CHECK(readLimit("0").kind == LimitReport::Kind::kLimit);
--- a/tests/simulation/guards_test.cpp
+++ b/tests/simulation/guards_test.cpp
@@ -27,6 +27,7 @@
     {"reuse-abandoned-connection", "backends", promises::kOwnWholeAnswer},
     {"short-answer", "backends", promises::kOwnWholeAnswer},
     {"ignore-draining", "freight", promises::kLeaving},
+    {"ignore-limit", "notices", promises::kServerLimit},
     {"cut-on-stop", "freight", promises::kPlannedStop},
     {"no-pause-check", "freeze", promises::kPauseRecheck},
     {"all-read", "freight", promises::kFewReaders},
