--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <fstream>
@@ -277,6 +278,7 @@
 void Machine::startServer() {
   if (server_) return;
   is_server_leaving_ = false;
+  if (!said_leaving_.empty() && !said_leaving_.back().ended) said_leaving_.back().ended = now();
   const std::string instance = "i-" + settings_.name + "-" + std::to_string(++server_starts_);
   server_ = std::make_unique<BackEnd>(
       soak_.context, soak_.environment, soak_.ledger, name(), instance,
@@ -311,6 +313,7 @@
   if (!server_ || std::exchange(is_server_leaving_, true)) return;
   const std::string instance = server_->instance();
   server_->announceLeaving();
+  said_leaving_.push_back({now(), std::nullopt});
   log("server " + instance + " says in its answers that it leaves, serves for another " +
       milliseconds(length));
   soak_.environment.schedule(length, [this, instance, downtime] {
@@ -409,6 +412,12 @@
   return server_ && !state_.empty() && key == entryKey(server_->instance());
 }
 
+bool Machine::hadSaidLeaving(TimePoint from, TimePoint to) const {
+  return std::any_of(said_leaving_.begin(), said_leaving_.end(), [&](const SaidLeaving& leaving) {
+    return leaving.since <= to && (!leaving.ended || *leaving.ended >= from);
+  });
+}
+
 std::optional<TimePoint> Machine::leavingSince(const std::string& instance) const {
   const auto found = leaving_since_.find(instance);
   if (found == leaving_since_.end()) return std::nullopt;
--- a/tests/platform/soak/machine.h
+++ b/tests/platform/soak/machine.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "back_end.h"
 #include "core/environment.h"
@@ -125,6 +126,9 @@
   void heartbeat();
   /// Returns true if the running server writes this entry of the store.
   bool writes(const std::string& key) const;
+  /// Returns whether, at any time from `from` to `to`, the server had said in its answers that it
+  /// is leaving and no later one had started.
+  bool hadSaidLeaving(TimePoint from, TimePoint to) const;
   /// Returns when the store acknowledged that the instance is draining or removed.
   std::optional<TimePoint> leavingSince(const std::string& instance) const;
 
@@ -161,6 +165,12 @@
   std::string state_;  ///< State in the entry; empty if there is no entry.
   bool is_server_leaving_ = false;
   std::map<std::string, TimePoint> leaving_since_;
+  /// A time in which the server had said that it leaves.
+  struct SaidLeaving {
+    TimePoint since;
+    std::optional<TimePoint> ended;  ///< Start of the next server.
+  };
+  std::vector<SaidLeaving> said_leaving_;
 };
 
 }  // namespace coursepond::soak
