Server limit: the share follows the number of nodes, and one lowest limit for all

The mesh form set its share when a limit was named and kept it while nodes came and went; each report now sets it. SlotSearch estimated waits with a lowest limit of its own (0.01 a second), the limiter with 0.25.

--- a/src/egress/slot_search.cpp
+++ b/src/egress/slot_search.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/time_arithmetic.h"
+#include "proxy/server_limit.h"
 
 namespace coursepond::egress {
 namespace {
@@ -16,9 +17,8 @@
 
 /// Returns how long a request that joins the queue now waits because of the server's limit.
 Duration waitForLimit(const proxy::HopLoad& load) {
-  constexpr double kMinPerSecond = 0.01;
   if (!load.server_limit) return Duration(0);
-  const double per_second = std::max(*load.server_limit, kMinPerSecond);
+  const double per_second = std::max(*load.server_limit, proxy::kMinLimitPerSecond);
   return durationFromSeconds((load.waiting + 1) / per_second) + load.service_time;
 }
 
--- a/src/proxy/server_limit.cpp
+++ b/src/proxy/server_limit.cpp
@@ -12,8 +12,6 @@
 
 /// Requests that were not sent for this long may be sent at once later.
 constexpr double kBurstSeconds = 0.25;
-/// Lower limits count as this one: only the answer to a request shows that a limit was lifted.
-constexpr double kMinPerSecond = 0.25;
 /// How long a node that has a share of the limit may use one token.
 constexpr double kSharedTokenLifeSeconds = 1.0;
 /// Fraction of a token that may be missing, because of rounding.
@@ -74,7 +72,8 @@
   const double share = share_;
   const double phase = phase_;
   *this = ServerLimit();
-  setShare(share, phase);
+  setShare(share);
+  setPhase(phase);
 }
 
 /// The bucket starts empty, because the requests that the server has now were sent without a limit.
@@ -93,7 +92,7 @@
   return is_first ? LimitChange::kNamed : LimitChange::kChanged;
 }
 
-double ServerLimit::rate() const { return std::max(*per_second_, kMinPerSecond) * share_; }
+double ServerLimit::rate() const { return std::max(*per_second_, kMinLimitPerSecond) * share_; }
 
 double ServerLimit::depth() const { return std::max(1.0, rate() * kBurstSeconds); }
 
--- a/src/proxy/server_limit.h
+++ b/src/proxy/server_limit.h
@@ -21,6 +21,10 @@
   double per_second = 0;  ///< Requests per second from all nodes together; may be zero.
 };
 
+/// Lower limits count as this one, in requests per second: only the answer to a request shows that
+/// a limit was lifted.
+inline constexpr double kMinLimitPerSecond = 0.25;
+
 /// Reads a limit as servers write it: a decimal number, not negative.
 LimitReport readLimit(std::string_view text);
 
@@ -50,16 +54,14 @@
   LimitChange onTold(double per_second, TimePoint now);
   /// Forgets the limit, because the server was started anew.
   void reset();
-  /// Sets the fraction of the limit that this node may use. The default is all of it. `phase` (0 to
-  /// 1) tells how soon the first request may be sent after the limit is named; it should differ
-  /// between the nodes.
+  /// Sets the fraction of the limit that this node may use. The default is all of it.
   ///
   /// A share may be one request in many seconds. It then expires if it is not used within a second,
   /// or nodes that had nothing to send would together have one request each for the same moment.
-  void setShare(double share, double phase) {
-    share_ = share;
-    phase_ = phase;
-  }
+  void setShare(double share) { share_ = share; }
+  /// Sets how much of its first request (0 to 1) the node has when the limit is named. It should
+  /// differ between the nodes that share a limit.
+  void setPhase(double phase) { phase_ = phase; }
 
   /// The limit in requests per second; empty if there is none.
   std::optional<double> perSecond() const { return per_second_; }
--- a/src/proxy/service_state.cpp
+++ b/src/proxy/service_state.cpp
@@ -278,12 +278,10 @@
 void ServiceState::recordLimit(ServerState& server, const AnswerHead& head, AnswerSource source,
                                TimePoint sent, TimePoint now) const {
   if (head.from_node) return;
+  const std::size_t nodes = std::max<std::size_t>(context_.node_count, 1);
+  server.rate.setShare(1 / static_cast<double>(nodes));
   const bool is_named = head.limit.kind == LimitReport::Kind::kLimit && !server.rate.perSecond();
-  if (is_named) {
-    const auto nodes = static_cast<double>(std::max<std::size_t>(context_.node_count, 1));
-    const double phase = nodes > 1 ? randomFraction(context_.environment) : 0;
-    server.rate.setShare(1 / nodes, phase);
-  }
+  if (is_named && nodes > 1) server.rate.setPhase(randomFraction(context_.environment));
   server.rate.onAnswer(head.limit, source, sent, now);
 }
 
--- a/tests/proxy/server_limit_test.cpp
+++ b/tests/proxy/server_limit_test.cpp
@@ -104,7 +104,7 @@
 
 TEST_CASE("a node that shares a server uses its share of the limit") {
   ServerLimit limit;
-  limit.setShare(0.25, 0);
+  limit.setShare(0.25);
   report(limit, 8, 0);
   const int sent = sendAll(limit, 0, 10'000);
   CHECK(sent >= 19);
@@ -117,7 +117,8 @@
     CAPTURE(per_second);
     std::vector<ServerLimit> limits(kNodes);
     for (int node = 0; node < kNodes; ++node) {
-      limits[node].setShare(1.0 / kNodes, (node * 7 % kNodes) / double{kNodes});
+      limits[node].setShare(1.0 / kNodes);
+      limits[node].setPhase((node * 7 % kNodes) / double{kNodes});
       report(limits[node], per_second, 0);
     }
     // All have nothing to send for a while, then all have requests waiting.
@@ -133,7 +134,8 @@
   int sent = 0;
   for (int node = 0; node < kNodes; ++node) {
     ServerLimit limit;
-    limit.setShare(1.0 / kNodes, node / double{kNodes});
+    limit.setShare(1.0 / kNodes);
+    limit.setPhase(node / double{kNodes});
     report(limit, 30, 0);
     // Most have a token that they have not used.
     sendAll(limit, 0, 5'000 + 10 * node);
