Egress: a server is marked as leaving by its own answer alone

Cause: i-m3-2 had said that it leaves. m2 knew the next one, i-m3-3, 77 ms before m3's ingress, which refused for i-m3-2 (server_draining) and reported that its server had said so. m2 had asked for i-m3-3 and marked that one. Evidence: server_listed of i-m3-3 at m2 17:34:17.772, server_said_leaving of it at 17.846 with the refusal, server_listed at m3 17.849.

Fix: the load report no longer says it. An egress takes the mark from the header of a server's own answer, which is what the rule is about; a refusal by the ingress avoids the server for 500 ms as before. For the same reason a load report has no limit of another instance than the one asked for.

Tests: such a refusal marks nothing and has no limit.

--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -48,7 +48,7 @@
 /// trial 0|1,known limit of the server in requests per 1000 s or nothing".
 inline constexpr char kHopClass[] = "X-Hop-Class";
 /// From an ingress to an egress: "running,waiting,slots,mean service time in ms,draining 0|1,
-/// server said that it leaves 0|1,limit of the server in requests per 1000 s or 'none', nothing if
+/// limit of the server in requests per 1000 s or 'none', nothing if
 /// it is not known".
 inline constexpr char kHopLoad[] = "X-Hop-Load";
 /// In kHopLoad: the server has no limit.
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -204,8 +204,8 @@
 void EgressState::onAnswer(Server& server, const proxy::AnswerHead& answer, TimePoint now) {
   onReached(server);
   if (answer.hop_load) onLoad(server, *answer.hop_load, now);
-  const bool told_by_ingress = answer.hop_load && answer.hop_load->server_said_leaving;
-  if (answer.draining || told_by_ingress) directory_.onSaidLeaving(server, now);
+  // Not from the ingress's load report, which may still describe the instance before this one.
+  if (answer.draining) directory_.onSaidLeaving(server, now);
 }
 
 void EgressState::onLoad(Server& server, const proxy::HopLoad& load, TimePoint now) {
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -44,7 +44,9 @@
   void onAnswerCut(AttemptId attempt) override;
   void onCallerGone() override;
   Version configurationVersion() const override { return Version(); }
-  std::optional<proxy::HopLoad> hopLoad() const override { return state_.load(); }
+  std::optional<proxy::HopLoad> hopLoad() const override {
+    return state_.loadFor(head_.target_instance);
+  }
 
  private:
   enum class Phase { kNew, kWaiting, kAttempting, kForwarding, kFinished };
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -313,7 +313,6 @@
   // A server that accepts no request now has no free slot for the egresses, however idle it is.
   const bool is_limit_reached = !server_limit_.mayStart(environment_.now());
   load.running = is_limit_reached ? std::max(running_, load.slots) : running_;
-  load.server_said_leaving = said_leaving_;
   load.is_limit_known = server_limit_.isKnown();
   load.server_limit = server_limit_.perSecond();
   load.service_time = Duration(static_cast<Duration::rep>(service_time_us_));
@@ -321,6 +320,14 @@
   return load;
 }
 
+proxy::HopLoad IngressState::loadFor(const std::string& instance) const {
+  proxy::HopLoad result = load();
+  if (instance == reported_instance_) return result;
+  result.is_limit_known = false;
+  result.server_limit.reset();
+  return result;
+}
+
 Duration IngressState::retryAfter() const {
   return expectedWait(queue_.size() + 1) + settings_.initial_service_time;
 }
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -168,6 +168,9 @@
   void pause(Duration length, TimePoint now);
 
   proxy::HopLoad load() const;
+  /// Returns the load for the answer to a request that was meant for `instance`. The limit of
+  /// another instance of the server is left out: the egress may know a later one already.
+  proxy::HopLoad loadFor(const std::string& instance) const;
   /// Returns the retry delay for a refused request.
   Duration retryAfter() const;
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -67,7 +67,6 @@
   std::uint32_t slots = 0;
   Duration service_time{};  ///< Moving average.
   bool draining = false;    ///< The server or the ingress is leaving and takes no new requests.
-  bool server_said_leaving = false;  ///< The server said in an answer that it is leaving.
   /// Whether the ingress knows if the server has a limit. It does not until the first answer after
   /// the start of either.
   bool is_limit_known = false;
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -180,7 +180,6 @@
   if (!running || !waiting || !slots || !service_ms) return std::nullopt;
   proxy::HopLoad load{*running, *waiting, *slots, std::chrono::milliseconds(*service_ms)};
   load.draining = takeItem(text) == "1";
-  load.server_said_leaving = takeItem(text) == "1";
   const std::string_view limit = takeItem(text);
   load.server_limit = parseLimitUnits(limit);
   load.is_limit_known = load.server_limit || limit == http_headers::kNoLimit;
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -136,7 +136,6 @@
   out.append(",");
   appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(load.service_time)));
   out.append(load.draining ? ",1," : ",0,");
-  out.append(load.server_said_leaving ? "1," : "0,");
   if (load.server_limit) {
     appendLimit(out, *load.server_limit);
   } else if (load.is_limit_known) {
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -1268,4 +1268,24 @@
   checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
 }
 
+// Guards against a server that is never used because the ingress refused for the one before it.
+TEST_CASE("the refusal of an ingress whose earlier server left does not mark the next server") {
+  EgressFixture egress;
+  egress.begin(1);
+  const auto first = egress.send("/stock");
+  AnswerHead refused = refusal(first->id, "server_draining", milliseconds(100));
+  refused.hop_load = proxy::HopLoad{0, 0, 4, milliseconds(10), true};
+  first->answer(refused);
+  egress.environment.advance(seconds(1));
+  const auto second = egress.send("/stock");
+  REQUIRE(second->io.plans.size() == 1);
+  AnswerHead last = TestExchange::properHead(second->id);
+  last.draining = true;
+  second->answer(last);
+  second->flow->onAnswerComplete(second->plan().id);
+  const auto third = egress.send("/stock");
+  egress.environment.advance(seconds(2));
+  CHECK(third->io.plans.empty());
+}
+
 }  // namespace coursepond::egress
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -52,13 +52,19 @@
     return sendOf(hop, id);
   }
 
-  std::unique_ptr<TestExchange> sendOf(const proxy::HopClass& hop, const std::string& id) {
+  /// Sends a request that only this instance of the server may run.
+  std::unique_ptr<TestExchange> sendTo(const std::string& instance, const std::string& id) {
+    return sendOf(proxy::HopClass{"stock", 1, milliseconds(1000), true}, id, instance);
+  }
+
+  std::unique_ptr<TestExchange> sendOf(const proxy::HopClass& hop, const std::string& id,
+                                       const std::string& instance = "i-1") {
     proxy::RequestHead head;
     head.request_id = id;
     head.method = "GET";
     head.path = "/stock";
     head.deadline = seconds(4);
-    head.target_instance = "i-1";
+    head.target_instance = instance;
     head.hop_class = hop;
     auto exchange = std::make_unique<TestExchange>();
     exchange->id = id;
@@ -693,14 +699,30 @@
   checkRefused(*waiting, "server_draining");
   ingress.listServer("i-1");
   checkRefused(*ingress.send("r4"), "server_draining");
-  CHECK(ingress.state.load().server_said_leaving);
+  CHECK(ingress.state.load().draining);
   second->answerWhole();
   checkRefused(*ingress.send("r5"), "server_draining");
   ingress.listServer("i-2");
-  CHECK_FALSE(ingress.state.load().server_said_leaving);
+  CHECK_FALSE(ingress.state.load().draining);
   CHECK(ingress.send("r6")->io.plans.size() == 1);
 }
 
+TEST_CASE(
+    "a refusal of a request for a later instance does not report the limit of the earlier one") {
+  IngressFixture ingress;
+  const auto first = ingress.send("r1");
+  AnswerHead last = withLimit(*first, 3);
+  last.draining = true;
+  first->answer(last);
+  const auto same = ingress.send("r2");
+  CHECK(same->flow->hopLoad()->server_limit == 3);
+  // Its egress knows the entry of the next instance, this ingress does not yet.
+  const auto later = ingress.sendTo("i-2", "r3");
+  checkRefused(*later, "server_draining");
+  CHECK_FALSE(later->flow->hopLoad()->is_limit_known);
+  CHECK_FALSE(later->flow->hopLoad()->server_limit.has_value());
+}
+
 TEST_CASE("an answer that is not the request's own changes neither limit nor leaving mark") {
   IngressFixture ingress;
   const auto first = ingress.send("r1");
--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -419,7 +419,7 @@
       proxy::AnswerHead head;
       head.status = status;
       head.request_id = id_;
-      head.hop_load = node_.ingress.load();
+      head.hop_load = node_.ingress.loadFor(plan_.target_instance);
       return head;
     }
 
