--- a/src/proxy/server_limit.h
+++ b/src/proxy/server_limit.h
@@ -41,6 +41,7 @@
 /// Returns the name for log lines, such as "lifted".
 std::string_view limitChangeName(LimitChange change);
 
+/// The limit of one server, as far as this node knows it.
 class ServerLimit {
  public:
   /// Processes the report of an answer to a request that was sent at `sent`. A limit holds until an
