Ingress: a request that its egress left before the server had any of it is not logged as a cancelled run

What operators saw: `caller_gone` with `run_cancelled` at an ingress, and the egress's 503 "not run" for the same request, which read like a false "not run".

Cause: the ingress told its stages apart by its phase alone. A request whose body is awaited from the egress (confirmation) is in the phase of an attempt, although nothing of it has reached the server.

Evidence: the new case of ingress_flow_test fails on the code before (run_cancelled, and runs_cancelled counts 1: 2 checks).

Fix: such a request has a stage of its own, `send_cancelled`, taken from whether bytes were sent to the server. The counter ingress_runs_cancelled_total counts only runs now, as its help text says.

--- a/src/cli/request_story.cpp
+++ b/src/cli/request_story.cpp
@@ -98,6 +98,8 @@
                "harmless: the caller gets that answer"},
     ReasonText{"run_cancelled", "its egress left while the server had the request",
                "the egress's line before it: silent means that the acknowledgement was late"},
+    ReasonText{"send_cancelled", "its egress left before the server had any of the request",
+               "harmless: the request has not run"},
     ReasonText{"wait_cancelled", "its egress left while it waited for a slot",
                "the egress's line before it"},
     ReasonText{"answer_abandoned", "its egress left while the answer was being sent",
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -23,6 +23,7 @@
 const ServiceName kOwnServer("own");
 /// Reasons of DecisionKind::kCallerGone: what the disconnected caller left behind.
 constexpr std::string_view kWaitCancelled = "wait_cancelled";
+constexpr std::string_view kSendCancelled = "send_cancelled";
 constexpr std::string_view kRunCancelled = "run_cancelled";
 constexpr std::string_view kAnswerAbandoned = "answer_abandoned";
 
@@ -301,16 +302,18 @@
 
 std::string_view IngressFlow::abandonedStage() const {
   if (phase_ == Phase::kWaiting) return kWaitCancelled;
-  return phase_ == Phase::kAttempting ? kRunCancelled : kAnswerAbandoned;
+  if (phase_ == Phase::kForwarding) return kAnswerAbandoned;
+  return io_.bytesSent(attempt_) ? kRunCancelled : kSendCancelled;
 }
 
 void IngressFlow::onCallerGone() {
   if (phase_ == Phase::kNew || phase_ == Phase::kFinished) return;
   ++state_.statistics().caller_gone;
-  note(proxy::DecisionKind::kCallerGone, abandonedStage(), 0);
+  const std::string_view stage = abandonedStage();
+  note(proxy::DecisionKind::kCallerGone, stage, 0);
+  if (stage == kRunCancelled) ++state_.statistics().runs_cancelled;
   if (phase_ != Phase::kWaiting) {
     if (io_.bytesSent(attempt_)) may_have_run_ = true;
-    if (phase_ == Phase::kAttempting) ++state_.statistics().runs_cancelled;
     io_.cancelAttempt(attempt_);
   }
   finish(environment_.now());
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -416,6 +416,26 @@
   CHECK(ingress.state.statistics().runs_cancelled == 1);
 }
 
+// Guards against a line that reads as if a run was cancelled: an egress that awaits the
+// confirmation of a request leaves a slow ingress, and rightly tells its caller that the request
+// has not run.
+TEST_CASE("a caller that disconnects before the server had the request cancelled no run") {
+  struct StageLog final : proxy::DecisionLog {
+    void onDecision(const proxy::Decision& decision) override { reason = decision.reason; }
+    void onServerChange(proxy::ServerChange, const EndpointId&) override {}
+    std::string reason;
+  };
+  IngressFixture ingress;
+  StageLog log;
+  ingress.state.setDecisionLog(&log);
+  const auto unsent = ingress.send("r1");
+  unsent->io.bytes_sent = false;
+  unsent->flow->onCallerGone();
+  CHECK(log.reason == "send_cancelled");
+  CHECK(ingress.state.statistics().caller_gone == 1);
+  CHECK(ingress.state.statistics().runs_cancelled == 0);
+}
+
 TEST_CASE("a request that times out in the queue has not run; one at the server may have") {
   IngressFixture ingress;
   const auto first = ingress.send("r1");
