Egress: a stopping node refuses late requests whose answer may come after its end

Cause: admit() cut the request's deadline down to the end of the stop and sent the request all the same; only in the last 200 ms did it refuse. An ingress refuses such requests already (mayOutlastStop).

Fix: StopSchedule decides. Until stop_delay is over, when callers should have noticed, everything is taken as before, and the stop is long enough for it. Later a request is taken only if its deadline lies before the end, or the longest request to its service in the last 10 to 20 s fits one and a half times. Otherwise it gets 503, not run, at once. Asked again before each attempt and repeat, so that what waited is not sent too late. Calls are taken as before, since refusing them loses the work of the request that made them.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -92,8 +92,12 @@
   bool hasQuota() const;
   void askQuota(TimePoint now);
   void admit(TimePoint now);
+  bool mayOutlastStop(TimePoint now) const;
   bool isThrottled(TimePoint now);
   void noteOutcome(bool is_accepted, TimePoint now);
+  void noteDuration(TimePoint now) {
+    state_.use(service_).longest_latency.add(now - started_, now);
+  }
   void sendOrWait(TimePoint now);
   void sendTrial(TimePoint now);
   CrashVerdict verdict(TimePoint now) const { return state_.verdict(head_.fingerprint, now); }
@@ -268,14 +272,13 @@
   Duration allowed =
       std::min(head_.deadline.value_or(route_->timeout), state_.settings().longest_deadline);
   if (has_hold_limit) allowed = std::min(allowed, route_->longest_hold);
-  if (state_.stopDeadline() - started_ < allowed) allowed = state_.stopDeadline() - started_;
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline);
-  const bool is_too_late = state_.stopDeadline() - now <= state_.settings().stop_reserve;
-  if (is_too_late) return conclude(Reason::kStopping);
   deadline_ = started_ + allowed;
+  service_ = state_.split().next(*route_);
+  if (mayOutlastStop(now)) return conclude(Reason::kStopping);
+  deadline_ = effectiveDeadline();
   wait_until_ =
       std::min(deadline_, now + fractionOf(target(), state_.settings().server_wait_share));
-  service_ = state_.split().next(*route_);
   slots_.emplace(state_.settings().slots, is_call_);
   const bool may_run = verdict(now) == CrashVerdict::kMayRun;
   if (may_run && isThrottled(now)) return conclude(Reason::kQueueFull);
@@ -302,6 +305,16 @@
   return state_.mayHaveMissedVersion() ? Reason::kStaleConfiguration : Reason::kUnknownApiKey;
 }
 
+/// Returns whether a planned stop may end before a server has answered the request. Not asked of
+/// calls, because refusing them would lose the work of the request that made them.
+bool EgressFlow::mayOutlastStop(TimePoint now) const {
+  const StopSchedule& stop = state_.stopSchedule();
+  const Duration reserve = state_.settings().stop_reserve;
+  if (is_call_) return now >= stop.end - reserve;
+  const std::optional<Duration> longest = state_.use(service_).longest_latency.value(now);
+  return !stop.mayRun(started_, now, deadline_, longest, reserve);
+}
+
 /// Returns whether the service is so full that an ingress would most likely refuse the request.
 /// Calls are never throttled, because the work of the request that made them would be lost.
 bool EgressFlow::isThrottled(TimePoint now) {
@@ -319,6 +332,7 @@
 // ---- Attempts
 
 void EgressFlow::sendOrWait(TimePoint now) {
+  if (mayOutlastStop(now)) return conclude(Reason::kStopping);
   if (verdict(now) != CrashVerdict::kMayRun) return sendTrial(now);
   const ServerPointer server = state_.pick(destination(), tried_, now, slots_->asksOwnZone());
   const bool is_own_zone = server && server->entry.zone == state_.settings().own_zone;
@@ -627,6 +641,7 @@
     return onOutcomeUnknown(was_late ? Reason::kDeadline : Reason::kConnectionLost, now);
   }
   state_.onLatency(*server_, state_.use(service_), now - attempt_started_, now);
+  noteDuration(now);
   if (shouldRepeat(answer, now)) {
     note(proxy::DecisionKind::kAttemptEnded, "server_failed", 0);
     io_.discardAnswer(attempt_);
@@ -685,6 +700,7 @@
 
 /// Called when none of the ingresses that were asked had a free slot.
 void EgressFlow::joinQueue(TimePoint now) {
+  if (mayOutlastStop(now)) return conclude(Reason::kStopping);
   if (verdict(now) != CrashVerdict::kMayRun) return conclude(Reason::kCrashesServers);
   ServerPointer server = slots_->joinShortestQueue();
   if (!server) return concludeFull(now);
@@ -722,7 +738,10 @@
   may_have_run_ = true;
   noteArrival();
   releaseServer();
-  if (reason == Reason::kDeadline) is_late_ = true;
+  if (reason == Reason::kDeadline) {
+    noteDuration(now);
+    is_late_ = true;
+  }
   if (!is_repeatable_ || reason == Reason::kDeadline) return conclude(reason);
   if (!mayRepeat(RepeatReason::kAnswerLost, now)) return conclude(reason);
   if (ServerPointer server = state_.pick(destination(), tried_, now)) return send(server, now);
@@ -734,6 +753,7 @@
   if (may_have_run_ && !is_repeatable_) return false;
   if (lost_runs_ >= kMaxLostRuns || verdict(now) != CrashVerdict::kMayRun) return false;
   if (arrivals_ >= max_attempts_ || deadline_ - now < kMinRemainingForRepeat) return false;
+  if (mayOutlastStop(now)) return false;
   if (!state_.retries().spendRepeat(service_, reason, repeatUse(reason, now))) {
     ++state_.statistics().repeats_denied;
     note(proxy::DecisionKind::kRepeatDenied, repeatReasonName(reason), 0);
@@ -763,6 +783,7 @@
   if (phase_ == Phase::kAttempting) {
     if (io_.bytesSent(attempt_)) may_have_run_ = true;
     io_.cancelAttempt(attempt_);
+    noteDuration(now);
     is_late_ = true;
     return conclude(Reason::kDeadline);
   }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -259,9 +259,9 @@
   server.slowness_at = now;
 }
 
-void EgressState::announceStop(TimePoint end) {
-  stop_deadline_ = end - kStopReserve;
-  deadlines_.capDeadlines(stop_deadline_);
+void EgressState::announceStop(TimePoint end, TimePoint callers_informed) {
+  stop_ = {callers_informed, end - kStopReserve};
+  deadlines_.capDeadlines(stop_.end);
 }
 
 void EgressState::onReceipt(Duration latency) {
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -15,8 +15,10 @@
 #include "admission/quota_accounts.h"
 #include "admission/tenant_table.h"
 #include "core/environment.h"
+#include "egress/longest_latency.h"
 #include "egress/server_directory.h"
 #include "egress/settings.h"
+#include "egress/stop_schedule.h"
 #include "egress/traffic_split.h"
 #include "model/snapshot.h"
 #include "proxy/connection_policy.h"
@@ -73,6 +75,8 @@
   double average_latency_ms = 0;  ///< As measured here.
   double average_service_ms = 0;  ///< As reported by ingresses.
   double average_used = 0;  ///< Running and waiting requests per slot, as reported by ingresses.
+  /// From the arrival of a request here until its answer or its deadline.
+  LongestLatency longest_latency;
 };
 
 class EgressState final : public proxy::ConnectionPolicy {
@@ -178,11 +182,12 @@
   bool mayHaveMissedVersion() const;
 
   /// Announces a planned stop of this node. All requests are answered before `end`, when the
-  /// process exits and would cut them.
-  void announceStop(TimePoint end);
-  bool isStopping() const { return stop_deadline_ != TimePoint::max(); }
+  /// process exits and would cut them. `callers_informed`: see StopSchedule; by default never.
+  void announceStop(TimePoint end, TimePoint callers_informed = TimePoint::max());
+  bool isStopping() const { return stop_.isAnnounced(); }
+  const StopSchedule& stopSchedule() const { return stop_; }
   /// Time by which every request must be answered; TimePoint::max() without a planned stop.
-  TimePoint stopDeadline() const { return stop_deadline_; }
+  TimePoint stopDeadline() const { return stop_.end; }
   std::size_t& inFlight() { return in_flight_; }
   std::size_t inFlight() const { return in_flight_; }
 
@@ -216,7 +221,7 @@
   proxy::DecisionLog* log_ = nullptr;
   std::size_t in_flight_ = 0;
   double average_receipt_ms_ = 0;  ///< Moving average of the time until the acknowledgement.
-  TimePoint stop_deadline_ = TimePoint::max();
+  StopSchedule stop_;
 };
 
 }  // namespace coursepond::egress
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -806,10 +806,11 @@
   peer_server_->rejectPending(source::Topic::kConfiguration);
   writeLog(runtime::LogLevel::kInfo, "stopping", {});
   const runtime::NodeSettings& times = settings_.node;
-  const TimePoint end = environment_.now() + times.stop_delay + times.stop_linger +
-                        times.stop_grace + times.stop_timeout;
+  const TimePoint callers_informed = environment_.now() + times.stop_delay;
+  const TimePoint end =
+      callers_informed + times.stop_linger + times.stop_grace + times.stop_timeout;
   ingress_.announceStop(end);
-  egress_.announceStop(end);
+  egress_.announceStop(end, callers_informed);
   egress_server_->announceClose();
   environment_.schedule(settings_.node.stop_delay,
                         [this] { drainWhenIdle(environment_.now() + settings_.node.stop_linger); });
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -663,6 +663,71 @@
   CHECK(exchange->io.answers[0].reason == "stopping");
 }
 
+// Guards against a 504 for a request that a stopping node sent to a server although it could not
+// wait for the answer: the server was still at work when the process ended.
+TEST_CASE("a stopping node refuses a late request whose answer may come after its end") {
+  EgressFixture egress;
+  egress.begin(1);
+  const TimePoint now = egress.environment.now();
+  egress.state.announceStop(now + milliseconds(1500), now);
+  const auto unknown = egress.send("/stock");
+  CHECK(unknown->io.plans.empty());
+  checkAnswered(*unknown, 503, proxy::Outcome::kNotRun);
+  CHECK(unknown->io.answers[0].reason == "stopping");
+  CHECK(unknown->io.answers[0].retry_after.has_value());
+
+  ServiceUse& use = egress.state.use(ServiceName("stock"));
+  use.longest_latency.add(milliseconds(500), now);
+  const auto expected_in_time = egress.send("/stock");
+  CHECK(expected_in_time->io.plans.size() == 1);
+  use.longest_latency.add(milliseconds(1200), now);
+  const auto expected_late = egress.send("/stock");
+  checkAnswered(*expected_late, 503, proxy::Outcome::kNotRun);
+}
+
+TEST_CASE("a stopping node runs a late request whose deadline comes before its end") {
+  EgressFixture egress;
+  egress.begin(1);
+  const TimePoint now = egress.environment.now();
+  egress.state.announceStop(now + milliseconds(2300), now);
+  const auto exchange = egress.send("/stock");  // Ends after 2 s, the longest hold of its route.
+  CHECK(exchange->io.plans.size() == 1);
+}
+
+TEST_CASE("a late request of a stopping node is refused if it has waited too long to end in time") {
+  EgressFixture egress;
+  egress.begin(1);  // After the refusal of its only server the request would join the queue there.
+  const TimePoint now = egress.environment.now();
+  egress.state.use(ServiceName("stock")).longest_latency.add(milliseconds(500), now);
+  egress.state.announceStop(now + milliseconds(1500), now);
+  const auto refused = egress.send("/stock");
+  refused->flow->onAttemptReceived(refused->plan().id);
+  const auto lost = egress.send("/stock");
+  lost->flow->onAttemptReceived(lost->plan().id);
+  egress.environment.advance(milliseconds(700));
+  refused->answer(refusal(refused->id, "no_free_slot", milliseconds(100)));
+  CHECK(refused->io.plans.size() == 1);
+  checkAnswered(*refused, 503, proxy::Outcome::kNotRun);
+  lost->fail(AttemptFailure::kLostAfterSend);
+  CHECK(lost->io.plans.size() == 1);
+  checkAnswered(*lost, 502, proxy::Outcome::kUnknown);
+}
+
+TEST_CASE("the time that requests take is learned from answers and from deadlines") {
+  EgressFixture egress;
+  egress.begin(1);
+  const LongestLatency& longest = egress.state.use(ServiceName("stock")).longest_latency;
+  const auto answered = egress.send("/stock");
+  answered->flow->onAttemptReceived(answered->plan().id);
+  egress.environment.advance(milliseconds(400));
+  answered->answerWhole();
+  CHECK(longest.value(egress.environment.now()) == milliseconds(400));
+  const auto late = egress.send("/stock");
+  egress.environment.advance(seconds(2));
+  checkAnswered(*late, 504, proxy::Outcome::kUnknown);
+  CHECK(longest.value(egress.environment.now()) == seconds(2));
+}
+
 TEST_CASE("a request in flight when a planned stop begins is answered before the stop ends") {
   EgressFixture egress;
   egress.begin(2);
