Egress: a server's error is held while its repeat is under way, and sent if that yields no answer

What callers saw: 502 queue_full, retry_budget or connection_lost of the node, after a server had answered with an error of its own.

Cause: a server's 5xx to a repeatable request was discarded as soon as a repeat was allowed. If no ingress took the repeat, or its answer was lost, the answer that a server had made was gone.

Fix: the answer is held with its body, if it is buffered anyway, and sent unchanged where the egress would otherwise answer itself. The line `forwarded` then names why the repeat yielded none. An answer to the repeat replaces it.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -123,6 +123,7 @@
            proxy::isProperAnswer(answer, head_.request_id, state_.settings().expects_signature);
   }
   bool shouldRepeat(const AnswerHead& answer, TimePoint now);
+  void holdOrDiscard(int status);
   void onNotRun(const AnswerHead& answer, TimePoint now);
   void onIngressRefused(const AnswerHead& answer, TimePoint now);
   void onOtherInstance(TimePoint now);
@@ -152,6 +153,7 @@
   void finish();
   void conclude(Reason reason);
   void concludeFull(TimePoint now);
+  void concludeWithHeld(Reason reason);
   proxy::LocalAnswer makeAnswer(Reason reason) const;
   Duration retryAfter(Reason reason) const;
 
@@ -205,10 +207,11 @@
   bool arrival_noted_ = false;         ///< noteArrival() has counted the current attempt.
   bool outcome_noted_ = false;         ///< The throttle has the outcome of this request.
   bool was_refused_ = false;
-  bool is_trial_ = false;      ///< See CrashVerdict.
-  bool is_late_ = false;       ///< Ended by the deadline.
-  bool holds_quota_ = false;   ///< Took a token from its tenant's quota.
-  bool holds_repeat_ = false;  ///< Paid for a repeat that has not reached a server yet.
+  bool is_trial_ = false;           ///< See CrashVerdict.
+  bool is_late_ = false;            ///< Ended by the deadline.
+  bool holds_quota_ = false;        ///< Took a token from its tenant's quota.
+  bool holds_repeat_ = false;       ///< Paid for a repeat that has not reached a server yet.
+  std::optional<int> held_status_;  ///< Status of the held answer of a server.
   std::optional<Duration> retry_after_;
   TimePoint deadline_;
   TimePoint started_;
@@ -653,7 +656,7 @@
   noteDuration(now);
   if (shouldRepeat(answer, now)) {
     note(proxy::DecisionKind::kAttemptEnded, "server_failed", 0);
-    io_.discardAnswer(attempt_);
+    holdOrDiscard(answer.status);
     releaseServer();
     return kept_ ? waitForKept("server_failed") : sendOrWait(now);
   }
@@ -664,9 +667,18 @@
   io_.forwardAnswer(attempt_);
 }
 
+/// Holds a server's error, which is the best answer there is if the repeat gets none.
+void EgressFlow::holdOrDiscard(int status) {
+  if (io_.holdAnswer(attempt_)) {
+    held_status_ = status;
+  } else {
+    io_.discardAnswer(attempt_);
+  }
+}
+
 /// Returns whether a repeatable request that the server answered with an error should be repeated.
-/// The error can be forwarded only until the answer is discarded, so the request is repeated only
-/// if another server is available now.
+/// The error may be too long to be held, so the request is repeated only if another server is
+/// available now.
 bool EgressFlow::shouldRepeat(const AnswerHead& answer, TimePoint now) {
   if (answer.status < kLowestServerError || answer.status == kGatewayTimeout) return false;
   if (!is_repeatable_) return false;
@@ -858,6 +870,7 @@
   if (kept_ && environment_.now() < effectiveDeadline()) return waitForKept(reasonName(reason));
   cancelKept(reasonName(reason));
   if (holds_repeat_ && !server_) state_.retries().refundRepeat(service_);
+  if (held_status_) return concludeWithHeld(reason);
   const proxy::LocalAnswer answer = makeAnswer(reason);
   const bool not_run = answer.outcome == proxy::Outcome::kNotRun;
   if (not_run && holds_quota_) state_.quotas()->giveBack(tenant_->name);
@@ -873,6 +886,14 @@
   io_.answerLocally(answer);
 }
 
+/// Sends the error of an earlier server, because the repeat ended without an answer for `reason`.
+void EgressFlow::concludeWithHeld(Reason reason) {
+  ++state_.statistics().answers_forwarded;
+  note(proxy::DecisionKind::kForwarded, reasonName(reason), *held_status_);
+  finish();
+  io_.answerWithHeld();
+}
+
 Duration EgressFlow::retryAfter(Reason reason) const {
   if (reason == Reason::kCrashesServers) {
     return state_.suspectRetryAfter(head_.fingerprint, environment_.now());
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -717,7 +717,8 @@
   histograms_.observe(decision);
   const runtime::DecisionLines lines = settings_.log.decisions;
   if (lines == runtime::DecisionLines::kNone) return;
-  const bool is_failure = decision.kind != proxy::DecisionKind::kForwarded;
+  const bool is_failure =
+      decision.kind != proxy::DecisionKind::kForwarded || !decision.reason.empty();
   if (!is_failure && lines != runtime::DecisionLines::kAll) return;
   if (lines != runtime::DecisionLines::kAll && !fold_.admit(decision)) return;
   const proxy::DecisionInputs& inputs = decision.inputs;
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -46,10 +46,11 @@
   std::string_view service;        ///< Empty if no route matched.
   std::uint32_t attempt = 0;
   std::string_view server;  ///< Server of the attempt; empty if there was none.
-  std::string_view reason;  ///< A stable name; empty for kForwarded.
-  int status = 0;           ///< Status sent to the caller; zero for kAttemptEnded.
-  Duration elapsed{};       ///< Time since the request started on this node.
-  Version version;          ///< Version of the configuration that the request uses.
+  /// A stable name. For kForwarded: why the repeat yielded no answer, or empty without a repeat.
+  std::string_view reason;
+  int status = 0;      ///< Status sent to the caller; zero for kAttemptEnded.
+  Duration elapsed{};  ///< Time since the request started on this node.
+  Version version;     ///< Version of the configuration that the request uses.
   DecisionInputs inputs;
 };
 
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -178,6 +178,12 @@
   /// Discards the answer whose head was just reported. No event for the attempt may follow. A short
   /// remainder may be read so that the connection can be kept. The default closes the connection.
   virtual void discardAnswer(AttemptId attempt) { cancelAttempt(attempt); }
+  /// Holds the answer whose head was just reported, in place of one that was held before. No event
+  /// for the attempt may follow. Returns false if the whole answer is not at hand; nothing has
+  /// changed then.
+  virtual bool holdAnswer(AttemptId) { return false; }
+  /// Sends the held answer to the caller. Ends the request as answerLocally() does.
+  virtual void answerWithHeld() {}
   /// Streams the answer whose head was just reported to the caller.
   virtual void forwardAnswer(AttemptId attempt) = 0;
   virtual void answerLocally(const LocalAnswer& answer) = 0;
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -344,6 +344,24 @@
   upstream_.reset();
 }
 
+/// Possible while an answer is reported that was collected. Its connection is free by then.
+bool CallerExchange::holdAnswer(proxy::AttemptId attempt) {
+  if (!collecting_ || upstream_ || plan_.id != attempt) return false;
+  held_ = std::make_unique<HeldAnswer>(HeldAnswer{*answer_head_, std::move(collected_)});
+  collected_.clear();
+  return true;
+}
+
+void CallerExchange::answerWithHeld() {
+  const std::unique_ptr<HeldAnswer> held = std::move(held_);
+  endRequestBody();
+  AnswerContext context = answerContext();
+  context.whole_length = held->body.size();
+  appendAnswerHead(output_, held->head, context);
+  output_.append(held->body);
+  connection_.flush(*this);
+}
+
 bool CallerExchange::bytesSent(proxy::AttemptId) const {
   return upstream_ && upstream_->sentBytes() && !awaiting_confirmation_;
 }
@@ -507,7 +525,14 @@
 void CallerExchange::answerLocally(const proxy::LocalAnswer& answer) { writeLocal(answer); }
 
 void CallerExchange::writeLocal(const proxy::LocalAnswer& answer) {
-  // The connection can be kept if the rest of the request has already arrived.
+  endRequestBody();
+  appendLocalAnswer(output_, answer, answerContext());
+  connection_.flush(*this);
+}
+
+/// Called when the answer is complete without an attempt that reads the rest of the body. The
+/// connection can be kept if that rest has already arrived.
+void CallerExchange::endRequestBody() {
   if (!requestComplete() && parser_.failure() == ParseFailure::kNone && parser_.headComplete()) {
     ReceiveBuffer& received = connection_.received();
     received.consume(parser_.parseBody(received.data(), *this));
@@ -516,8 +541,6 @@
   leaveGate();
   awaiting_body_ = awaiting_identity_ = false;
   answer_complete_ = true;
-  appendLocalAnswer(output_, answer, answerContext());
-  connection_.flush(*this);
 }
 
 void CallerExchange::refuse(RefusalReason reason) {
@@ -568,6 +591,7 @@
   parser_.reset();
   flow_.reset();
   kept_.reset();
+  held_.reset();
   request_.clear();
   collected_.clear();
   replay_.clear();
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -74,6 +74,8 @@
   void resumeAttempt(proxy::AttemptId attempt) override;
   bool bytesSent(proxy::AttemptId attempt) const override;
   void discardAnswer(proxy::AttemptId attempt) override;
+  bool holdAnswer(proxy::AttemptId attempt) override;
+  void answerWithHeld() override;
   void forwardAnswer(proxy::AttemptId attempt) override;
   void answerLocally(const proxy::LocalAnswer& answer) override;
 
@@ -129,6 +131,13 @@
   void reportAnswerHead();
   void refuseBody(RefusalReason reason);
   void writeLocal(const proxy::LocalAnswer& answer);
+  void endRequestBody();
+
+  /// A whole answer of a server; see proxy::RequestIo::holdAnswer().
+  struct HeldAnswer {
+    MessageHead head;
+    std::string body;
+  };
 
   CallerConnection& connection_;
   ProxyServerShared& shared_;
@@ -138,6 +147,7 @@
   std::unique_ptr<proxy::Exchange> flow_;
   std::shared_ptr<UpstreamConnection> upstream_;  ///< Of the current attempt.
   std::unique_ptr<KeptAttempt> kept_;
+  std::unique_ptr<HeldAnswer> held_;
   proxy::AttemptPlan plan_;
   const MessageHead* answer_head_ = nullptr;  ///< Set only while its event is being handled.
   std::string collected_;  ///< Body received so far of an answer that is not complete yet.
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -559,6 +559,82 @@
   CHECK(seat->io.forwarded.size() == 1);
 }
 
+// Guards against a 502 in place of an answer that a server has made.
+TEST_CASE("a server's error reaches the caller if its repeat yields no answer") {
+  for (const AttemptFailure failure :
+       {AttemptFailure::kLostAfterSend, AttemptFailure::kMalformedAnswer}) {
+    EgressFixture egress;
+    egress.begin(2);
+    const auto stock = egress.send("/stock");
+    stock->io.can_hold = true;
+    stock->answer(TestExchange::properHead(stock->id, 500));
+    REQUIRE(stock->io.plans.size() == 2);
+    CHECK(stock->io.held == std::vector<proxy::AttemptId>{1});
+    CHECK(stock->io.discarded.empty());
+    CHECK(stock->isOpen());
+    stock->fail(failure);
+    CHECK(stock->io.held_sent == 1);
+    CHECK(stock->io.answers.empty());
+    CHECK(egress.state.statistics().unknown == 0);
+    CHECK(egress.inFlightAtServers() == 0);
+  }
+}
+
+TEST_CASE("a server's error reaches the caller if all ingresses refuse its repeat") {
+  EgressFixture egress;
+  egress.begin(3);
+  const auto stock = egress.send("/stock");
+  stock->io.can_hold = true;
+  stock->answer(TestExchange::properHead(stock->id, 503));
+  for (std::size_t sent = 2; stock->io.plans.size() == sent; ++sent) {
+    stock->answer(refusal(stock->id, "no_free_slot", milliseconds(100)));
+  }
+  CHECK(stock->io.held_sent == 1);
+  CHECK(stock->io.answers.empty());
+}
+
+TEST_CASE("a server's error reaches the caller at the deadline of its repeat, or of a stop") {
+  for (const bool stops : {false, true}) {
+    EgressFixture egress;
+    egress.begin(2);
+    const auto stock = egress.send("/stock");
+    stock->io.can_hold = true;
+    stock->answer(TestExchange::properHead(stock->id, 500));
+    stock->flow->onAttemptReceived(2);
+    if (stops) egress.state.announceStop(egress.environment.now() + seconds(1));
+    egress.environment.advance(stops ? seconds(1) : seconds(2));
+    CHECK(stock->io.held_sent == 1);
+    CHECK(stock->io.cancelled == std::vector<proxy::AttemptId>{2});
+  }
+}
+
+TEST_CASE("the answer to a repeat goes before the server's error that was held") {
+  EgressFixture egress;
+  egress.begin(2);
+  const auto stock = egress.send("/stock");
+  stock->io.can_hold = true;
+  stock->answer(TestExchange::properHead(stock->id, 500));
+  stock->answerWhole();
+  CHECK(stock->io.forwarded == std::vector<proxy::AttemptId>{2});
+  CHECK(stock->io.held_sent == 0);
+}
+
+// Guards against a 502 after the caller's first server failed to answer and the second one, which
+// was asked because the first was silent, answered with an error.
+TEST_CASE("a server's error is held while a silent attempt is open, and sent if that is lost") {
+  EgressFixture egress;
+  egress.begin(3);
+  const auto stock = egress.send("/stock");
+  stock->io.can_hold = true;
+  egress.environment.advance(milliseconds(260));
+  REQUIRE(stock->io.plans.size() == 2);
+  stock->answer(TestExchange::properHead(stock->id, 500));
+  CHECK(stock->io.resumed == std::vector<proxy::AttemptId>{1});
+  stock->flow->onAttemptFailed(1, AttemptFailure::kLostAfterSend);
+  CHECK(stock->io.held_sent == 1);
+  CHECK(stock->io.answers.empty());
+}
+
 TEST_CASE("a restarted server is tried again through the same ingress, which counts as a repeat") {
   EgressFixture egress;
   egress.begin(1);
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -726,6 +726,27 @@
   CHECK(mesh.arrivals() == before);
 }
 
+// Guards against a 502 in place of the answer of the only server that gave one.
+TEST_CASE("a server's error reaches the caller unchanged if the server of the repeat is lost") {
+  Fixture mesh;
+  std::size_t runs = 0;
+  mesh.setBehaviour(
+      [&runs](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
+        if (++runs > 1) return responder.cut();
+        runtime::HttpResponse failed = properAnswer(request, "broken");
+        failed.status = 500;
+        responder.respond(std::move(failed));
+      });
+  for (const char* const method : {"GET", "POST"}) {
+    runs = 0;
+    const runtime::HttpClientResponse response = mesh.send(method, "/read/1", "body");
+    CHECK(runs == 2);
+    CHECK(response.status == 500);
+    CHECK(response.body == "broken");
+    CHECK(runtime::findHeader(response.headers, kSignature) == "signed");
+  }
+}
+
 // Guards against a 502 while a server is at work: the first ingress acknowledges later than the
 // egress waits, and the server of the repeat loses its answer.
 TEST_CASE("the late answer of a silent ingress reaches the caller if the repeat fails") {
--- a/tests/support/exchange_io.h
+++ b/tests/support/exchange_io.h
@@ -21,6 +21,11 @@
   void resumeAttempt(AttemptId attempt) override { resumed.push_back(attempt); }
   bool bytesSent(AttemptId) const override { return bytes_sent; }
   void discardAnswer(AttemptId attempt) override { discarded.push_back(attempt); }
+  bool holdAnswer(AttemptId attempt) override {
+    if (can_hold) held.push_back(attempt);
+    return can_hold;
+  }
+  void answerWithHeld() override { ++held_sent; }
   void forwardAnswer(AttemptId attempt) override { forwarded.push_back(attempt); }
   void answerLocally(const LocalAnswer& answer) override { answers.push_back(answer); }
 
@@ -29,10 +34,13 @@
   std::vector<AttemptId> kept;
   std::vector<AttemptId> resumed;
   std::vector<AttemptId> discarded;
+  std::vector<AttemptId> held;
   std::vector<AttemptId> forwarded;
   std::vector<LocalAnswer> answers;
   bool bytes_sent = true;
   bool can_keep = true;
+  bool can_hold = false;  ///< Answers are short enough to be held.
+  int held_sent = 0;      ///< Calls of answerWithHeld().
 };
 
 /// One exchange and its fake I/O layer.
@@ -43,7 +51,7 @@
 
   const AttemptPlan& plan() const { return io.plans.back(); }
   std::string server() const { return plan().endpoint.id.value(); }
-  bool isOpen() const { return io.answers.empty() && io.forwarded.empty(); }
+  bool isOpen() const { return io.answers.empty() && io.forwarded.empty() && io.held_sent == 0; }
 
   void answer(AnswerHead head) { flow->onAnswerHead(plan().id, head); }
   void fail(AttemptFailure failure) { flow->onAttemptFailed(plan().id, failure); }
