Egress: only a stopping ingress's refusal without an id is taken for the end of its connection

Cause: an ingress's refusals of requests that it can't read have no request id either.

Evidence: egress_data_path_test, "a request that an ingress cannot read is not offered to the other ingresses": nine asked before, one now.

Fix: the refusal must be a 503 with the reason `stopping`.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -53,8 +53,9 @@
 /// Returns whether the ingress closed the connection before it read the request. It then sends a
 /// refusal that belongs to no request. Servers cannot: an ingress forwards no outcome of theirs.
 bool isClosingRefusal(const AnswerHead& answer) {
-  return answer.not_run && answer.request_id.empty() &&
-         answer.node_outcome == http_headers::kOutcomeNotRun;
+  return answer.status == kServiceUnavailable && answer.request_id.empty() &&
+         answer.node_outcome == http_headers::kOutcomeNotRun &&
+         answer.node_reason == reasonName(Reason::kStopping);
 }
 
 class EgressFlow final : public proxy::Exchange,
