Egress: requests in flight, and those whose callers left, count in the time that a stopping node expects

Cause: the estimate knew only requests that had ended with an answer or at their deadline.

Evidence: egress_flow_test, "a stopping node counts the time of requests that still run" and "the time that requests take is learned from callers that give up", red before.

Fix: the age of the oldest request in flight to the service counts as a lower bound, and a caller that leaves adds a sample.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -1,6 +1,7 @@
 #include "egress/egress_flow.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/http_headers.h"
@@ -208,10 +209,11 @@
   bool arrival_noted_ = false;         ///< noteArrival() has counted the current attempt.
   bool outcome_noted_ = false;         ///< The throttle has the outcome of this request.
   bool was_refused_ = false;
-  bool is_trial_ = false;           ///< See CrashVerdict.
-  bool is_late_ = false;            ///< Ended by the deadline.
-  bool holds_quota_ = false;        ///< Took a token from its tenant's quota.
-  bool holds_repeat_ = false;       ///< Paid for a repeat that has not reached a server yet.
+  bool is_trial_ = false;      ///< See CrashVerdict.
+  bool is_late_ = false;       ///< Ended by the deadline.
+  bool holds_quota_ = false;   ///< Took a token from its tenant's quota.
+  bool holds_repeat_ = false;  ///< Paid for a repeat that has not reached a server yet.
+  std::optional<std::multiset<TimePoint>::iterator> running_;  ///< In ServiceUse::running_since.
   std::optional<int> held_status_;  ///< Status of the held answer of a server.
   std::optional<Duration> retry_after_;
   TimePoint deadline_;
@@ -289,6 +291,7 @@
   deadline_ = started_ + allowed;
   service_ = state_.split().next(*route_);
   if (mayOutlastStop(now)) return conclude(Reason::kStopping);
+  running_ = state_.use(service_).running_since.insert(started_);
   deadline_ = effectiveDeadline();
   wait_until_ =
       std::min(deadline_, now + fractionOf(target(), state_.settings().server_wait_share));
@@ -324,7 +327,7 @@
   const StopSchedule& stop = state_.stopSchedule();
   const Duration reserve = state_.settings().stop_reserve;
   if (is_call_) return now >= stop.end - reserve;
-  const std::optional<Duration> longest = state_.use(service_).longest_latency.value(now);
+  const std::optional<Duration> longest = state_.use(service_).longestLatency(now);
   return !stop.mayRun(started_, now, deadline_, longest, reserve);
 }
 
@@ -837,6 +840,7 @@
   note(proxy::DecisionKind::kCallerGone, "", 0);
   const bool has_attempt = phase_ == Phase::kAttempting || phase_ == Phase::kForwarding;
   if (has_attempt) io_.cancelAttempt(attempt_);
+  if (phase_ == Phase::kAttempting) noteDuration(environment_.now());
   dropKept();
   finish();
 }
@@ -867,6 +871,8 @@
   state_.deadlines().disarm(*this);
   releaseServer();
   if (kept_) releaseKept();
+  if (running_) state_.use(service_).running_since.erase(*running_);
+  running_.reset();
   --state_.inFlight();
 }
 
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -75,8 +75,17 @@
   double average_latency_ms = 0;  ///< As measured here.
   double average_service_ms = 0;  ///< As reported by ingresses.
   double average_used = 0;  ///< Running and waiting requests per slot, as reported by ingresses.
-  /// From the arrival of a request here until its answer or its deadline.
+  /// From the arrival of a request here until its answer, its deadline or its caller's disconnect.
   LongestLatency longest_latency;
+  std::multiset<TimePoint> running_since;  ///< Arrival times of the requests in flight.
+
+  /// Returns the longest latency of recent requests and of those in flight so far. Empty without a
+  /// recent one that ended.
+  std::optional<Duration> longestLatency(TimePoint now) const {
+    const std::optional<Duration> ended = longest_latency.value(now);
+    if (!ended || running_since.empty()) return ended;
+    return std::max(*ended, now - *running_since.begin());
+  }
 };
 
 class EgressState final : public proxy::ConnectionPolicy {
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -819,6 +819,35 @@
   CHECK(longest.value(egress.environment.now()) == seconds(2));
 }
 
+// Guards against a 504 in place of a server's work: while a service is slow, the requests that
+// still run say more about the next one than those that have ended.
+TEST_CASE("a stopping node counts the time of requests that still run") {
+  EgressFixture egress;
+  egress.begin(1);
+  egress.state.use(ServiceName("stock"))
+      .longest_latency.add(milliseconds(100), egress.environment.now());
+  const auto running = egress.send("/stock");
+  running->flow->onAttemptReceived(running->plan().id);
+  egress.environment.advance(milliseconds(1500));
+  REQUIRE(running->isOpen());
+  const TimePoint now = egress.environment.now();
+  egress.state.announceStop(now + milliseconds(1500), now);
+  const auto next = egress.send("/stock");
+  CHECK(next->io.plans.empty());
+}
+
+TEST_CASE("the time that requests take is learned from callers that give up") {
+  EgressFixture egress;
+  egress.begin(1);
+  const auto request = egress.send("/stock");
+  request->flow->onAttemptReceived(request->plan().id);
+  egress.environment.advance(milliseconds(1500));
+  request->flow->onCallerGone();
+  const auto longest =
+      egress.state.use(ServiceName("stock")).longest_latency.value(egress.environment.now());
+  CHECK(longest.value_or(Duration(0)) >= milliseconds(1500));
+}
+
 TEST_CASE("a request in flight when a planned stop begins is answered before the stop ends") {
   EgressFixture egress;
   egress.begin(2);
