Two-hop node: a planned stop cuts nothing before the end that it announced

What callers saw: a connection reset without an answer while a server was at work, up to stop_linger before the announced end of the stop.

Cause: a node that is idle when its drain time may begin starts to drain at once, and the drain then ended by its own length, earlier than the end up to which requests had been accepted. The same after changed stop times (SIGHUP): the servers kept those they began with.

Fix: the node gives its servers the announced end, and they cut then. A drain still ends earlier when no request is left.

--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -267,6 +267,7 @@
   TimerId lapse_timer_ = 0;
   TimePoint next_limit_line_;
   bool stopping_ = false;
+  TimePoint stop_end_;  ///< Announced end of a planned stop. Nothing is cut before.
   int draining_servers_ = 0;
   std::function<void(StopOutcome)> stopped_;
 };
@@ -808,10 +809,9 @@
   writeLog(runtime::LogLevel::kInfo, "stopping", {});
   const runtime::NodeSettings& times = settings_.node;
   const TimePoint callers_informed = environment_.now() + times.stop_delay;
-  const TimePoint end =
-      callers_informed + times.stop_linger + times.stop_grace + times.stop_timeout;
-  ingress_.announceStop(end);
-  egress_.announceStop(end, callers_informed);
+  stop_end_ = callers_informed + times.stop_linger + times.stop_grace + times.stop_timeout;
+  ingress_.announceStop(stop_end_);
+  egress_.announceStop(stop_end_, callers_informed);
   egress_server_->announceClose();
   environment_.schedule(settings_.node.stop_delay,
                         [this] { drainWhenIdle(environment_.now() + settings_.node.stop_linger); });
@@ -831,8 +831,8 @@
 
 void Implementation::beginDrain() {
   draining_servers_ = 2;
-  egress_server_->beginStop([this] { onDrained(); });
-  ingress_server_->beginStop([this] { onDrained(); });
+  egress_server_->beginStop([this] { onDrained(); }, stop_end_);
+  ingress_server_->beginStop([this] { onDrained(); }, stop_end_);
 }
 
 void Implementation::onDrained() {
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -64,9 +64,14 @@
     maintain();
   }
 
-  void beginStop(std::function<void()> drained) {
+  void beginStop(std::function<void()> drained, std::optional<TimePoint> end) {
     if (stop_begun_) return;
     stop_begun_ = true;
+    ProxyServerSettings& settings = shared_->settings;
+    if (end) {
+      const Duration left = *end - shared_->environment.now() - settings.stop_grace;
+      settings.stop_drain = std::max(Duration(0), left);
+    }
     shared_->stopping = true;
     acceptPending();
     error_code ignored;
@@ -272,8 +277,8 @@
 }
 
 Address ProxyServer::address() const { return implementation_->address(); }
-void ProxyServer::beginStop(std::function<void()> drained) {
-  implementation_->beginStop(std::move(drained));
+void ProxyServer::beginStop(std::function<void()> drained, std::optional<TimePoint> end) {
+  implementation_->beginStop(std::move(drained), end);
 }
 void ProxyServer::setCallerLimits(const model::CallerLimits& limits) {
   implementation_->setCallerLimits(limits);
--- a/src/runtime/proxy_server.h
+++ b/src/runtime/proxy_server.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "core/address.h"
 #include "core/environment.h"
@@ -113,7 +114,9 @@
 
   /// Starts a planned stop: accepts no new connections, finishes every request in flight, calls
   /// ProxyState::beginStop() after the grace period, and `drained` once no caller is connected.
-  void beginStop(std::function<void()> drained);
+  /// Requests that are still in flight at `end` are cut; by default, stop_grace and stop_drain
+  /// after this call.
+  void beginStop(std::function<void()> drained, std::optional<TimePoint> end = std::nullopt);
 
   /// Applies an operator's limits. A limit of zero leaves the setting unchanged.
   void setCallerLimits(const model::CallerLimits& limits);
