Proxy server: at a stop, a request that has arrived is answered, and a connection that turns idle late is closed in order

What callers saw: no answer to a request that had arrived whole when the grace time of a stop ended; and a connection whose answer ended after that time stayed open without a word until it was reset at the end of the stop.

Cause: a connection is closed as idle by what this process has read, not by what lies in the socket. And idle connections were closed once, at the end of the grace time.

Fix: a connection with unread bytes isn't idle; its request is read and answered (as not run, where the node takes none any more). After the grace time a connection is closed when it turns idle.

--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -125,6 +125,8 @@
   state_ = awaited;
   const ProxyServerSettings& settings = shared_->settings;
   expireAfter(has_begun ? settings.head_timeout : settings.idle_timeout);
+  // The head of the answer before did not announce it if that was sent before the stop.
+  if (shared_->closes_idle) closeIfIdle();
 }
 
 bool CallerConnection::mayBegin() const {
@@ -271,11 +273,17 @@
 }
 
 void CallerConnection::closeIfIdle() {
-  if (state_ != State::kIdle) return;
+  if (state_ != State::kIdle || hasUnreadBytes()) return;
   if (shared_->settings.answer_style == AnswerStyle::kIngress) announceClose();
   closeGracefully();
 }
 
+/// Returns whether a request has arrived whose bytes this process has not read yet.
+bool CallerConnection::hasUnreadBytes() const {
+  error_code error;
+  return socket_.available(error) > 0 && !error;
+}
+
 /// A request that is on its way cannot be distinguished from one that was lost while it ran. So the
 /// last message on the connection is a refusal that belongs to no request. An egress that has sent
 /// a request meanwhile reads it as the answer; any other one closes the connection.
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -27,8 +27,8 @@
   ~CallerConnection() override;
 
   void start();
-  /// Closes the connection if it carries no request. An egress is told that a request which is
-  /// still on its way has not run and will not.
+  /// Closes the connection if it carries no request and none has arrived. An egress is told that a
+  /// request which is still on its way has not run and will not.
   void closeIfIdle();
   /// Resets the connection and abandons its requests in flight.
   void cut();
@@ -75,6 +75,7 @@
   void onWritten(const boost::system::error_code& error);
 
   // Closing
+  bool hasUnreadBytes() const;
   void announceClose();
   void onDeadline() override;
   void dropExchanges();
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -197,6 +197,7 @@
 
   void onGraceOver() {
     shared_->source.begin_stop();
+    shared_->closes_idle = true;
     for (const auto& connection : liveConnections()) connection->closeIfIdle();
     waitForStop(shared_->settings.stop_drain, &Implementation::onDrainOver);
   }
--- a/src/runtime/proxy_server_shared.h
+++ b/src/runtime/proxy_server_shared.h
@@ -32,6 +32,7 @@
   bool stopping = false;           ///< Every answer ends its connection.
   std::function<void()> on_empty;  ///< Called when the last connection is gone.
   RequestIdSource request_ids;
+  bool closes_idle = false;  ///< The grace time of a stop is over.
 };
 
 }  // namespace coursepond::runtime
