Mesh form: requests at work at the end of a planned stop are answered, not reset

What callers saw: a request that was in flight at SIGTERM, or that the node took on a kept connection during its grace time, and whose deadline lay beyond the end of the stop, had its connection reset when the drain time was over. The server was at work; the caller got no answer, no outcome and no Retry-After. Requests that still waited for a slot, which surely hadn't run, were reset just so.

Cause: RequestFlow knew deadlines of requests only. The end of the stop was known to ProxyServer alone, whose onDrainOver() cuts each connection that is left. The two-hop form announces the end to its egress (EgressState::announceStop); the mesh form had no counterpart.

Change: Node::stop() announces the end (stop_delay + stop_grace + stop_timeout) to ProxyState. Servers are told the shorter deadline in X-Deadline-Ms, and a repeat ends with the stop too.

Why it works: the answer is written and the connection closed in an orderly way before onDrainOver(), which finds no request left. An answer whose head has arrived keeps being forwarded; one that is still being forwarded at the end of the stop is cut as before, since it can't be completed.

Also changed by this: a stop in which requests were given up in this way now ends with exit code 0 and requests_cut=0, as in the two-hop form, since none was cut; they are counted as outcome unknown.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -294,7 +294,10 @@
   stopping_ = true;
   writeLog(runtime::LogLevel::kInfo, "stopping",
            {{"requests_in_flight", std::to_string(proxy_state_.requestsInFlight())}});
-  stop_delay_timer_ = environment_.schedule(settings_.node.stop_delay, [this] { beginDrain(); });
+  const runtime::NodeSettings& times = settings_.node;
+  proxy_state_.announceStop(environment_.now() + times.stop_delay + times.stop_grace +
+                            times.stop_timeout);
+  stop_delay_timer_ = environment_.schedule(times.stop_delay, [this] { beginDrain(); });
 }
 
 void Implementation::beginDrain() {
--- a/src/proxy/proxy_parts.h
+++ b/src/proxy/proxy_parts.h
@@ -9,6 +9,7 @@
 #include "proxy/proxy_state.h"
 #include "proxy/route_table.h"
 #include "proxy/service_state.h"
+#include "proxy/stop_deadline.h"
 
 namespace coursepond::proxy {
 
@@ -37,6 +38,7 @@
   std::size_t node_count = 1;
   std::size_t in_flight = 0;
   bool stopping = false;
+  StopDeadline stop_deadline;
   ProxyStatistics statistics;
   DeadlineQueue deadlines;
   std::shared_ptr<const RoutingSnapshot> routing;
--- a/src/proxy/proxy_state.cpp
+++ b/src/proxy/proxy_state.cpp
@@ -92,6 +92,11 @@
   return state != nullptr && state->servers().isUsable(endpoint);
 }
 
+void ProxyState::announceStop(TimePoint end) {
+  parts_->stop_deadline.announce(end);
+  parts_->deadlines.capDeadlines(parts_->stop_deadline.latest());
+}
+
 void ProxyState::beginStop() { parts_->stopping = true; }
 
 std::size_t ProxyState::requestsInFlight() const { return parts_->in_flight; }
--- a/src/proxy/proxy_state.h
+++ b/src/proxy/proxy_state.h
@@ -72,6 +72,9 @@
   /// Returns the usable servers that are not ejected.
   std::vector<WarmServer> warmServers() const override;
 
+  /// Announces a planned stop. All requests are answered before `end`, when the process exits and
+  /// would cut them.
+  void announceStop(TimePoint end);
   /// Starts a planned stop: new requests are refused, and those in flight finish.
   void beginStop();
   std::size_t requestsInFlight() const;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -101,6 +101,8 @@
   std::optional<Reason> findService(TimePoint now);
   void admit(TimePoint now);
   TimePoint latestStart(TimePoint now) const;
+  TimePoint effectiveDeadline() const { return parts_.stop_deadline.cap(deadline_); }
+  Reason lateReason(TimePoint now) const;
 
   void sendAttempt(TimePoint now);
   AttemptPlan makePlan(TimePoint now) const;
@@ -183,7 +185,14 @@
 }
 
 TimePoint RequestFlow::Implementation::latestStart(TimePoint now) const {
-  return std::min(deadline_, now + parts_.settings.admission.longest_wait);
+  return std::min(effectiveDeadline(), now + parts_.settings.admission.longest_wait);
+}
+
+/// Returns why a request that has reached its deadline, or its longest wait, ends.
+Reason RequestFlow::Implementation::lateReason(TimePoint now) const {
+  if (now >= deadline_) return Reason::kDeadline;
+  if (!parts_.stop_deadline.isOver(now)) return Reason::kQueueTimeout;
+  return may_have_run_ ? Reason::kDeadline : Reason::kStopping;
 }
 
 // ---- Attempts
@@ -191,8 +200,8 @@
 void RequestFlow::Implementation::onServerAssigned(const ServerPointer& server, TimePoint now) {
   server_ = server;
   // The timer is late because this process was paused. Nobody waits for the answer any more.
-  if (now >= deadline_) return conclude(Reason::kDeadline, now);
-  parts_.deadlines.arm(*this, deadline_);
+  if (now >= effectiveDeadline()) return conclude(lateReason(now), now);
+  parts_.deadlines.arm(*this, effectiveDeadline());
   sendAttempt(now);
 }
 
@@ -214,7 +223,8 @@
   plan.id = attempt_;
   plan.service = route_->service;
   plan.endpoint = server_->endpoint;
-  plan.remaining = std::max(deadline_ - now - parts_.settings.deadline_reserve, kMinRemaining);
+  plan.remaining =
+      std::max(effectiveDeadline() - now - parts_.settings.deadline_reserve, kMinRemaining);
   plan.replayable = !is_part_of_retry_ && charged_attempts_ + 1 < service_->service().max_attempts;
   plan.headers_to_set.reserve(2 + route_->secrets.size());
   plan.headers_to_set.push_back({http_headers::kAttempt, std::to_string(attempt_)});
@@ -288,7 +298,7 @@
 /// request's attempts nor to the retry budget.
 bool RequestFlow::Implementation::mayRetry(bool is_free, TimePoint now) {
   if (may_have_run_ && !is_repeatable_) return false;
-  if (now >= deadline_) return false;
+  if (now >= effectiveDeadline()) return false;
   if (is_free) return ++free_attempts_ <= parts_.settings.retry.free_attempts;
   ++charged_attempts_;
   if (is_part_of_retry_ || charged_attempts_ >= service_->service().max_attempts) return false;
@@ -309,8 +319,7 @@
 
 void RequestFlow::Implementation::onDeadline(TimePoint now) {
   if (phase_ == Phase::kAttempting) abandonAttempt(now);
-  const bool is_past = now >= deadline_;
-  conclude(is_past ? Reason::kDeadline : Reason::kQueueTimeout, now);
+  conclude(lateReason(now), now);
 }
 
 void RequestFlow::Implementation::abandonAttempt(TimePoint now) {
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -35,11 +35,13 @@
   return settings;
 }
 
-/// A platform with one configuration version and no machines, and a node that reads it, in one
+/// A platform with one configuration version and no nodes, and a node that reads it, in one
 /// process.
 class Fixture : public testing::LoopbackBench {
  public:
-  Fixture() {
+  /// `back_end`: the only server of the service, if it has one.
+  explicit Fixture(runtime::HttpServer::Handler back_end = {}, Duration stop_timeout = 30s) {
+    if (back_end) addBackEnd(std::move(back_end));
     auto platform = runtime::HttpServer::create(
         context_, Address{"127.0.0.1", 0}, {},
         [this](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
@@ -47,7 +49,9 @@
         });
     REQUIRE(platform.has_value());
     platform_ = std::move(*platform);
-    auto node = Node::create(context_, testSettings(platform_->address()));
+    runtime::Settings settings = testSettings(platform_->address());
+    settings.node.stop_timeout = stop_timeout;
+    auto node = Node::create(context_, settings);
     REQUIRE(node.has_value());
     node_ = std::move(*node);
     node_->start();
@@ -66,10 +70,28 @@
     return call(node_->addresses().caller, std::move(request));
   }
 
+  /// Sends a request that must not run twice, and returns without waiting for its answer.
+  void sendAsCaller(std::optional<Result<runtime::HttpClientResponse>>& answer) {
+    runtime::HttpClientRequest request;
+    request.method = "POST";
+    request.target = "/x";
+    client_.request(node_->addresses().caller, std::move(request), 10s,
+                    [&answer](auto received) { answer = std::move(received); });
+  }
+
   Node& node() { return *node_; }
 
  private:
-  static runtime::HttpResponse answer(const runtime::HttpRequest& request) {
+  void addBackEnd(runtime::HttpServer::Handler handler) {
+    auto back_end =
+        runtime::HttpServer::create(context_, Address{"127.0.0.1", 0}, {}, std::move(handler));
+    REQUIRE(back_end.has_value());
+    back_end_ = std::move(*back_end);
+    back_ends_ = R"({"id": "b1", "service": "s", "zone": "a", "address": ")" +
+                 formatAddress(back_end_->address()) + R"("})";
+  }
+
+  runtime::HttpResponse answer(const runtime::HttpRequest& request) const {
     runtime::HttpResponse response;
     response.content_type = "application/json";
     if (request.path() == "/v1/configurations") {
@@ -78,13 +100,15 @@
       response.body = R"({"version": 1, "routes": [{"name": "r", "service": "s"}],
                           "services": [{"name": "s"}], "secrets": []})";
     } else if (request.path() == "/v1/machines") {
-      response.body = R"({"generation": 1, "nodes": [], "backends": []})";
+      response.body = R"({"generation": 1, "nodes": [], "backends": [)" + back_ends_ + "]}";
     } else {
       response.status = 404;
     }
     return response;
   }
 
+  std::string back_ends_;
+  std::unique_ptr<runtime::HttpServer> back_end_;
   std::unique_ptr<runtime::HttpServer> platform_;
   std::unique_ptr<Node> node_;
 };
@@ -135,6 +159,25 @@
   CHECK(*outcome == StopOutcome::kClean);
 }
 
+// Guards against callers that lose their connection without an answer when the node's stop ends.
+TEST_CASE("a request at work when a planned stop ends is answered with an unknown outcome") {
+  std::optional<runtime::HttpResponder> held;
+  Fixture fixture([&held](const runtime::HttpRequest&,
+                          runtime::HttpResponder responder) { held = std::move(responder); },
+                  300ms);
+  REQUIRE(fixture.runUntil([&fixture] { return fixture.get("/readyz").status == 200; }));
+  std::optional<Result<runtime::HttpClientResponse>> answer;
+  fixture.sendAsCaller(answer);
+  REQUIRE(fixture.runUntil([&held] { return held.has_value(); }));
+  std::optional<StopOutcome> outcome;
+  fixture.node().stop([&outcome](StopOutcome stopped) { outcome = stopped; });
+  REQUIRE(fixture.runUntil([&] { return answer.has_value() && outcome.has_value(); }));
+  REQUIRE(answer->has_value());
+  CHECK((*answer)->status == 504);
+  CHECK(runtime::findHeader((*answer)->headers, "X-Outcome") == "unknown");
+  CHECK(*outcome == StopOutcome::kClean);
+}
+
 TEST_CASE("a second stop call stops immediately") {
   Fixture fixture;
   std::optional<StopOutcome> outcome;
