Mesh form: a request that comes too late in a planned stop is refused as not run

What callers saw: a node in a planned stop sent every request of its grace time to a server, also when the time left was shorter than the service needs. The same with a request that waited and got its slot that late.

Cause: the decision to send looked at whether the deadline had passed, not at whether the stop leaves time for a run.

Change: StopDeadline::isTooLate(): the deadline lies beyond the end of the stop, and no more time is left than the service's answers take on average (ServiceState::usualLatency(), already kept for the balancer). Such a request gets 503 "stopping", not run, with Retry-After, at its start, or when it gets a slot and nothing of it was sent before. A request whose own deadline ends within the stop is served as ever, and one that may have run already is repeated as ever.

Why it works: the answer is given before any byte is sent to a server, so "not run" is certain.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -103,6 +103,7 @@
   TimePoint latestStart(TimePoint now) const;
   TimePoint effectiveDeadline() const { return parts_.stop_deadline.cap(deadline_); }
   Reason lateReason(TimePoint now) const;
+  bool isTooLateInStop(TimePoint now) const;
 
   void sendAttempt(TimePoint now);
   AttemptPlan makePlan(TimePoint now) const;
@@ -171,6 +172,7 @@
   const Duration allowed = head_.deadline.value_or(route_->timeout);
   if (allowed <= Duration(0)) return Reason::kDeadline;
   deadline_ = now + std::min(allowed, parts_.settings.longest_deadline);
+  if (isTooLateInStop(now)) return Reason::kStopping;
   return std::nullopt;
 }
 
@@ -195,12 +197,20 @@
   return may_have_run_ ? Reason::kDeadline : Reason::kStopping;
 }
 
+/// Returns whether a server that got the request now would most likely still be running it at the
+/// end of a planned stop. Not run is a better answer than an unknown outcome then.
+bool RequestFlow::Implementation::isTooLateInStop(TimePoint now) const {
+  if (may_have_run_) return false;
+  return parts_.stop_deadline.isTooLate(deadline_, service_->usualLatency(), now);
+}
+
 // ---- Attempts
 
 void RequestFlow::Implementation::onServerAssigned(const ServerPointer& server, TimePoint now) {
   server_ = server;
   // The timer is late because this process was paused. Nobody waits for the answer any more.
   if (now >= effectiveDeadline()) return conclude(lateReason(now), now);
+  if (isTooLateInStop(now)) return conclude(Reason::kStopping, now);
   parts_.deadlines.arm(*this, effectiveDeadline());
   sendAttempt(now);
 }
--- a/src/proxy/service_state.cpp
+++ b/src/proxy/service_state.cpp
@@ -318,6 +318,11 @@
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
+Duration ServiceState::usualLatency() const {
+  return Duration(
+      static_cast<Duration::rep>(average_latency_ms_.valueOr(kDefaultLatencyMs) * 1000.0));
+}
+
 std::uint32_t ServiceState::connectionShare() const {
   return ConnectionShare::evenPart(service_.connections_per_server, context_.node_count);
 }
--- a/src/proxy/service_state.h
+++ b/src/proxy/service_state.h
@@ -64,6 +64,9 @@
   /// within bounds.
   Duration retryAfter() const;
 
+  /// Returns the average latency of the service's answers.
+  Duration usualLatency() const;
+
   /// Returns this node's even share of one server's connections.
   std::uint32_t connectionShare() const;
 
--- a/src/proxy/stop_deadline.h
+++ b/src/proxy/stop_deadline.h
@@ -19,6 +19,11 @@
 
   /// Returns the deadline, or the end of the stop's time if that is earlier.
   TimePoint cap(TimePoint deadline) const { return std::min(deadline, latest_); }
+  /// Returns whether a request that would be sent now, and takes as long as `usual`, gets no answer
+  /// because of the stop.
+  bool isTooLate(TimePoint deadline, Duration usual, TimePoint now) const {
+    return deadline > latest_ && latest_ - now <= usual;
+  }
   bool isOver(TimePoint now) const { return now >= latest_; }
   /// TimePoint::max() without a planned stop.
   TimePoint latest() const { return latest_; }
--- a/tests/proxy/planned_stop_test.cpp
+++ b/tests/proxy/planned_stop_test.cpp
@@ -1,9 +1,11 @@
 // Guards against requests that lose their connection without an answer at the end of a planned stop
-// while a server is at work on them.
+// while a server is at work on them, and against requests that are taken although their service
+// needs longer than the stop lasts.
 
 #include <doctest/doctest.h>
 
 #include "proxy/request_flow.h"
+#include "proxy/stop_deadline.h"
 #include "proxy_fixture.h"
 
 namespace coursepond::proxy {
@@ -19,6 +21,12 @@
     begin(1);
   }
   void announceStop() { state.announceStop(environment.now() + kStop); }
+  /// Lets the service run a request for `latency`.
+  void learnLatency(Duration latency) {
+    const auto request = get();
+    environment.advance(latency);
+    request->answerWhole();
+  }
 };
 
 void checkGivenUp(const TestRequest& request) {
@@ -100,4 +108,50 @@
   checkGivenUp(*request);
 }
 
+TEST_CASE("the end of a stop is too early only for a deadline beyond it and a longer run") {
+  StopDeadline stop;
+  const TimePoint now = TimePoint() + seconds(10);
+  const TimePoint late = now + seconds(60);
+  CHECK_FALSE(stop.isTooLate(late, seconds(50), now));  // There is no stop.
+  stop.announce(now + seconds(2));
+  CHECK(stop.latest() < now + seconds(2));
+  CHECK_FALSE(stop.isTooLate(late, seconds(1), now));
+  CHECK(stop.isTooLate(late, seconds(2), now));
+  CHECK_FALSE(stop.isTooLate(now + seconds(1), seconds(2), now));
+  CHECK(stop.isTooLate(late, Duration(0), now + seconds(2)));
+}
+
+TEST_CASE("a request that starts too late in a planned stop to end is refused as not run") {
+  StoppingFixture proxy;
+  proxy.learnLatency(seconds(1));
+  proxy.announceStop();
+  const auto early = proxy.get();
+  CHECK(early->running());
+  proxy.environment.advance(milliseconds(900));
+  early->answerWhole();
+  proxy.environment.advance(milliseconds(300));
+  const auto late = proxy.get();
+  CHECK(late->plans.empty());
+  checkRefused(*late);
+  CHECK(proxy.state.requestsInFlight() == 0);
+  // A caller that would not wait any longer anyway is served.
+  RequestHead head = ProxyFixture::head("GET", "/stock");
+  head.deadline = milliseconds(200);
+  CHECK(proxy.send(head)->running());
+}
+
+TEST_CASE("a waiting request that gets a slot too late in a planned stop is refused as not run") {
+  StoppingFixture proxy;
+  proxy.learnLatency(seconds(1));
+  const auto running = proxy.get();
+  proxy.announceStop();
+  const auto waiting = proxy.get();
+  CHECK(waiting->answers.empty());
+  proxy.environment.advance(milliseconds(1200));
+  running->answerWhole();
+  CHECK(waiting->plans.empty());
+  checkRefused(*waiting);
+  CHECK(proxy.state.requestsInFlight() == 0);
+}
+
 }  // namespace coursepond::proxy
--- a/tests/runtime/mesh_stop_test.cpp
+++ b/tests/runtime/mesh_stop_test.cpp
@@ -1,5 +1,6 @@
 // Guards against a planned stop of a node that reaches servers directly resetting its callers'
-// connections while their requests are at work.
+// connections while their requests are at work, and against its taking requests that it can't wait
+// for.
 
 #include <doctest/doctest.h>
 
@@ -67,4 +68,39 @@
   CHECK(fixture.server->statistics().cut_at_stop == 0);
 }
 
+TEST_CASE("a request that a mesh node gets too late to have it answered is refused as not run") {
+  ProxyServerSettings settings;
+  settings.stop_grace = std::chrono::seconds(5);
+  settings.stop_drain = std::chrono::milliseconds(100);
+  ProxyServerFixture fixture(settings);
+  std::optional<HttpResponder> held;
+  int runs = 0;
+  fixture.startBackend([&](const HttpRequest&, HttpResponder responder) {
+    ++runs;
+    held = responder;
+  });
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/slow"));
+  fixture.runUntil([&] { return held.has_value(); });
+  bool is_over = false;
+  fixture.environment.schedule(std::chrono::milliseconds(300), [&] { is_over = true; });
+  fixture.runUntil([&] { return is_over; });
+  held->respond({200, "text/plain", {}, "whole"});
+  REQUIRE(caller.receives("whole"));
+
+  // Less time is left than the service needs, and the node still takes requests.
+  fixture.state.announceStop(fixture.environment.now() + std::chrono::milliseconds(300));
+  bool drained = false;
+  fixture.server->beginStop([&] { drained = true; });
+  caller.received.clear();
+  caller.send(simpleGet("/late"));
+  CHECK(caller.receives("X-Reason: stopping"));
+  CHECK(caller.received.starts_with("HTTP/1.1 503 "));
+  CHECK(caller.received.find("X-Outcome: not-run") != std::string::npos);
+  CHECK(caller.received.find("Retry-After: ") != std::string::npos);
+  CHECK(runs == 1);
+  caller.close();
+  fixture.runUntil([&] { return drained; });
+}
+
 }  // namespace coursepond::runtime
