--- a/tests/ingress/stop_order_test.cpp
+++ b/tests/ingress/stop_order_test.cpp
@@ -63,6 +63,35 @@
 
 }  // namespace
 
+// Guards against a run that is cut at the end of a stop: the request waited for a slot when the
+// stop was announced, and was started although its deadline is after the end.
+TEST_CASE("a request that waits when a stop begins is not started if it may outlast the stop" *
+          doctest::should_fail()) {
+  StopFixture ingress;
+  const auto running = ingress.send("r1");
+  const auto waiting = ingress.send("r2");
+  REQUIRE(waiting->io.plans.empty());
+  REQUIRE(waiting->isOpen());
+  ingress.state.announceStop(ingress.environment.now() + milliseconds(500));
+  ingress.environment.advance(milliseconds(450));
+  running->answerWhole();
+  CHECK(waiting->io.plans.empty());
+  checkStopping(*waiting);
+}
+
+// Guards against a connection that is reset at the end of a stop while an egress waits for an
+// answer: the run began before the stop and its deadline is after the end.
+TEST_CASE("a run that outlasts the stop is answered before the stop ends" *
+          doctest::should_fail()) {
+  StopFixture ingress;
+  const auto running = ingress.send("r1");
+  REQUIRE(running->io.plans.size() == 1);
+  ingress.state.announceStop(ingress.environment.now() + milliseconds(500));
+  ingress.environment.advance(milliseconds(500));
+  REQUIRE(running->io.answers.size() == 1);
+  CHECK(running->io.answers[0].outcome == proxy::Outcome::kUnknown);
+}
+
 TEST_CASE("a run that began before the stop keeps its slot and its answer is forwarded") {
   StopFixture ingress;
   const auto running = ingress.send("r1");
--- a/tests/runtime/stop_order_test.cpp
+++ b/tests/runtime/stop_order_test.cpp
@@ -35,6 +35,21 @@
 
 }  // namespace
 
+// Guards against a request that is dropped without an answer: it was on its way when a stopping
+// server closed the connection as idle.
+TEST_CASE("a request that crosses the close of its idle connection is answered" *
+          doctest::should_fail()) {
+  ProxyServerFixture fixture(stopSettings(milliseconds(50), milliseconds(2000)));
+  answerAll(fixture);
+  const auto caller = idleCaller(fixture);
+  fixture.server->beginStop([] {});
+  // The request reaches the server after the close, as over a link that delays it.
+  runFor(fixture, milliseconds(100));
+  caller->send(simpleGet("/late"));
+  runFor(fixture, milliseconds(500));
+  CHECK(caller->received.starts_with("HTTP/1.1 "));
+}
+
 // As above, with a request that arrived before the close and was not read yet.
 TEST_CASE("a request that arrived before its connection is closed as idle is answered") {
   ProxyServerFixture fixture(stopSettings(milliseconds(50), milliseconds(2000)));
@@ -106,6 +121,35 @@
   CHECK_FALSE(caller.reset);
 }
 
+// Guards against an answer that is cut while it is being written at the end of a stop.
+TEST_CASE("the end of a stop does not cut an answer that its caller is reading" *
+          doctest::should_fail()) {
+  constexpr std::size_t kBodyBytes = 30'000'000;
+  ProxyServerFixture fixture(stopSettings(milliseconds(20), milliseconds(200)));
+  std::optional<HttpResponder> held;
+  fixture.startBackend([&](const HttpRequest&, HttpResponder responder) { held = responder; });
+  Tcp::socket caller(fixture.context);
+  caller.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server->address().port});
+  boost::asio::write(caller, boost::asio::buffer(simpleGet("/large")));
+  fixture.runUntil([&] { return held.has_value(); });
+  bool drained = false;
+  fixture.server->beginStop([&] { drained = true; });
+  held->respond({200, "text/plain", {}, std::string(kBodyBytes, 'x')});
+  // The caller reads about 20 MB/s, so that the answer ends well after the stop.
+  std::size_t received = 0;
+  boost::system::error_code error;
+  std::vector<char> piece(200'000);
+  while (!error && received < kBodyBytes) {
+    runFor(fixture, milliseconds(10));
+    caller.non_blocking(true);
+    const std::size_t size = caller.read_some(boost::asio::buffer(piece), error);
+    received += size;
+    if (error == boost::asio::error::would_block) error.clear();
+  }
+  CHECK_FALSE(error);
+  CHECK(received >= kBodyBytes);
+}
+
 TEST_CASE("all requests that run on one connection are answered when a stop begins") {
   ProxyServerFixture fixture(stopSettings(milliseconds(20), milliseconds(2000)), {ServiceName("s")},
                              [](const proxy::RequestHead&) { return true; });
