Tell a request that was late on its way from a process that was paused

Callers of a node whose link was full saw the same lines as those of a node that stood still: silent, caller_gone, cancelled runs.

An egress now sends the time of sending by its own clock with each request. The ingress compares it with the fastest recent request of the same sender and logs the difference (late_ms, and ingress_delivered_late_total from 250 ms on). Lines of both sides have the longest delay of a timer in the last second (timer_delay_ms, timer_delay_seconds_total). Late with timers in time: it waited outside the processes. The measurement needs no synchronized clocks; no decision depends on it yet.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -491,6 +491,7 @@
   hop.fingerprint = head_.fingerprint;
   hop.is_trial = is_trial_;
   hop.server_limit = server_->load.server_limit;
+  hop.sent = state_.sendTime(now);
   plan.hop_class = std::move(hop);
   return plan;
 }
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -186,6 +186,9 @@
 
   ServiceUse& use(const ServiceName& service) { return uses_[service]; }
   proxy::RetryAccounts& retries() { return retries_; }
+  /// `clock`: see proxy::SendTime; zero by default.
+  void setClock(std::uint32_t clock) { clock_ = clock; }
+  proxy::SendTime sendTime(TimePoint now) const { return {clock_, now.time_since_epoch()}; }
   /// `quotas` may be null: quotas are not enforced.
   void setQuotas(admission::QuotaAccounts* quotas) { quotas_ = quotas; }
   admission::QuotaAccounts* quotas() { return quotas_; }
@@ -257,6 +260,7 @@
   std::map<ServiceName, ServiceUse> uses_;
   AnswerSizes answer_sizes_;
   const proxy::LinkScheduler* link_ = nullptr;
+  std::uint32_t clock_ = 0;
   TrafficSplit split_;
   proxy::DeadlineQueue deadlines_;
   Statistics statistics_;
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -104,6 +104,7 @@
   proxy::ServerRun run_;
   bool has_slot_ = false;
   double reserved_bytes_ = 0;  ///< Expected size of the answer, passed to LargeAnswers.
+  Duration delivery_delay_{};  ///< See DeliveryDelay.
   Duration link_lateness_{};   ///< See IngressState::linkLateness().
   bool runs_large_ = false;    ///< Counted as running with an expected large answer.
   bool sends_large_ = false;   ///< Counted as sending a large answer.
@@ -119,6 +120,7 @@
   const TimePoint now = environment_.now();
   ++state_.statistics().requests;
   started_ = now;
+  delivery_delay_ = state_.onDelivered(head_.hop_class, now);
   phase_ = Phase::kWaiting;
   if (const auto refusal = state_.refusal(head_.hop_class)) return conclude(*refusal, now);
   if (!passesCrashSuspectCheck(now)) return conclude(Reason::kCrashesServers, now);
@@ -394,6 +396,7 @@
   decision.inputs.running = static_cast<std::uint32_t>(state_.running());
   decision.inputs.waiting = static_cast<std::uint32_t>(state_.waiting());
   const bool was_sent = attempt_ > 0;
+  decision.inputs.delivery_delay = delivery_delay_;
   decision.inputs.queued = was_sent ? attempt_started_ - started_ : decision.elapsed;
   state_.note(decision);
 }
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -197,6 +197,13 @@
   return mayTakeSlot(waiter, now) && mayOvertake(waiter) && nextToStart(now) == nullptr;
 }
 
+Duration IngressState::onDelivered(const std::optional<proxy::HopClass>& hop, TimePoint now) {
+  if (!hop || !hop->sent) return Duration(0);
+  const Duration delay = delivery_delay_.onArrival(*hop->sent, now);
+  if (delay >= kLateDelivery) ++statistics_.delivered_late;
+  return delay;
+}
+
 void IngressState::onArrival(const Waiter& waiter, TimePoint now) {
   short_work_.onArrival(settings_.short_work, kindOf(waiter), now);
   if (hasFreeSlot(now) && !mayTakeSlot(waiter, now)) ++statistics_.kept_slots;
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -18,6 +18,7 @@
 #include "core/environment.h"
 #include "ingress/average_by_target.h"
 #include "ingress/cold_start.h"
+#include "ingress/delivery_delay.h"
 #include "ingress/large_answers.h"
 #include "ingress/server_end_watch.h"
 #include "ingress/server_speed.h"
@@ -62,10 +63,15 @@
   std::uint64_t server_unreachable = 0;
   std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
   std::uint64_t bad_answers = 0;
+  std::uint64_t delivered_late = 0;  ///< Requests that were kLateDelivery or more on their way.
   std::uint64_t caller_gone = 0;
   std::uint64_t runs_cancelled = 0;  ///< Of these, while the server had the request.
 };
 
+/// Delivery delay from which on a request counts as delivered late. An egress considers an ingress
+/// silent after this time.
+inline constexpr Duration kLateDelivery = std::chrono::milliseconds(250);
+
 /// The server's answer to a health check.
 struct ServerHealth {
   std::string instance;  ///< Empty: not reported.
@@ -134,6 +140,8 @@
   model::Endpoint endpoint(const std::string& instance) const;
   void setAddress(Address address) { address_ = std::move(address); }
 
+  /// Called for each request that arrives. Returns how late it is; see DeliveryDelay.
+  Duration onDelivered(const std::optional<proxy::HopClass>& hop, TimePoint now);
   /// Called for each request that may run here.
   void onArrival(const Waiter& waiter, TimePoint now);
   /// Returns whether a request that arrives now would get a slot at once.
@@ -259,6 +267,7 @@
   std::uint32_t running_ = 0;
   double service_time_us_;                     ///< Moving average over all requests.
   AverageByTarget service_time_by_target_us_;  ///< The same for each target latency.
+  DeliveryDelay delivery_delay_;
   ServerSpeed speed_;
   ShortWorkReserve short_work_;
   RejectionRate rejections_;
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -102,6 +102,10 @@
        {"ingress_server_lost_total", "Connections lost with a request on them.", &S::server_lost},
        {"ingress_bad_answers_total", "Answers of the server that were not the request's own.",
         &S::bad_answers},
+       {"ingress_delivered_late_total",
+        "Requests that were on their way for a quarter of a second longer than others of their "
+        "sender.",
+        &S::delivered_late},
        {"ingress_callers_gone_total", "Egresses that left before their answer.", &S::caller_gone},
        {"ingress_runs_cancelled_total", "Of these, while the server had the request.",
         &S::runs_cancelled}},
@@ -307,6 +311,12 @@
                  [&link] { return static_cast<double>(link.waitingSenders()); });
 }
 
+void addTimers(MetricTable& table, const std::function<Duration()>& total_delay) {
+  table.addCounter("timer_delay_seconds_total",
+                   "Time by which timers ran late, since the process was paused or busy.",
+                   [total_delay] { return toSeconds(total_delay()); });
+}
+
 void addLogLines(MetricTable& table) {
   table.addCounter("log_lines_dropped_total", "Log lines left out while their reader stood still.",
                    [] { return static_cast<double>(runtime::standardErrorLines().dropped()); });
@@ -330,6 +340,7 @@
   addQuotas(table, sources.quotas);
   addSuspects(table, sources.suspects, sources.suspect_gossip);
   addLink(table, sources.link);
+  addTimers(table, sources.total_timer_delay);
   addLogLines(table);
   sources.histograms.addTo(table);
   return table;
--- a/src/node/two_hop_metrics.h
+++ b/src/node/two_hop_metrics.h
@@ -34,6 +34,7 @@
   const admission::CrashSuspects& suspects;
   const admission::SuspectGossip& suspect_gossip;
   const proxy::LinkScheduler& link;
+  std::function<Duration()> total_timer_delay;  ///< See AsioEnvironment.
   const RequestHistograms& histograms;
 };
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -168,6 +169,8 @@
     ingress_.onLimitChanged([this](proxy::LimitChange change) { onLimitChanged(change); });
     egress_.setSuspects(&crashes_.suspects());
     ingress_.setSuspects(&crashes_.suspects());
+    egress_.setClock(
+        static_cast<std::uint32_t>(environment_.random(std::numeric_limits<std::uint32_t>::max())));
     egress_.setLink(&link_);
     ingress_.setLink(&link_);
     egress_.setQuotas(&quotas_);
@@ -295,6 +298,7 @@
                                 crashes_.suspects(),
                                 crashes_.gossip(),
                                 link_,
+                                [this] { return environment_.totalTimerDelay(); },
                                 histograms_});
   return openAdmin();
 }
@@ -752,7 +756,10 @@
     fields.push_back({"running", std::to_string(inputs.running)});
     fields.push_back({"waiting", std::to_string(inputs.waiting)});
     fields.push_back({"queued_ms", std::to_string(toMilliseconds(inputs.queued))});
+    fields.push_back({"late_ms", std::to_string(toMilliseconds(inputs.delivery_delay))});
   }
+  const Duration timer_delay = environment_.recentTimerDelay();
+  fields.push_back({"timer_delay_ms", std::to_string(toMilliseconds(timer_delay))});
   writeLog(runtime::LogLevel::kInfo, decisionName(decision.kind), std::move(fields));
 }
 
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -28,13 +28,16 @@
 inline constexpr std::string_view kEgressSide = "egress";
 inline constexpr std::string_view kIngressSide = "ingress";
 
-/// The state that a decision was based on. An egress sets the ages, an ingress the load.
+/// The state that a decision was based on. An egress sets the ages, an ingress the load and the
+/// delay.
 struct DecisionInputs {
   Duration configuration_age{};  ///< Time since the version came into force on this node.
   Duration entry_age{};          ///< Time since the server's entry last changed on this node.
   std::uint32_t running = 0;     ///< Requests running on the server.
   std::uint32_t waiting = 0;     ///< Requests waiting for a slot.
   Duration queued{};             ///< Time from the request's arrival until its server received it.
+  /// How much longer the request was on its way than the fastest recent one of the same sender.
+  Duration delivery_delay{};
 };
 
 /// One decision. The string views are only valid during the call.
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -34,6 +34,13 @@
 /// HopClass::repeat_share is sent in thousandths.
 inline constexpr double kRepeatShareUnits = 1000.0;
 
+/// When an egress sent a request, by the clock of its process. Clocks of different processes cannot
+/// be compared, only times of the same clock.
+struct SendTime {
+  std::uint32_t clock = 0;  ///< Identifies the clock; a random number of the process.
+  Duration at{};            ///< Time since an arbitrary start.
+};
+
 /// Properties of a request that an egress sends to an ingress, which uses them to order its queue
 /// and to decide about admission.
 struct HopClass {
@@ -57,6 +64,7 @@
   std::optional<double> server_limit = std::nullopt;
   /// The caller was refused before and came back at the time that it was told.
   bool is_returning = false;
+  std::optional<SendTime> sent = std::nullopt;  ///< Empty: not known.
 };
 
 /// Numbers of requests per second are sent between nodes in thousandths.
--- a/src/runtime/asio_environment.cpp
+++ b/src/runtime/asio_environment.cpp
@@ -1,5 +1,6 @@
 #include "runtime/asio_environment.h"
 
+#include <algorithm>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <compare>
@@ -12,6 +13,32 @@
 
 namespace coursepond::runtime {
 
+namespace {
+
+/// Records by how much timers run later than they are due.
+class TimerDelays {
+ public:
+  void add(Duration delay, TimePoint now) {
+    total_ += delay;
+    if (delay < recent(now)) return;
+    longest_ = delay;
+    longest_at_ = now;
+  }
+  Duration recent(TimePoint now) const {
+    return now - longest_at_ > kWindow ? Duration(0) : longest_;
+  }
+  Duration total() const { return total_; }
+
+ private:
+  static constexpr Duration kWindow = std::chrono::seconds(1);
+
+  Duration total_{};
+  Duration longest_{};
+  TimePoint longest_at_;
+};
+
+}  // namespace
+
 /// All timers of the process behind one Asio timer, so that scheduling and cancelling a request's
 /// deadline costs no system call while an earlier one is armed.
 class AsioEnvironment::TimerQueue : public std::enable_shared_from_this<TimerQueue> {
@@ -34,6 +61,8 @@
     if (waiting_.empty()) disarm();
   }
 
+  const TimerDelays& delays() const { return delays_; }
+
   void close() {
     waiting_.clear();
     deadlines_.clear();
@@ -72,6 +101,9 @@
   void runDue() {
     const TimePoint now = BootClock::now();
     const TimerId newest = last_id_;
+    if (!waiting_.empty()) {
+      delays_.add(std::max(Duration(0), now - waiting_.begin()->first.deadline), now);
+    }
     while (!waiting_.empty()) {
       const auto first = waiting_.begin();
       if (first->first.deadline > now || first->first.id > newest) break;
@@ -87,6 +119,7 @@
   std::map<Key, std::function<void()>> waiting_;
   std::unordered_map<TimerId, TimePoint> deadlines_;
   TimerId last_id_ = 0;
+  TimerDelays delays_;
   bool armed_ = false;
   TimePoint armed_for_{};
 };
@@ -121,6 +154,12 @@
 
 void AsioEnvironment::cancel(TimerId timer) { timers_->remove(timer); }
 
+Duration AsioEnvironment::recentTimerDelay() const {
+  return timers_->delays().recent(BootClock::now());
+}
+
+Duration AsioEnvironment::totalTimerDelay() const { return timers_->delays().total(); }
+
 std::uint64_t AsioEnvironment::random(std::uint64_t bound) { return random_->below(bound); }
 
 }  // namespace coursepond::runtime
--- a/src/runtime/asio_environment.h
+++ b/src/runtime/asio_environment.h
@@ -22,6 +22,12 @@
   void cancel(TimerId timer) override;
   std::uint64_t random(std::uint64_t bound) override;
 
+  /// Returns the longest delay with which a timer ran in the last second or so. It is long if the
+  /// process was paused or busy.
+  Duration recentTimerDelay() const;
+  /// Sum of the delays so far.
+  Duration totalTimerDelay() const;
+
  private:
   class TimerQueue;
   class RandomEngine;
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -152,6 +152,14 @@
   return parseUnits(text, proxy::kLimitUnits);
 }
 
+/// Nodes of an earlier release do not send it.
+std::optional<proxy::SendTime> parseSendTime(std::string_view text) {
+  const auto clock = parseNumber<std::uint32_t>(takeItem(text));
+  const auto at_ms = parseNumber<std::uint32_t>(takeItem(text));
+  if (!clock || !at_ms) return std::nullopt;
+  return proxy::SendTime{*clock, std::chrono::milliseconds(*at_ms)};
+}
+
 std::optional<proxy::HopClass> parseHopClass(std::string_view text) {
   const std::string_view service = takeItem(text);
   const auto rank = parseNumber<std::uint32_t>(takeItem(text));
@@ -174,6 +182,7 @@
   hop.is_trial = takeItem(text) == "1";
   hop.server_limit = parseLimitUnits(takeItem(text));
   hop.is_returning = takeItem(text) == "1";
+  hop.sent = parseSendTime(text);
   return hop;
 }
 
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -167,6 +167,12 @@
   out.append(hop.is_trial ? ",1," : ",0,");
   if (hop.server_limit) appendLimit(out, *hop.server_limit);
   out.append(hop.is_returning ? ",1" : ",0");
+  if (hop.sent) {
+    out.append(",");
+    appendNumber(out, hop.sent->clock);
+    out.append(",");
+    appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(hop.sent->at)));
+  }
   out.append(kLineEnd);
 }
 
--- a/tests/node/two_hop_metrics_test.cpp
+++ b/tests/node/two_hop_metrics_test.cpp
@@ -64,6 +64,7 @@
                               suspects,
                               suspect_gossip,
                               link,
+                              [] { return Duration(0); },
                               histograms});
   }
 };
