--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -926,4 +926,35 @@
   CHECK(ingress.state.serverLimit().perSecond() == 0.4);
 }
 
+namespace {
+
+/// Sends a request that was on its way for this much longer than the one before it.
+std::unique_ptr<TestExchange> sendDelayed(IngressFixture& ingress, Duration delay) {
+  proxy::HopClass hop{"stock", 1, milliseconds(1000), true};
+  const Duration now = ingress.environment.now().time_since_epoch();
+  hop.sent = proxy::SendTime{1, now + seconds(100)};
+  ingress.sendOf(hop, "in-time")->answerWhole();
+  hop.sent->at -= delay;
+  return ingress.sendOf(hop, "delayed");
+}
+
+}  // namespace
+
+TEST_CASE("a request that arrives after its deadline does not reach the server" *
+          doctest::should_fail()) {
+  IngressFixture ingress;
+  ingress.deadline = milliseconds(800);
+  const auto delayed = sendDelayed(ingress, milliseconds(1290));
+  CHECK(delayed->io.plans.empty());
+  checkRefused(*delayed, "deadline");
+}
+
+TEST_CASE("the server does not get the time that a request spent on its way" *
+          doctest::should_fail()) {
+  IngressFixture ingress;
+  ingress.deadline = milliseconds(800);
+  const auto delayed = sendDelayed(ingress, milliseconds(500));
+  CHECK(delayed->plan().remaining < milliseconds(400));
+}
+
 }  // namespace coursepond::ingress
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -14,6 +14,7 @@
 
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
+#include "runtime/proxy_server_fixture.h"
 #include "support/loopback_bench.h"
 
 using namespace coursepond;
@@ -114,11 +115,21 @@
   std::unique_ptr<TwoHopNode> node;
 };
 
+/// Returns whether `received` contains the whole of an answer with a Content-Length.
+bool isWhole(const std::string& received) {
+  static constexpr std::string_view kLengthField = "Content-Length: ";
+  const std::size_t field = received.find(kLengthField);
+  const std::size_t body = received.find("\r\n\r\n");
+  if (field == std::string::npos || body == std::string::npos) return false;
+  return received.size() - body - 4 >= std::stoul(received.substr(field + kLengthField.size()));
+}
+
 /// Three machines in one zone: service "shop" on the first, "stock" on the second and the third.
 class Fixture : public testing::LoopbackBench {
  public:
   /// For `certain_for` see egress::Settings::configuration_certain_for.
-  explicit Fixture(Duration certain_for = {}) : certain_for_(certain_for) {
+  explicit Fixture(Duration certain_for = {}, double link_megabits_per_second = 0)
+      : certain_for_(certain_for), link_megabits_per_second_(link_megabits_per_second) {
     addRoute("read", "/read", model::Repeatability::kAlways);
     addRoute("book", "/book", model::Repeatability::kNever);
     for (const char* service : {"shop", "stock"}) {
@@ -244,6 +255,19 @@
     }));
   }
   std::uint16_t ingressPort() const { return ingress_port_; }
+  std::uint16_t peerPort() const { return peer_port_; }
+
+  /// Publishes a version with this many further routes, whose names can hardly be compressed.
+  void publishRoutes(std::size_t count) {
+    for (std::size_t number = 0; number < count; ++number) {
+      const std::string name = Digest::of(std::to_string(number)).toHex();
+      model::Route& route = source_.configuration.routes[RouteName(name)];
+      route.name = RouteName(name);
+      route.match.path_prefix = "/" + name;
+      route.service = ServiceName("stock");
+    }
+    publish();
+  }
 
   /// Moves all servers to a zone that no node is in.
   void moveServersToOtherZone() {
@@ -329,12 +353,14 @@
     settings.headers.signature = kSignature;
     settings.admin.readiness_path = "/ready";
     settings.egress.configuration_certain_for = certain_for_;
+    settings.link.megabits_per_second = link_megabits_per_second_;
     // Every request adds a whole repeat to the retry budget, so the first failure may be repeated.
     settings.retries = {.ratio = 1, .burst = 100};
     return settings;
   }
 
   Duration certain_for_{};
+  double link_megabits_per_second_ = 0;
   std::uint16_t ingress_port_ = freePort();
   std::uint16_t peer_port_ = freePort(ingress_port_);
   FakeSource source_;
@@ -526,6 +552,37 @@
   mesh.publish();
 }
 
+// Guards against requests that wait on a full link and reach servers after their callers have left.
+TEST_CASE("a version that is sent to many followers does not fill the link ahead of requests" *
+          doctest::should_fail()) {
+  constexpr std::size_t kFollowers = 10;
+  constexpr double kMegabits = 8;
+  constexpr double kBytesPerSecond = kMegabits * 1e6 / 8;
+  constexpr double kMaxQueuedBytes = 32'000;
+  Fixture mesh(0s, kMegabits);
+  mesh.publishRoutes(1500);
+  std::vector<std::unique_ptr<runtime::RawCaller>> followers;
+  for (std::size_t number = 0; number < kFollowers; ++number) {
+    followers.push_back(std::make_unique<runtime::RawCaller>(mesh.context(), mesh.peerPort()));
+    followers.back()->send(
+        "GET /v1/state/configuration?era=0&after=1&version=1&wait_ms=0&fresh=0 HTTP/1.1\r\n"
+        "Host: a\r\n\r\n");
+  }
+  const auto start = std::chrono::steady_clock::now();
+  double most_queued = 0;
+  const bool all_whole = mesh.runUntil([&] {
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
+    double received = 0;
+    for (const auto& follower : followers)
+      received += static_cast<double>(follower->received.size());
+    most_queued = std::max(most_queued, received - elapsed.count() * kBytesPerSecond);
+    return std::ranges::all_of(followers, [](const auto& each) { return isWhole(each->received); });
+  });
+  CHECK(all_whole);
+  CHECK(followers.front()->received.size() > 50'000);
+  CHECK(most_queued < kMaxQueuedBytes);
+}
+
 // Guards against a reader that keeps confirming the previous version as current while it is still
 // receiving a large new one.
 TEST_CASE("no machine answers 404 while its reader is still waiting for a new version") {
--- a/tests/runtime/pipelining_test.cpp
+++ b/tests/runtime/pipelining_test.cpp
@@ -164,6 +164,36 @@
   CHECK(fixture.order.empty());
 }
 
+TEST_CASE("a caller that left before its request was read gets no attempt" *
+          doctest::should_fail()) {
+  ProxyServerSettings settings;
+  SUBCASE("at a node that reaches servers directly") {}
+  SUBCASE("at an egress") { settings.answer_style = AnswerStyle::kEgress; }
+  PipelineFixture fixture(settings);
+  {
+    RawCaller caller = fixture.caller();
+    caller.send(simpleGet("/1"));
+    caller.close();
+  }
+  fixture.runUntil([&] { return fixture.server->statistics().connections_accepted == 1; });
+  fixture.runUntil([&] { return fixture.server->callerConnectionCount() == 0; });
+  CHECK(fixture.server->upstreamStatistics().connects == 0);
+  CHECK(fixture.order.empty());
+}
+
+TEST_CASE("a caller that left before its pipelined requests were read gets no attempt" *
+          doctest::should_fail()) {
+  PipelineFixture fixture;
+  {
+    RawCaller caller = fixture.caller();
+    caller.send(simpleGet("/1") + simpleGet("/2") + simpleGet("/3"));
+    caller.close();
+  }
+  fixture.runUntil([&] { return fixture.server->statistics().connections_accepted == 1; });
+  fixture.runUntil([&] { return fixture.server->callerConnectionCount() == 0; });
+  CHECK(fixture.server->upstreamStatistics().connects == 0);
+}
+
 TEST_CASE("an answer that breaks off ends the connection and cancels the requests after it") {
   PipelineFixture fixture;
   RawCaller caller = fixture.caller();
