Ingress: the time that a request spent on its way counts against its deadline

Callers saw calls run by servers after they had left at their own deadline (GONE): an ingress counted the deadline from when it read a request, so that a call which had waited on a full link, for a retransmission or in the receive buffer of a paused process for 1.29 s still started with its whole 0.8 s.

The ingress knows how much longer a request was on its way than the fastest recent one of its sender. It now subtracts what exceeds 50 ms; the egress reserves time for usual variations itself. A request whose deadline is over is refused as not run, which costs no server any work. Class: a relative deadline that stands still while its request waits.

Evidence: both tests fail on (1.29 s late of 0.8 s: an attempt; 0.5 s late: 797 ms for the server) and pass now. That a request which is 50 ms late keeps its deadline is tested as well.

--- a/src/ingress/delivery_delay.h
+++ b/src/ingress/delivery_delay.h
@@ -2,8 +2,8 @@
 
 /// Measures how late requests arrive: they may wait in a send buffer, on a full link, for the
 /// retransmission of a lost packet, or in the receive buffer of a paused process. The clocks of
-/// sender and receiver are not synchronized, so the way of each request is compared with the fastest
-/// recent one of the same sender.
+/// sender and receiver are not synchronized, so the way of each request is compared with the
+/// fastest recent one of the same sender.
 
 #include <cstddef>
 #include <cstdint>
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -128,7 +128,7 @@
   const Duration allowed =
       std::min(head_.deadline.value_or(settings.longest_deadline), settings.longest_deadline);
   if (allowed <= Duration(0)) return conclude(Reason::kDeadline, now);
-  deadline_ = now + allowed;
+  deadline_ = now + allowed - std::max(delivery_delay_ - settings.covered_delay, Duration(0));
   if (!hasTimeToRun(now)) return conclude(Reason::kDeadline, now);
   if (state_.mayOutlastStop(deadline_)) return conclude(Reason::kStopping, now);
   const proxy::HopClass hop = head_.hop_class.value_or(proxy::HopClass{});
--- a/src/ingress/settings.h
+++ b/src/ingress/settings.h
@@ -22,6 +22,9 @@
   /// Subtracted from the deadline that is sent to the server.
   Duration deadline_reserve = std::chrono::milliseconds(3);
   Duration longest_deadline = std::chrono::seconds(60);
+  /// Delay of a request on its way that is not subtracted from its deadline, because the egress has
+  /// reserved time for a way that takes somewhat longer than usual.
+  Duration covered_delay = std::chrono::milliseconds(50);
   Duration default_target = std::chrono::seconds(1);
   /// Slots assumed while the server's entry is not known.
   std::uint32_t default_slots = 4;
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -940,8 +940,7 @@
 
 }  // namespace
 
-TEST_CASE("a request that arrives after its deadline does not reach the server" *
-          doctest::should_fail()) {
+TEST_CASE("a request that arrives after its deadline does not reach the server") {
   IngressFixture ingress;
   ingress.deadline = milliseconds(800);
   const auto delayed = sendDelayed(ingress, milliseconds(1290));
@@ -949,8 +948,15 @@
   checkRefused(*delayed, "deadline");
 }
 
-TEST_CASE("the server does not get the time that a request spent on its way" *
-          doctest::should_fail()) {
+// Otherwise the jitter of each way would be subtracted although the egress has reserved time for
+// it.
+TEST_CASE("a request that is a little late keeps its deadline") {
+  IngressFixture ingress;
+  ingress.deadline = milliseconds(800);
+  CHECK(sendDelayed(ingress, milliseconds(50))->plan().remaining > milliseconds(790));
+}
+
+TEST_CASE("the server does not get the time that a request spent on its way") {
   IngressFixture ingress;
   ingress.deadline = milliseconds(800);
   const auto delayed = sendDelayed(ingress, milliseconds(500));
