Mesh form: content for peers and large answers in turns of the link

Its setting link.megabits_per_second had no effect.

Messages to peers and answers to callers now go through the link's scheduler as in a node with two hops. A connection that waits for a turn does not count as stalled.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -82,6 +82,7 @@
       : context_(context),
         settings_(std::move(settings)),
         environment_(context),
+        link_(settings_.link, environment_),
         started_(environment_.now()),
         log_(settings_.log.lines_per_second),
         proxy_state_(settings_.node.zone, settings_.data_path, environment_),
@@ -119,6 +120,7 @@
   boost::asio::io_context& context_;
   runtime::Settings settings_;
   runtime::AsioEnvironment environment_;
+  proxy::LinkScheduler link_;
   TimePoint started_;
   runtime::StateLog log_;
   proxy::ProxyState proxy_state_;
@@ -152,12 +154,15 @@
       context_, environment_, makeIdentity(settings_), settings_.node.peer_listen, settings_.peer);
   if (!peers) return peers.error();
   peers_ = std::move(*peers);
+  peers_->scheduleOutput(link_);
   return {};
 }
 
 Result<void> Implementation::openCallers() {
-  Result<std::unique_ptr<runtime::ProxyServer>> callers = runtime::ProxyServer::create(
-      context_, makeProxyServerSettings(settings_), proxy_state_, environment_);
+  runtime::ProxyServerSettings server_settings = makeProxyServerSettings(settings_);
+  server_settings.link = &link_;
+  Result<std::unique_ptr<runtime::ProxyServer>> callers =
+      runtime::ProxyServer::create(context_, server_settings, proxy_state_, environment_);
   if (!callers) return callers.error();
   callers_ = std::move(*callers);
   return {};
--- a/src/runtime/peer_connection.cpp
+++ b/src/runtime/peer_connection.cpp
@@ -73,12 +73,33 @@
 }
 
 void PeerConnection::write(std::string frames) {
+  if (link_ != nullptr && link_->isLarge(frames.size())) return writeInTurns(std::move(frames));
+  if (link_ != nullptr) link_->onSmallSent(frames.size());
   output_ = std::move(frames);
   written_bytes_ = 0;
   writing_ = true;
   writeSome();
 }
 
+void PeerConnection::writeInTurns(std::string frames) {
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
+  if (!link_writer_) {
+    link_writer_ = std::make_shared<LinkWriter<boost::asio::ip::tcp::socket>>(socket_, *link_);
+  }
+  writing_ = true;
+  const auto onWait = [self = shared_from_this()](bool waits_for_peer) {
+    self->awaits_turn_ = !waits_for_peer;
+    self->writing_since_ = self->last_activity_ = BootClock::now();
+  };
+  const auto onDone = [self = shared_from_this()](const boost::system::error_code& status) {
+    self->awaits_turn_ = false;
+    self->last_activity_ = BootClock::now();
+    self->onWritten(status);
+  };
+  link_writer_->write(std::move(frames), TimePoint::min(), {onWait, onDone});
+}
+
 void PeerConnection::writeSome() {
   writing_since_ = BootClock::now();
   socket_.async_write_some(
@@ -93,6 +114,10 @@
   if (size > 0) last_activity_ = BootClock::now();
   const bool has_more = written_bytes_ < output_.size();
   if (has_more && !status && !closed_) return writeSome();
+  onWritten(status);
+}
+
+void PeerConnection::onWritten(const boost::system::error_code& status) {
   writing_ = false;
   std::string().swap(output_);
   if (closed_) return;
@@ -103,6 +128,8 @@
 void PeerConnection::close() {
   if (closed_) return;
   closed_ = true;
+  const std::shared_ptr<PeerConnection> self = shared_from_this();  // May be held by the writer.
+  if (link_writer_) link_writer_->cancel();
   boost::system::error_code ignored;
   socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
--- a/src/runtime/peer_connection.h
+++ b/src/runtime/peer_connection.h
@@ -12,6 +12,7 @@
 
 #include "core/address.h"
 #include "core/time.h"
+#include "runtime/link_writer.h"
 #include "runtime/peer_frame.h"
 
 namespace coursepond::runtime {
@@ -38,6 +39,10 @@
 
   void setEvents(Events events) { events_ = std::move(events); }
 
+  /// Sends large output in turns of `link`, which must outlive the connection, and reports small
+  /// output to it.
+  void scheduleOutput(proxy::LinkScheduler& link) { link_ = &link; }
+
   /// Connects, then calls `done` with whether this succeeded. close() cancels the attempt.
   void connect(const Address& address, std::function<void(bool)> done);
   /// Starts to read frames.
@@ -46,8 +51,9 @@
   /// Sends complete frames. Only one write may be in flight.
   void write(std::string frames);
   bool writing() const { return writing_; }
-  /// When the write in flight last made progress.
-  TimePoint writingSince() const { return writing_since_; }
+  /// Since when the write in flight has been waiting for the peer; the current time while it waits
+  /// for a turn of the link.
+  TimePoint writingSince() const { return awaits_turn_ ? BootClock::now() : writing_since_; }
   /// When bytes were last transferred in either direction.
   TimePoint lastActivity() const { return last_activity_; }
 
@@ -56,8 +62,10 @@
   bool open() const { return !closed_; }
 
  private:
+  void writeInTurns(std::string frames);
   void writeSome();
   void onWroteSome(const boost::system::error_code& status, std::size_t size);
+  void onWritten(const boost::system::error_code& status);
   void read();
   /// Delivers the received frames. Returns false when the connection has ended.
   bool deliverFrames();
@@ -67,7 +75,10 @@
   FrameDecoder decoder_;
   Events events_;
   std::string output_;
-  std::size_t written_bytes_ = 0;  ///< Number of bytes of `output_` that are written.
+  std::size_t written_bytes_ = 0;         ///< Number of bytes of `output_` that are written.
+  proxy::LinkScheduler* link_ = nullptr;  ///< Null: output is not scheduled.
+  std::shared_ptr<LinkWriter<boost::asio::ip::tcp::socket>> link_writer_;
+  bool awaits_turn_ = false;
   bool writing_ = false;
   bool closed_ = false;
   TimePoint writing_since_{};
--- a/src/runtime/peer_transport.cpp
+++ b/src/runtime/peer_transport.cpp
@@ -43,6 +43,7 @@
 
   Result<void> listen(const Address& address);
   void start(Receiver receiver);
+  void scheduleOutput(proxy::LinkScheduler& link) { link_ = &link; }
   void setAddress(const NodeId& peer, const Address& address);
   void send(const NodeId& to, const control::PeerMessage& message);
   void flush(Duration limit, std::function<void()> done);
@@ -113,6 +114,7 @@
   PeerIdentity self_;
   PeerSettings settings_;
   TokenBucket handshakes_;
+  proxy::LinkScheduler* link_ = nullptr;  ///< Null: output is not scheduled.
   Receiver receiver_;
   PeerStatistics statistics_;
   std::unordered_map<NodeId, Peer> peers_;
@@ -190,6 +192,7 @@
   auto session = std::make_shared<Session>();
   session->connection =
       std::make_shared<PeerConnection>(std::move(socket), settings_.frame_limit_bytes);
+  if (link_ != nullptr) session->connection->scheduleOutput(*link_);
   session->outbound = outbound;
   session->opened = environment_.now();
   const std::weak_ptr<Session> weak = session;
@@ -581,6 +584,9 @@
 
 void PeerTransport::start(Receiver receiver) { implementation_->start(std::move(receiver)); }
 
+void PeerTransport::scheduleOutput(proxy::LinkScheduler& link) {
+  implementation_->scheduleOutput(link);
+}
 void PeerTransport::setAddress(const NodeId& peer, const Address& address) {
   implementation_->setAddress(peer, address);
 }
--- a/src/runtime/peer_transport.h
+++ b/src/runtime/peer_transport.h
@@ -63,6 +63,10 @@
   /// Starts to accept connections. `receiver` is called from the io_context.
   void start(Receiver receiver);
 
+  /// Sends large messages in turns of `link`, which must outlive the transport. Call before
+  /// start().
+  void scheduleOutput(proxy::LinkScheduler& link);
+
   /// Sets the address at which a peer can be reached. Replaces the known one.
   void setAddress(const NodeId& peer, const Address& address);
 
--- a/tests/runtime/peer_transport_test.cpp
+++ b/tests/runtime/peer_transport_test.cpp
@@ -390,3 +390,65 @@
   CHECK(second.error().kind == ErrorKind::kUnavailable);
   CHECK(second.error().remedy.find("peer_listen") != std::string::npos);
 }
+
+TEST_CASE("content that is sent to many peers does not fill the link ahead of requests") {
+  constexpr std::size_t kPeers = 8;
+  constexpr std::size_t kContentBytes = 50'000;
+  constexpr double kMegabits = 8;
+  constexpr double kBytesPerSecond = kMegabits * 1e6 / 8;
+  constexpr double kMaxQueuedBytes = 32'000;
+  Mesh mesh;
+  AsioEnvironment clock(mesh.context());
+  proxy::LinkScheduler link({kMegabits}, clock);
+  const auto sender = mesh.add("sender");
+  sender->transport->scheduleOutput(link);
+  std::vector<std::unique_ptr<TestPeer>> peers;
+  for (std::size_t number = 0; number < kPeers; ++number) {
+    peers.push_back(mesh.add("peer-" + std::to_string(number)));
+    mesh.introduce(*sender, *peers.back());
+    sender->transport->send(peers.back()->id(), ping(1));
+  }
+  const auto haveReceived = [&peers](std::size_t count) {
+    return std::ranges::all_of(
+        peers, [count](const auto& peer) { return peer->received.size() == count; });
+  };
+  REQUIRE(mesh.runUntil([&] { return haveReceived(1); }));
+
+  distribution::ContentFull content;
+  content.compressed = std::string(kContentBytes, 'x');
+  const auto start = std::chrono::steady_clock::now();
+  for (const auto& peer : peers) {
+    sender->transport->send(peer->id(), distribution::Message(content));
+    sender->transport->send(peer->id(), ping(2));
+  }
+  double most_queued = 0;
+  CHECK(mesh.runUntil([&] {
+    const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
+    const auto whole =
+        std::ranges::count_if(peers, [](const auto& peer) { return peer->received.size() > 1; });
+    const double received = static_cast<double>(whole) * kContentBytes;
+    most_queued = std::max(most_queued, received - elapsed.count() * kBytesPerSecond);
+    return haveReceived(3);
+  }));
+  CHECK(link.statistics().large_bytes >= kPeers * kContentBytes);
+  CHECK(most_queued < kMaxQueuedBytes);
+  for (const auto& peer : peers)
+    CHECK(sequences(peer->received) == std::vector<std::uint32_t>{1, 2});
+}
+
+TEST_CASE("a peer that closes in the middle of its content gives its turn to others") {
+  Mesh mesh;
+  AsioEnvironment clock(mesh.context());
+  proxy::LinkScheduler link({8}, clock);
+  const auto sender = mesh.add("sender");
+  sender->transport->scheduleOutput(link);
+  auto peer = mesh.add("peer");
+  mesh.introduce(*sender, *peer);
+  distribution::ContentFull content;
+  content.compressed = std::string(60'000, 'x');
+  sender->transport->send(peer->id(), distribution::Message(content));
+  REQUIRE(mesh.runUntil([&] { return link.statistics().large_bytes > 0; }));
+  peer.reset();
+  CHECK(mesh.runUntil([&] { return sender->transport->connectionCount() == 0; }));
+  CHECK(link.waitingSenders() == 0);
+}
