Send large request bodies in turns of the link

What is handed over is also sent when the caller has left.

Bodies of 16 KiB and more, and those without a length, now wait for their turns in the process. The head goes first, since the next hop acknowledges it. The rest of the body of a cancelled request is dropped. Servers of the own machine are reached without the link.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -161,6 +161,8 @@
 Result<void> Implementation::openCallers() {
   runtime::ProxyServerSettings server_settings = makeProxyServerSettings(settings_);
   server_settings.link = &link_;
+  server_settings.upstream_link = &link_;
+  server_settings.upstream_own_host = settings_.node.caller_listen.host;
   Result<std::unique_ptr<runtime::ProxyServer>> callers =
       runtime::ProxyServer::create(context_, server_settings, proxy_state_, environment_);
   if (!callers) return callers.error();
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -300,14 +300,14 @@
   addCounters<S>(
       table,
       {{"link_small_bytes_total", "Bytes of small output, which is sent at once.", &S::small_bytes},
-       {"link_large_bytes_total", "Bytes of large answers, which are sent in turns.",
+       {"link_large_bytes_total", "Bytes of large output, which is sent in turns.",
         &S::large_bytes},
-       {"link_pieces_total", "Pieces in which large answers were sent.", &S::pieces}},
+       {"link_pieces_total", "Pieces in which large output was sent.", &S::pieces}},
       [&link] { return link.statistics(); });
   table.addGauge("link_backlog_seconds",
-                 "Time that the link needs for the large answers that wait for a turn.",
+                 "Time that the link needs for the large output that waits for a turn.",
                  [&link] { return toSeconds(link.backlog()); });
-  table.addGauge("link_waiting_answers", "Large answers that wait for a turn.",
+  table.addGauge("link_waiting_answers", "Large answers and requests that wait for a turn.",
                  [&link] { return static_cast<double>(link.waitingSenders()); });
 }
 
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -315,6 +315,8 @@
   };
   runtime::ProxyServerSettings server_settings = egressServerSettings(settings_);
   server_settings.link = &link_;
+  server_settings.upstream_link = &link_;
+  server_settings.upstream_own_host = settings_.two_hop.server.host;
   auto server =
       runtime::ProxyServer::create(context_, server_settings, std::move(source), environment_);
   if (!server) return server.error();
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <limits>
+#include <utility>
 
 #include "runtime/buffer_memory.h"
 #include "runtime/caller_connection.h"
@@ -155,7 +156,7 @@
 
 void CallerExchange::startAttempt(const proxy::AttemptPlan& plan) {
   plan_ = plan;
-  request_sent_ = false;
+  request_sent_ = awaiting_head_written_ = false;
   collecting_ = false;
   // Without its first bytes the body cannot be sent again. Report this like a failed connection.
   if (replay_lost_) return failAttemptLater(proxy::AttemptFailure::kCannotReplay);
@@ -238,11 +239,21 @@
   appendRequestHead(upstream_->output(), request_, parser_.head(), plan_, shared_.settings.names);
   const bool has_body = parser_.head().framing != BodyFraming::kNone;
   awaiting_confirmation_ = plan_.confirm && has_body;
-  if (awaiting_confirmation_) return upstream_->write();
+  // The next hop acknowledges the head, which must not wait for turns of the body.
+  awaiting_head_written_ = !awaiting_confirmation_ && schedulesBody();
+  if (awaiting_confirmation_ || awaiting_head_written_) return upstream_->write();
   sendBody();
 }
 
+bool CallerExchange::schedulesBody() const {
+  const ProxyServerSettings& settings = shared_.settings;
+  if (settings.upstream_link == nullptr || !settings.upstream_link->isActive()) return false;
+  const bool has_body = parser_.head().framing != BodyFraming::kNone;
+  return has_body && hasLargeBody() && plan_.endpoint.address.host != settings.upstream_own_host;
+}
+
 void CallerExchange::sendBody() {
+  if (schedulesBody()) upstream_->scheduleOutput(*shared_.settings.upstream_link, flow_->dueAt());
   if (!replay_.empty()) appendBody(replay_);
   // A malformed body is refused in a later event. Until then only the head is sent.
   if (!takeBody()) {
@@ -290,6 +301,7 @@
 }
 
 void CallerExchange::onUpstreamWritten() {
+  if (std::exchange(awaiting_head_written_, false)) return sendBody();
   if (!request_sent_) pumpBody();
 }
 
@@ -664,7 +676,7 @@
   answer_head_ = nullptr;
   may_run_concurrently_ = close_after_ = false;
   replay_lost_ = request_sent_ = awaiting_body_ = continue_sent_ = awaiting_identity_ = false;
-  awaiting_confirmation_ = awaiting_go_ahead_ = false;
+  awaiting_confirmation_ = awaiting_head_written_ = awaiting_go_ahead_ = false;
   collecting_ = attempt_cancelled_ = forwarding_ = answer_complete_ = false;
   has_large_answer_ = false;
   unreceived_bytes_ = 0;
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -116,6 +116,7 @@
   void sendReceipt();
   void openUpstream();
   void sendRequest();
+  bool schedulesBody() const;
   void sendBody();
   bool mustConfirm() const;
   void confirmThenSend();
@@ -176,6 +177,8 @@
   bool awaiting_body_ = false;
   /// The next hop has received the head; the body is sent after its 100 Continue.
   bool awaiting_confirmation_ = false;
+  /// The head has been passed to the connection; the body follows in turns of the link.
+  bool awaiting_head_written_ = false;
   bool awaiting_gate_ = false;  ///< See BodyGate.
   bool holds_gate_ = false;
   /// The previous hop was asked for the body; its first bytes are the go-ahead.
--- a/src/runtime/link_writer.h
+++ b/src/runtime/link_writer.h
@@ -41,6 +41,8 @@
     events_ = std::move(events);
     requestTurn();
   }
+  /// Number of bytes of the last message that were written.
+  std::size_t written() const { return written_; }
   bool isWriting() const { return events_.onDone != nullptr; }
 
   /// Drops what is not written yet. No further events follow.
--- a/src/runtime/proxy_server.h
+++ b/src/runtime/proxy_server.h
@@ -62,6 +62,10 @@
   /// Address of this machine: output to callers there crosses no link and is not scheduled. Empty:
   /// all output crosses the link.
   std::string own_host;
+  /// Schedules the bodies of large requests; must outlive the server. Null: they are sent at once.
+  proxy::LinkScheduler* upstream_link = nullptr;
+  /// Requests to servers at this address cross no link.
+  std::string upstream_own_host;
   /// Called with the IP address of each caller that connects. May be empty.
   std::function<void(const std::string& host)> on_caller;
 };
--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <utility>
 
 namespace coursepond::runtime {
 
@@ -68,6 +69,7 @@
   skipping_ = false;
   skipped_answer_ = false;
   output_.clear();
+  link_writer_.reset();
 }
 
 bool UpstreamConnection::isFresh() {
@@ -94,6 +96,7 @@
 
 /// Tries to write without waiting: most requests fit into the socket's buffer and need no event.
 void UpstreamConnection::write() {
+  if (link_writer_) return writeInTurns();
   error_code error;
   const std::size_t written = socket_.write_some(asio::buffer(output_), error);
   written_bytes_ += written;
@@ -105,6 +108,19 @@
   writeRest(written);
 }
 
+void UpstreamConnection::scheduleOutput(proxy::LinkScheduler& link, TimePoint due) {
+  link_writer_ = std::make_shared<LinkWriter<TcpSocket>>(socket_, link);
+  output_due_ = due;
+}
+
+void UpstreamConnection::writeInTurns() {
+  writing_ = true;
+  const auto onDone = [self = shared_from_this()](const error_code& error) {
+    self->onWritten(error, self->link_writer_->written());
+  };
+  link_writer_->write(std::exchange(output_, {}), output_due_, {[](bool) {}, onDone});
+}
+
 void UpstreamConnection::writeRest(std::size_t written) {
   asio::async_write(socket_, asio::buffer(output_) + written,
                     [self = shared_from_this()](const error_code& error, std::size_t size) {
@@ -293,6 +309,9 @@
 
 void UpstreamConnection::close() {
   if (state_ == State::kClosed) return;
+  const std::shared_ptr<UpstreamConnection> self =
+      shared_from_this();  // May be held by the writer.
+  if (link_writer_) link_writer_->cancel();
   state_ = State::kClosed;
   user_ = nullptr;
   expireNever();
--- a/src/runtime/upstream_connection.h
+++ b/src/runtime/upstream_connection.h
@@ -10,6 +10,7 @@
 #include "model/endpoint.h"
 #include "runtime/deadline_watch.h"
 #include "runtime/http_parser.h"
+#include "runtime/link_writer.h"
 #include "runtime/receive_buffer.h"
 #include "runtime/tcp_types.h"
 
@@ -106,6 +107,8 @@
   /// before.
   void write();
   bool isWriting() const { return writing_; }
+  /// Writes the rest of the request in turns of `link`, which must outlive the connection.
+  void scheduleOutput(proxy::LinkScheduler& link, TimePoint due);
   /// Whether the first byte of the request may have been sent.
   bool sentBytes() const { return sent_bytes_; }
   bool isReady() const { return state_ == State::kBusy; }
@@ -148,6 +151,7 @@
   void read();
   void onRead(const boost::system::error_code& error, std::size_t size);
   void onReadError(const boost::system::error_code& error);
+  void writeInTurns();
   void writeRest(std::size_t written);
   void onWritten(const boost::system::error_code& error, std::size_t size);
   void parse();
@@ -168,6 +172,8 @@
   ReceiveBuffer buffer_;
   MessageParser parser_;
   std::string output_;
+  std::shared_ptr<LinkWriter<TcpSocket>> link_writer_;  ///< Null: output is not scheduled.
+  TimePoint output_due_;
   std::uint64_t written_bytes_ = 0;  ///< Bytes of the current request.
   std::size_t discarded_bytes_ = 0;
   bool skipping_ = false;        ///< The current answer belongs to another request.
