A request that waits behind another one on its connection keeps its deadline

Callers that send several requests on one connection got later ones started with their whole deadline although these had waited in the node's buffer for as long as the earlier one took: the caller has left, or leaves soon, when a server begins the work.

The deadline now counts from when bytes were last received on the connection before the head was read, in both forms; the time in which a body arrives is part of it, as it was at the egress.

--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -69,6 +69,7 @@
     return onReadClosed();
   }
   received_.commit(size);
+  last_read_ = shared_->environment.now();
   if (state_ == State::kLingering) {
     received_.consume(received_.data().size());
     return read();
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -43,6 +43,8 @@
   /// Received bytes that belong to the newest exchange's request or to requests after it.
   ReceiveBuffer& received() { return received_; }
   void read();
+  /// When bytes were last received.
+  TimePoint lastRead() const { return last_read_; }
   /// Returns whether the caller has closed its side and everything that it sent before has been
   /// received. After a pause of this process, a caller may have left long before the event for it.
   bool hasCallerLeft();
@@ -115,6 +117,7 @@
   bool read_closed_ = false;
   bool writing_ = false;
   bool is_ending_ = false;
+  TimePoint last_read_;
 };
 
 }  // namespace coursepond::runtime
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -62,6 +62,8 @@
 
 std::optional<RefusalReason> CallerExchange::check() {
   head_ = proxy::RequestHead();
+  // The request may have waited in the buffer behind others since.
+  head_received_ = connection_.lastRead();
   const auto refusal = checkRequest(parser_.head(), shared_.request_ids, request_, head_);
   if (refusal) return refusal;
   const auto& source_allows = shared_.source.may_run_concurrently;
@@ -74,11 +76,13 @@
   close_after_ = !parser_.head().keep_alive;
   if (close_after_) connection_.stopStartingRequests();
   if (shared_.settings.answer_style != AnswerStyle::kEgress) return startFlow();
-  head_read_ = shared_.environment.now();
   identifyThenBegin();
 }
 
+/// The time that the request has waited here, for earlier requests of its connection or for its own
+/// body, counts against its deadline.
 void CallerExchange::startFlow() {
+  if (head_.deadline) *head_.deadline -= shared_.environment.now() - head_received_;
   flow_ = shared_.source.make(std::move(head_), static_cast<proxy::RequestIo&>(*this));
   is_starting_ = true;
   flow_->start();
@@ -96,8 +100,6 @@
   }
   if (!isIdentified()) return awaitIdentity();
   if (std::exchange(awaiting_identity_, false)) connection_.awaitCaller(*this);
-  // The time spent waiting for the body counts against the caller's deadline.
-  if (head_.deadline) *head_.deadline -= shared_.environment.now() - head_read_;
   head_.fingerprint = fingerprint();
   startFlow();
 }
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -173,7 +173,7 @@
   bool request_sent_ = false;  ///< The whole request was sent on the current attempt.
   /// Waits for the first part of the body, which identifies the request.
   bool awaiting_identity_ = false;
-  TimePoint head_read_;  ///< When the head was complete.
+  TimePoint head_received_;
   bool awaiting_body_ = false;
   /// The next hop has received the head; the body is sent after its 100 Continue.
   bool awaiting_confirmation_ = false;
--- a/tests/runtime/pipelining_test.cpp
+++ b/tests/runtime/pipelining_test.cpp
@@ -192,6 +192,28 @@
   CHECK(fixture.server->upstreamStatistics().connects == 0);
 }
 
+TEST_CASE("a request that waits behind another one on its connection keeps its deadline") {
+  PipelineFixture fixture;
+  std::string remaining_ms;
+  HttpServer& backend =
+      fixture.startBackend([&](const HttpRequest& request, const HttpResponder& responder) {
+        if (request.target == "/2") {
+          remaining_ms = findHeader(request.headers, "X-Deadline-Ms").value_or("");
+        }
+        fixture.order.push_back(request.target);
+        fixture.held.insert_or_assign(request.target, responder);
+      });
+  REQUIRE(backend.address().port != 0);
+  RawCaller caller = fixture.caller();
+  caller.send(simpleGet("/once/1") + simpleGet("/2", "X-Deadline-Ms: 5000\r\n"));
+  fixture.awaitHeld(1);
+  fixture.context.run_for(std::chrono::milliseconds(300));
+  fixture.answer("/once/1");
+  fixture.awaitHeld(2);
+  REQUIRE_FALSE(remaining_ms.empty());
+  CHECK(std::stoi(remaining_ms) <= 4700);
+}
+
 TEST_CASE("an answer that breaks off ends the connection and cancels the requests after it") {
   PipelineFixture fixture;
   RawCaller caller = fixture.caller();
