Send large answers of the admin server in turns of the link

The metrics page of a node has 40 kB or more and went to the link at once, as versions did. It now goes in turns, after all other large output. The upload tests count what has arrived before an answer clears it.

--- a/src/node/admin_server.h
+++ b/src/node/admin_server.h
@@ -34,6 +34,10 @@
 
   Address address() const { return server_->address(); }
   const runtime::HttpServerStatistics& statistics() const { return server_->statistics(); }
+  /// Sends large answers in turns of `link`, which must outlive the server, after all others.
+  void scheduleOutput(proxy::LinkScheduler& link) {
+    server_->scheduleOutput(link, TimePoint::max());
+  }
 
  private:
   explicit AdminServer(AdminSources sources) : sources_(std::move(sources)) {}
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -178,6 +178,7 @@
       context_, settings_.node.admin_listen, settings_.admin, std::move(sources));
   if (!admin) return admin.error();
   admin_ = std::move(*admin);
+  admin_->scheduleOutput(link_);
   return {};
 }
 
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -44,8 +44,11 @@
                                                          FreshnessCheck is_fresh);
   ~PeerStateServer();
   Address address() const { return server_->address(); }
-  /// Sends large answers in turns of `link`, which must outlive the server.
-  void scheduleOutput(proxy::LinkScheduler& link) { server_->scheduleOutput(link); }
+  /// Sends large answers in turns of `link`, which must outlive the server, before all others: many
+  /// requests fail at a node that gets a version late.
+  void scheduleOutput(proxy::LinkScheduler& link) {
+    server_->scheduleOutput(link, TimePoint::min());
+  }
 
   /// Adds a handler for another path. `path` must outlive the server.
   using Handler = std::function<runtime::HttpResponse(const runtime::HttpRequest&)>;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -379,6 +379,7 @@
                                    std::move(sources));
   if (!admin) return admin.error();
   admin_ = std::move(*admin);
+  admin_->scheduleOutput(link_);
   return {};
 }
 
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -86,6 +86,7 @@
   HttpServerStatistics statistics;
   std::unordered_set<Session*> sessions;
   proxy::LinkScheduler* link = nullptr;  ///< Null: output is not scheduled.
+  TimePoint output_due;
   bool closing = false;
   std::function<void()> on_empty;
 };
@@ -328,7 +329,7 @@
     const auto onWait = [self](bool waits_for_peer) {
       waits_for_peer ? self->expireAfter(self->shared_->limits.write_timeout) : self->expireNever();
     };
-    link_writer_->write(head.str() + message.body(), TimePoint::min(),
+    link_writer_->write(head.str() + message.body(), shared_->output_due,
                         {onWait, [self](const error_code& error) { self->onAnswered(error); }});
   }
 
@@ -516,7 +517,10 @@
     for (const auto& session : liveSessions()) session->close();
   }
 
-  void scheduleOutput(proxy::LinkScheduler& link) { shared_->link = &link; }
+  void scheduleOutput(proxy::LinkScheduler& link, TimePoint due) {
+    shared_->link = &link;
+    shared_->output_due = due;
+  }
 
   const Address& address() const { return address_; }
   const Shared& shared() const { return *shared_; }
@@ -562,8 +566,8 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
 }
 
-void HttpServer::scheduleOutput(proxy::LinkScheduler& link) {
-  implementation_->scheduleOutput(link);
+void HttpServer::scheduleOutput(proxy::LinkScheduler& link, TimePoint due) {
+  implementation_->scheduleOutput(link, due);
 }
 
 Address HttpServer::address() const { return implementation_->address(); }
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -79,8 +79,8 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   /// Sends large whole answers in turns of `link`, which must outlive the server, and reports small
-  /// ones to it. Large ones go before all answers that have a due time, and share the link evenly.
-  void scheduleOutput(proxy::LinkScheduler& link);
+  /// ones to it. All large ones have the same due time and share the link evenly.
+  void scheduleOutput(proxy::LinkScheduler& link, TimePoint due);
 
   /// The address on which the server listens, with the port that was bound.
   Address address() const;
--- a/tests/runtime/scheduled_http_server_test.cpp
+++ b/tests/runtime/scheduled_http_server_test.cpp
@@ -19,7 +19,7 @@
                                             to.respond({200, "text/plain", {}, body(size)});
                                           })
                            .value());
-    server->scheduleOutput(link);
+    server->scheduleOutput(link, TimePoint::min());
   }
   static std::string body(std::size_t size) {
     std::string text(size, 'x');
@@ -107,7 +107,7 @@
   fixture.server = std::move(
       HttpServer::create(fixture.context, {"127.0.0.1", 0}, {.write_timeout = 200ms}, respond)
           .value());
-  fixture.server->scheduleOutput(fast);
+  fixture.server->scheduleOutput(fast, TimePoint::min());
   Tcp::socket silent(fixture.context);
   silent.connect({boost::asio::ip::make_address("127.0.0.1"), fixture.server->address().port});
   boost::asio::write(silent, boost::asio::buffer(simpleGet("/")));
--- a/tests/runtime/scheduled_upload_test.cpp
+++ b/tests/runtime/scheduled_upload_test.cpp
@@ -24,6 +24,7 @@
   }
 
   void onBytes(RawServer::Connection& connection) {
+    most_received = std::max(most_received, connection.received.size());
     const std::size_t head = connection.received.find("\r\n\r\n");
     if (head == std::string::npos) return;
     const bool is_upload = connection.received.starts_with("POST");
@@ -54,6 +55,7 @@
   boost::asio::io_context clock_context;
   AsioEnvironment clock{clock_context};
   proxy::LinkScheduler link{{kMegabits}, clock};
+  std::size_t most_received = 0;  ///< Largest part of a request that has arrived.
   std::unique_ptr<ProxyServerFixture> fixture;
   std::unique_ptr<RawServer> backend;
 };
@@ -69,7 +71,7 @@
   CHECK(uploads.runUntil([&] {
     const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - start;
     const double sent = elapsed.count() * kMegabits * 1e6 / 8;
-    most_queued = std::max(most_queued, static_cast<double>(uploads.receivedBytes()) - sent);
+    most_queued = std::max(most_queued, static_cast<double>(uploads.most_received) - sent);
     return caller.received.ends_with("ok");
   }));
   CHECK(uploads.link.statistics().large_bytes == kBodyBytes);
