Soak: nodes know the rate of their links; requests that arrive after their client left are judged

The judge reports requests that reach servers more than half a second after their client has left, beyond three in a run, with both machines in touch. The nodes get link.megabits_per_second, so that large output is scheduled as in a deployment.

--- a/tests/platform/soak/judge.cpp
+++ b/tests/platform/soak/judge.cpp
@@ -22,6 +22,10 @@
 constexpr Duration kClockSlack = milliseconds(60);
 /// After the end of a link fault, delayed requests arrive within this time.
 constexpr Duration kLinkSettled = milliseconds(500);
+/// Time for the close of a client's connection to reach the node beside the server.
+constexpr Duration kCancelTime = milliseconds(500);
+/// Number of requests in a run that may reach a server later than that.
+constexpr std::size_t kMaxArrivalsOfGone = 3;
 constexpr Duration kRouteTimeout = std::chrono::seconds(3);
 constexpr Duration kHeldSlack = milliseconds(500);
 /// Number of servers that a request may crash before it must be known as a crashing request.
@@ -148,6 +152,7 @@
   }
   if (request->crasher > 0) checkCrasher(*request, instance, now);
   checkNotices(machine, instance, *request, now);
+  checkClientGone(machine, instance, *request, now);
   const std::optional<TimePoint> left = machine.leavingSince(instance);
   if (!left || now <= *left + bounds_.drain) return;
   const bool is_promised = isInTouch(machine.name(), now) && isInTouch(request->machine, now) &&
@@ -182,6 +187,24 @@
                                       std::to_string(over->allowed)));
 }
 
+/// Only the few requests that are lost and sent again may arrive after their client has left.
+void PromiseChecker::checkClientGone(const Machine& machine, const std::string& instance,
+                                     const Request& request, TimePoint now) {
+  if (request.end != RequestEnd::kGivenUp) return;
+  const TimePoint from = request.ended - bounds_.contact;
+  if (!isUndisturbed(request.machine, from, now) || !isUndisturbed(machine.name(), from, now)) {
+    return;
+  }
+  ++counts_.gone_judged;
+  if (now <= request.ended + kCancelTime) return;
+  if (++arrivals_of_gone_ <= kMaxArrivalsOfGone) return;
+  report("reached_after_leaving",
+         describeRequest(request, instance + " received a request " +
+                                      std::to_string(toMilliseconds(now - request.ended)) +
+                                      " ms after its client had left, the " +
+                                      std::to_string(arrivals_of_gone_) + "th one"));
+}
+
 void PromiseChecker::onLinkFault(const std::string& machine, bool begins, TimePoint now) {
   LinkFaults& faults = link_faults_[machine];
   faults.active += begins ? 1 : -1;
--- a/tests/platform/soak/judge.h
+++ b/tests/platform/soak/judge.h
@@ -42,6 +42,7 @@
   std::uint64_t crashers_judged = 0;  ///< Crashing requests that crashed three or more servers.
   std::uint64_t limits_judged = 0;    ///< Arrivals at servers that reported a limit.
   std::uint64_t leavings_judged = 0;  ///< Requests sent after their machine was told of a leaving.
+  std::uint64_t gone_judged = 0;      ///< Arrivals of requests that their clients had given up.
   std::uint64_t stops_judged = 0;  ///< Requests in flight during a stop and without another fault.
 };
 
@@ -113,6 +114,8 @@
 
   void checkNotices(const Machine& machine, const std::string& instance, const Request& request,
                     TimePoint now);
+  void checkClientGone(const Machine& machine, const std::string& instance, const Request& request,
+                       TimePoint now);
   bool hasLinkFault(const std::string& machine, TimePoint now) const;
   void checkCrasher(const Request& request, const std::string& instance, TimePoint now);
   void check(const Request& request);
@@ -150,6 +153,7 @@
   std::map<std::string, std::vector<const Request*>> unserved_;
   std::map<std::uint64_t, Crasher> crashers_;
   testing::ServerNotices notices_;
+  std::size_t arrivals_of_gone_ = 0;  ///< Requests that arrived too late after their client left.
   std::map<std::string, LinkFaults> link_faults_;  ///< By machine.
   std::vector<Violation> violations_;
   CheckCounts counts_;
--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -37,6 +37,14 @@
   return "127." + std::to_string(machine.network) + ".2." + std::to_string(machine.number + 1);
 }
 
+/// Returns the settings that tell the node the rate of its link.
+std::string linkSection(const MachineSettings& machine) {
+  if (machine.link_rate == 0) return "";
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  const double megabits = static_cast<double>(machine.link_rate) / kBytesPerMegabit;
+  return "[link]\nmegabits_per_second = " + std::to_string(megabits) + "\n\n";
+}
+
 std::string milliseconds(Duration time) { return std::to_string(toMilliseconds(time)) + "ms"; }
 
 }  // namespace
@@ -82,7 +90,8 @@
        << "[two_hop]\ningress_listen = \"" << own << ":" << kIngressPort << "\"\n"
        << "server = \"" << link << ":" << kServerPort << "\"\n"
        << "service = \"" << settings_.service << "\"\n\n"
-       << "[platform]\naddress = \"" << own << ":" << kStorePort << "\"\n\n"
+       << linkSection(settings_) << "[platform]\naddress = \"" << own << ":" << kStorePort
+       << "\"\n\n"
        << "[headers]\nrequest_id = \"Coursepond-Request-Id\"\n"
        << "deadline = \"Coursepond-Deadline-Ms\"\nload = \"Coursepond-Server-Load\"\n"
        << "draining = \"Server-Leaving\"\nserver_limit = \"Server-Limit\"\n"
--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -130,8 +130,8 @@
             << " crashes=" << counts.crashes << " crashers_judged=" << counts.crashers_judged
             << " limits_judged=" << counts.limits_judged
             << " leavings_judged=" << counts.leavings_judged << " by_stop=" << counts.by_stop
-            << " stops_judged=" << counts.stops_judged << " versions=" << outcome.versions
-            << " routes=" << outcome.routes
+            << " gone_judged=" << counts.gone_judged << " stops_judged=" << counts.stops_judged
+            << " versions=" << outcome.versions << " routes=" << outcome.routes
             << " longest_version_bytes=" << outcome.longest_version_bytes
             << " longest_lag_ms=" << toMilliseconds(outcome.longest_lag)
             << " violations=" << outcome.violations.size() << std::endl;
--- a/tests/platform/soak_parts_test.cpp
+++ b/tests/platform/soak_parts_test.cpp
@@ -113,6 +113,15 @@
     }
     return kindsFrom(before);
   }
+  /// Makes a request arrive at i-1 this long after its client has given it up.
+  std::vector<std::string> violationsOfGone(std::int64_t late_ms) {
+    Request& request = addRequest(0, 20'000, 0);
+    request.end = RequestEnd::kGivenUp;
+    const TimePoint arrival = request.ended + milliseconds(late_ms);
+    const std::size_t before = checker_.violations().size();
+    checker_.onArrival(*machines_.front(), "i-1", request.id, &request, arrival);
+    return kindsFrom(before);
+  }
   PromiseChecker& checker() { return checker_; }
   static constexpr std::uint64_t kCrasher = 1;
   FaultLog& faults() { return faults_; }
@@ -282,6 +291,19 @@
   CHECK(bench.violationsOfArrivals(12'300, 13'000, 500).empty());
 }
 
+TEST_CASE("requests that reach servers long after their clients have left are a violation") {
+  CheckerBench bench;
+  for (int number = 0; number < 10; ++number) CHECK(bench.violationsOfGone(450).empty());
+  // A few may be lost and sent again.
+  for (int number = 0; number < 3; ++number) CHECK(bench.violationsOfGone(600).empty());
+  CHECK(bench.violationsOfGone(600) == std::vector<std::string>{"reached_after_leaving"});
+  SUBCASE("but not around a fault") {
+    bench.faults().end(bench.faults().begin("m1", FaultKind::kUnplanned, bench.at(20'300)),
+                       bench.at(20'400));
+    CHECK(bench.violationsOfGone(600).empty());
+  }
+}
+
 TEST_CASE("the same seed gives the same schedule, and another seed another one") {
   const auto text = [](std::uint64_t seed) {
     ScheduleSettings settings;
