Delays of requests are not compared across a suspension of the machine

A resumed machine gets the time of its suspension added to its clock with an error of up to a second. An ingress would have taken each request of such a machine, or each one that it receives after its own suspension, for late by that error, and cut its deadline until the fastest requests from before were forgotten (30 to 60 s).

A node now notices a suspension by the difference of two clocks, sends with a new clock number and forgets the delays it has measured. The comparison covers 10 to 20 s, so that any other jump of a clock passes soon; a sender that was silent for 30 s is forgotten, one that was cut off for 10 s is not. Times are read as 64-bit numbers, since a machine may be up for more than 49 days.

Evidence: tests of the watch under the emulated suspension, of the reset and of a failure of ten seconds.

--- a/src/ingress/delivery_delay.h
+++ b/src/ingress/delivery_delay.h
@@ -17,13 +17,17 @@
 class DeliveryDelay {
  public:
   /// Called when a request arrives. Returns how much longer it was on its way than the fastest
-  /// request of its sender in the last kWindow at least. Zero for the first request of a sender.
+  /// recent request of its sender. Zero for the first request of a sender.
   Duration onArrival(const proxy::SendTime& sent, TimePoint now);
+  /// Forgets all senders. Call when the clock of this process was adjusted.
+  void reset() { senders_.clear(); }
 
  private:
-  /// Time for which the fastest request of a sender is remembered. Clocks drift apart by a
-  /// millisecond at most in this time.
-  static constexpr Duration kWindow = std::chrono::seconds(30);
+  /// The fastest request of this and of the previous window is what others are compared with. A
+  /// clock that was adjusted makes requests late for two windows at most.
+  static constexpr Duration kWindow = std::chrono::seconds(10);
+  /// A sender that was silent for longer is forgotten, because clocks drift apart.
+  static constexpr Duration kLongestSilence = std::chrono::seconds(30);
   static constexpr std::size_t kMaxSenders = 4096;
 
   /// Smallest differences between the time of arrival here and the time of sending, each by its own
@@ -32,6 +36,7 @@
     Duration smallest;         ///< Since window_start.
     Duration smallest_before;  ///< In the window before.
     TimePoint window_start;
+    TimePoint last_arrival;
   };
 
   void removeSilent(TimePoint now);
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -142,6 +142,7 @@
 
   /// Called for each request that arrives. Returns how late it is; see DeliveryDelay.
   Duration onDelivered(const std::optional<proxy::HopClass>& hop, TimePoint now);
+  void resetDeliveryDelay() { delivery_delay_.reset(); }
   /// Called for each request that may run here.
   void onArrival(const Waiter& waiter, TimePoint now);
   /// Returns whether a request that arrives now would get a slot at once.
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -24,6 +24,7 @@
 #include "runtime/logging.h"
 #include "runtime/proxy_server.h"
 #include "runtime/settings_change.h"
+#include "runtime/suspension_watch.h"
 #include "source/reader_choice.h"
 #include "source/reader_discovery.h"
 #include "source/relay_client.h"
@@ -49,6 +50,7 @@
 constexpr std::uint32_t kBufferBytes = 16 * 1024;
 constexpr Duration kLimitLineInterval = std::chrono::seconds(1);
 constexpr Duration kFoldInterval = std::chrono::seconds(1);
+constexpr Duration kSuspensionInterval = std::chrono::seconds(1);
 /// Gives a few reports within the time window over which operators limit repeats.
 constexpr Duration kRetryReportInterval = std::chrono::seconds(5);
 /// Maximum reported age of the last confirmation that the configuration is current. An older
@@ -169,8 +171,7 @@
     ingress_.onLimitChanged([this](proxy::LimitChange change) { onLimitChanged(change); });
     egress_.setSuspects(&crashes_.suspects());
     ingress_.setSuspects(&crashes_.suspects());
-    egress_.setClock(
-        static_cast<std::uint32_t>(environment_.random(std::numeric_limits<std::uint32_t>::max())));
+    startClock();
     egress_.setLink(&link_);
     ingress_.setLink(&link_);
     egress_.setQuotas(&quotas_);
@@ -190,6 +191,13 @@
  private:
   void onDecision(const proxy::Decision& decision) override;
   void onServerChange(proxy::ServerChange change, const EndpointId& server) override;
+  /// Gives the clock that egresses and ingresses compare times by a new identity.
+  void startClock() {
+    egress_.setClock(
+        static_cast<std::uint32_t>(environment_.random(std::numeric_limits<std::uint32_t>::max())));
+    ingress_.resetDeliveryDelay();
+  }
+  void watchSuspension();
   void logFoldedDecisions();
   void logRetries();
 
@@ -248,6 +256,7 @@
   runtime::AsioEnvironment environment_;
   runtime::StateLog log_;
   DecisionFold fold_;
+  runtime::SuspensionWatch suspension_;
   proxy::LinkScheduler link_;
   proxy::RetryAccounts retries_;
   RetryReport retry_report_;
@@ -392,6 +401,7 @@
             {"gather_ms", std::to_string(toMilliseconds(settings_.watch.gather))},
             {"lapse_hold_ms", std::to_string(toMilliseconds(settings_.egress.lapse_hold))},
             {"stop_timeout_ms", std::to_string(toMilliseconds(settings_.node.stop_timeout))}});
+  environment_.schedule(kSuspensionInterval, [this] { watchSuspension(); });
   environment_.schedule(kFoldInterval, [this] { logFoldedDecisions(); });
   environment_.schedule(kRetryReportInterval, [this] { logRetries(); });
   // The configuration is read later, when it is known which other nodes could provide it.
@@ -767,6 +777,12 @@
   writeLog(runtime::LogLevel::kInfo, decisionName(decision.kind), std::move(fields));
 }
 
+/// Runs once per kSuspensionInterval.
+void Implementation::watchSuspension() {
+  if (suspension_.check()) startClock();
+  environment_.schedule(kSuspensionInterval, [this] { watchSuspension(); });
+}
+
 /// Logs the decisions that were not logged individually. Runs once per kFoldInterval; see
 /// DecisionFold.
 void Implementation::logFoldedDecisions() {
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -152,11 +152,14 @@
   return parseUnits(text, proxy::kLimitUnits);
 }
 
+/// Clocks count from the boot of their machine.
+constexpr std::uint64_t kMaxClockMs = std::uint64_t{100} * 365 * 86'400'000;
+
 /// Nodes of an earlier release do not send it.
 std::optional<proxy::SendTime> parseSendTime(std::string_view text) {
   const auto clock = parseNumber<std::uint32_t>(takeItem(text));
-  const auto at_ms = parseNumber<std::uint32_t>(takeItem(text));
-  if (!clock || !at_ms) return std::nullopt;
+  const auto at_ms = parseNumber<std::uint64_t>(takeItem(text));
+  if (!clock || !at_ms || *at_ms > kMaxClockMs) return std::nullopt;
   return proxy::SendTime{*clock, std::chrono::milliseconds(*at_ms)};
 }
 
--- a/src/runtime/link_writer.h
+++ b/src/runtime/link_writer.h
@@ -27,9 +27,11 @@
     std::function<void(const boost::system::error_code&)> onDone;
   };
 
-  /// `link` must outlive the writer.
+  /// `link` must stay valid as long as `socket`.
   LinkWriter(Socket& socket, proxy::LinkScheduler& link) : socket_(socket), link_(link) {}
-  ~LinkWriter() override { link_.cancel(*this); }
+  ~LinkWriter() override {
+    if (isWriting()) link_.cancel(*this);
+  }
   LinkWriter(const LinkWriter&) = delete;
   LinkWriter& operator=(const LinkWriter&) = delete;
 
--- a/tests/ingress/delivery_delay_test.cpp
+++ b/tests/ingress/delivery_delay_test.cpp
@@ -35,6 +35,21 @@
   CHECK(delayOf(delays, seconds(8), milliseconds(3002)) == Duration(0));
 }
 
+TEST_CASE("a request that was held up by a failure of ten seconds is late") {
+  DeliveryDelay delays;
+  for (int second = 0; second < 30; ++second) {
+    CHECK(delayOf(delays, seconds(second), seconds(second)) == Duration(0));
+  }
+  CHECK(delayOf(delays, seconds(30), seconds(40)) == seconds(10));
+}
+
+TEST_CASE("times from before a reset are not compared with later ones") {
+  DeliveryDelay delays;
+  delayOf(delays, seconds(5), milliseconds(2));
+  delays.reset();
+  CHECK(delayOf(delays, seconds(6), milliseconds(1502)) == Duration(0));
+}
+
 TEST_CASE("the first request of a sender that was restarted is not late") {
   DeliveryDelay delays;
   delayOf(delays, seconds(500), milliseconds(2));
--- a/tests/suspension/suspension_test.cpp
+++ b/tests/suspension/suspension_test.cpp
@@ -11,6 +11,7 @@
 #include "runtime/deadline_watch.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
+#include "runtime/suspension_watch.h"
 
 // Guards against a resumed machine that treats stale state as fresh. Operators suspend machines for
 // seconds. If all times are read from the steady clock, which stands still during a suspension, the
@@ -64,6 +65,17 @@
   CHECK(has_run);
 }
 
+// Times of sending from before and after a suspension cannot be compared.
+TEST_CASE("a suspension is detected once, and a pause of the process is none") {
+  SuspensionWatch watch;
+  CHECK_FALSE(watch.check());
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK_FALSE(watch.check());
+  suspendMachine(milliseconds(100));
+  CHECK(watch.check());
+  CHECK_FALSE(watch.check());
+}
+
 TEST_CASE("a connection deadline expires while the machine is suspended") {
   boost::asio::io_context context;
   const auto watch = std::make_shared<DeadlineWatch>(context, milliseconds(10));
