--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -345,9 +345,9 @@
 void addLinkKeys(Keys& keys) {
   const std::string section = "link";
   keys.push_back(decimalKey(section, "megabits_per_second", {0, 1'000'000},
-                            "Rate of the machine's link, for all that it sends. Large answers are "
-                            "then sent in pieces, so that small ones do not wait behind them; 0: "
-                            "not known, every answer is sent at once.",
+                            "Rate of the machine's link, for all that it sends. Large output is "
+                            "then sent in pieces, so that small output does not wait behind it; 0: "
+                            "not known, everything is sent at once.",
                             FIELD(link.megabits_per_second)));
 }
 
