A small body without a length does not wait behind large output

Uploads without a length counted as large, also those of a few kilobytes: while versions fill the link, which go first, such a request would have waited for its turns until its deadline.

A body without a length is now scheduled once more than 16 KiB of it have arrived. Evidence: the new test has a chunked request of two bytes behind a large body; a chunked body of 200 kB still goes in turns.

--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -247,15 +247,19 @@
   sendBody();
 }
 
+/// A body without a length is small until more of it has arrived: a small one must not wait behind
+/// large output.
 bool CallerExchange::schedulesBody() const {
   const ProxyServerSettings& settings = shared_.settings;
   if (settings.upstream_link == nullptr || !settings.upstream_link->isActive()) return false;
-  const bool has_body = parser_.head().framing != BodyFraming::kNone;
-  return has_body && hasLargeBody() && plan_.endpoint.address.host != settings.upstream_own_host;
+  if (plan_.endpoint.address.host == settings.upstream_own_host) return false;
+  const MessageHead& head = parser_.head();
+  const std::uint64_t size =
+      head.framing == BodyFraming::kLength ? head.content_length : body_bytes_received_;
+  return settings.upstream_link->isLarge(size);
 }
 
 void CallerExchange::sendBody() {
-  if (schedulesBody()) upstream_->scheduleOutput(*shared_.settings.upstream_link, flow_->dueAt());
   if (!replay_.empty()) appendBody(replay_);
   // A malformed body is refused in a later event. Until then only the head is sent.
   if (!takeBody()) {
@@ -274,6 +278,7 @@
     received.consume(parser_.parseBody(received.data(), *this));
     if (parser_.failure() != ParseFailure::kNone) return false;
   }
+  if (schedulesBody()) upstream_->scheduleOutput(*shared_.settings.upstream_link, flow_->dueAt());
   if (requestComplete()) leaveGate();
   if (requestComplete() && !request_sent_) {
     request_sent_ = true;
@@ -284,6 +289,7 @@
 }
 
 void CallerExchange::onBody(std::string_view piece) {
+  body_bytes_received_ += piece.size();
   if (!upstream_ && flow_) return;  // Answered already: discard the rest.
   if (!replay_lost_ && replay_.size() + piece.size() <= shared_.settings.replay_bytes) {
     replay_.append(piece);
@@ -682,6 +688,7 @@
   collecting_ = attempt_cancelled_ = forwarding_ = answer_complete_ = false;
   has_large_answer_ = false;
   unreceived_bytes_ = 0;
+  body_bytes_received_ = 0;
 }
 
 }  // namespace coursepond::runtime
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -191,6 +191,7 @@
   bool forwarding_ = false;
   bool has_large_answer_ = false;
   std::uint64_t unreceived_bytes_ = 0;
+  std::uint64_t body_bytes_received_ = 0;  ///< Of the request.
   bool answer_complete_ = false;
   TimePoint due_;
 };
--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -109,7 +109,7 @@
 }
 
 void UpstreamConnection::scheduleOutput(proxy::LinkScheduler& link, TimePoint due) {
-  link_writer_ = std::make_shared<LinkWriter<TcpSocket>>(socket_, link);
+  if (!link_writer_) link_writer_ = std::make_shared<LinkWriter<TcpSocket>>(socket_, link);
   output_due_ = due;
 }
 
--- a/src/runtime/upstream_connection.h
+++ b/src/runtime/upstream_connection.h
@@ -107,7 +107,8 @@
   /// before.
   void write();
   bool isWriting() const { return writing_; }
-  /// Writes the rest of the request in turns of `link`, which must outlive the connection.
+  /// Writes the rest of the request in turns of `link`, which must outlive the connection. May be
+  /// called again for the same request.
   void scheduleOutput(proxy::LinkScheduler& link, TimePoint due);
   /// Whether the first byte of the request may have been sent.
   bool sentBytes() const { return sent_bytes_; }
--- a/tests/runtime/scheduled_upload_test.cpp
+++ b/tests/runtime/scheduled_upload_test.cpp
@@ -99,6 +99,29 @@
   CHECK(uploads.backend->connections[0]->received.ends_with("\r\n\r\n"));
 }
 
+TEST_CASE("a small body without a length does not wait behind large output") {
+  ScheduledUploads uploads;
+  RawCaller large = uploads.fixture->caller();
+  large.send(ScheduledUploads::upload());
+  REQUIRE(uploads.runUntil([&] { return uploads.link.waitingSenders() > 0; }));
+  RawCaller small = uploads.fixture->caller();
+  small.send(
+      "PUT / HTTP/1.1\r\nHost: svc\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+  REQUIRE(uploads.runUntil([&] { return small.received.ends_with("ok"); }));
+  CHECK(large.received.empty());
+}
+
+TEST_CASE("a long body without a length does not fill the link") {
+  ScheduledUploads uploads;
+  RawCaller caller = uploads.fixture->caller();
+  caller.send("POST /up HTTP/1.1\r\nHost: svc\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = "2710\r\n" + std::string(10'000, 'x') + "\r\n";
+  for (std::size_t sent = 0; sent < kBodyBytes; sent += 10'000) caller.send(chunk);
+  caller.send("0\r\n\r\n");
+  REQUIRE(uploads.runUntil([&] { return caller.received.ends_with("ok"); }));
+  CHECK(uploads.link.statistics().large_bytes > kBodyBytes / 2);
+}
+
 TEST_CASE("the rest of a large body is not sent when its caller has left") {
   ScheduledUploads uploads;
   {
