--- a/src/ingress/large_answers.h
+++ b/src/ingress/large_answers.h
@@ -26,7 +26,7 @@
 
 struct LargeAnswerSettings {
   /// Minimum size of a large answer in bytes. Smaller answers fit into a connection's send buffer.
-  std::uint64_t large_bytes = 32 * 1024;
+  std::uint64_t large_bytes = std::uint64_t{32} * 1024;
   /// Maximum number of large answers that are produced or sent at a time while one is being sent.
   /// The next one is then ready when one has been sent, and a small answer waits for a few at most.
   std::size_t max_concurrent = 3;
--- a/src/proxy/link_scheduler.cpp
+++ b/src/proxy/link_scheduler.cpp
@@ -20,8 +20,8 @@
 constexpr Duration kMaxQueued = std::chrono::milliseconds(500);
 /// Bounds for one piece. A smaller one costs a system call for little, a larger one does not make
 /// the output of a fast link faster.
-constexpr std::size_t kMinPieceBytes = 4 * 1024;
-constexpr std::size_t kMaxPieceBytes = 64 * 1024;
+constexpr std::size_t kMinPieceBytes = std::size_t{4} * 1024;
+constexpr std::size_t kMaxPieceBytes = std::size_t{64} * 1024;
 
 }  // namespace
 
--- a/src/proxy/link_scheduler.h
+++ b/src/proxy/link_scheduler.h
@@ -36,7 +36,7 @@
   /// Part of the rate that large output gets even if small output alone would fill the link.
   double min_large_share = 0.2;
   /// Output of at least this size is large. Smaller output takes a few packets.
-  std::size_t large_bytes = 16 * 1024;
+  std::size_t large_bytes = std::size_t{16} * 1024;
 };
 
 /// A connection with large output.
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -326,11 +326,11 @@
       link_writer_ = std::make_shared<LinkWriter<Tcp::socket>>(socket_, *shared_->link);
     }
     const auto self = shared_from_this();
-    const auto onWait = [self](bool waits_for_peer) {
+    const auto on_wait = [self](bool waits_for_peer) {
       waits_for_peer ? self->expireAfter(self->shared_->limits.write_timeout) : self->expireNever();
     };
     link_writer_->write(head.str() + message.body(), shared_->output_due,
-                        {onWait, [self](const error_code& error) { self->onAnswered(error); }});
+                        {on_wait, [self](const error_code& error) { self->onAnswered(error); }});
   }
 
   /// Writes as much as the caller accepts, until the answer is complete.
--- a/src/runtime/peer_connection.cpp
+++ b/src/runtime/peer_connection.cpp
@@ -88,16 +88,16 @@
     link_writer_ = std::make_shared<LinkWriter<boost::asio::ip::tcp::socket>>(socket_, *link_);
   }
   writing_ = true;
-  const auto onWait = [self = shared_from_this()](bool waits_for_peer) {
+  const auto on_wait = [self = shared_from_this()](bool waits_for_peer) {
     self->awaits_turn_ = !waits_for_peer;
     self->writing_since_ = self->last_activity_ = BootClock::now();
   };
-  const auto onDone = [self = shared_from_this()](const boost::system::error_code& status) {
+  const auto on_done = [self = shared_from_this()](const boost::system::error_code& status) {
     self->awaits_turn_ = false;
     self->last_activity_ = BootClock::now();
     self->onWritten(status);
   };
-  link_writer_->write(std::move(frames), TimePoint::min(), {onWait, onDone});
+  link_writer_->write(std::move(frames), TimePoint::min(), {on_wait, on_done});
 }
 
 void PeerConnection::writeSome() {
--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -115,10 +115,10 @@
 
 void UpstreamConnection::writeInTurns() {
   writing_ = true;
-  const auto onDone = [self = shared_from_this()](const error_code& error) {
+  const auto on_done = [self = shared_from_this()](const error_code& error) {
     self->onWritten(error, self->link_writer_->written());
   };
-  link_writer_->write(std::exchange(output_, {}), output_due_, {[](bool) {}, onDone});
+  link_writer_->write(std::exchange(output_, {}), output_due_, {[](bool) {}, on_done});
 }
 
 void UpstreamConnection::writeRest(std::size_t written) {
