--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -63,7 +63,7 @@
   std::uint64_t server_unreachable = 0;
   std::uint64_t server_lost = 0;  ///< Connections lost with a request on them.
   std::uint64_t bad_answers = 0;
-  std::uint64_t delivered_late = 0;  ///< Requests that were kLateDelivery or more on their way.
+  std::uint64_t delivered_late = 0;  ///< Requests with a delay of kLateDelivery or more.
   std::uint64_t caller_gone = 0;
   std::uint64_t runs_cancelled = 0;  ///< Of these, while the server had the request.
 };
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -191,7 +191,7 @@
  private:
   void onDecision(const proxy::Decision& decision) override;
   void onServerChange(proxy::ServerChange change, const EndpointId& server) override;
-  /// Gives the clock that egresses and ingresses compare times by a new identity.
+  /// Starts a new clock number, because times from before cannot be compared with later ones.
   void startClock() {
     egress_.setClock(
         static_cast<std::uint32_t>(environment_.random(std::numeric_limits<std::uint32_t>::max())));
