--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,6 +11,9 @@
 
 constexpr char kClients[] = "catalog";
 constexpr char kGrants[] = "licensing";
+constexpr char kFonts[] = "typeserve";
+/// The machine whose server ends: the one of licensing in the zone of the clients' machine.
+constexpr std::size_t kEnding = 4;
 constexpr char kGrantPath[] = "/xapu221/ny95/seat?work_ms=30";
 constexpr Milliseconds kTerminateAfter(1500);
 /// Bound `reuse_after`, and a little more.
@@ -34,16 +37,18 @@
 }
 
 Verdict play(Deployment& deployment) {
-  const auto catalog = deployment.startServer(0, kClients, "i-c1");
-  const auto licensing = deployment.startServer(1, kGrants, "i-l1");
-  auto crashing = deployment.startServer(2, kGrants, "i-l2");
-  const auto other = deployment.startServer(3, kClients, "i-c2");
+  std::vector<std::unique_ptr<Server>> servers;
+  for (std::size_t index = 0; index < deployment.machines(); ++index) {
+    servers.push_back(deployment.startServer(index, deployment.machine(index).service,
+                                             "i-" + std::to_string(index + 1)));
+  }
+  Server& crashing = *servers.at(kEnding);
   deployment.store().put("op/config",
                          configuration(7,
                                        {{"r-read", "/lepu270/", "safe", kClients},
                                         {"r-grant", "/xapu221/ny95/", "unsafe", kGrants}},
-                                       {kClients, kGrants}));
-  for (Server* const server : {catalog.get(), licensing.get(), crashing.get(), other.get()}) {
+                                       {kClients, kGrants, kFonts}));
+  for (const std::unique_ptr<Server>& server : servers) {
     if (!server->isListening()) return Verdict::kCouldNotRun;
     server->writeEntry("ready");
   }
@@ -57,13 +62,13 @@
   const Milliseconds start = deployment.record().now();
   std::unique_ptr<Server> successor;
   if (playsTrouble()) {
-    crashing->crash();
+    crashing.crash();
     waitUntil(deployment, start + kTerminateAfter);
-    deployment.machine(2).node->signal(SIGTERM);
-    deployment.record().write("SIGTERM to node " + deployment.machine(2).name +
+    deployment.machine(kEnding).node->signal(SIGTERM);
+    deployment.record().write("SIGTERM to node " + deployment.machine(kEnding).name +
                               ": its server has ended");
     waitUntil(deployment, start + kReuseAfter);
-    successor = deployment.startServer(2, kClients, "i-c3");
+    successor = deployment.startServer(kEnding, kClients, "i-successor");
     if (!successor->isListening()) return Verdict::kCouldNotRun;
     successor->writeEntry("ready");
   }
@@ -72,7 +77,7 @@
     grant(deployment, "grant" + std::to_string(number));
   }
   waitUntil(deployment, start + kEntryLifetime);
-  if (playsTrouble()) crashing->removeEntry();
+  if (playsTrouble()) crashing.removeEntry();
 
   int wrong = 0;
   for (const Run& run : deployment.runs().all()) {
@@ -86,5 +91,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  return review::runCase(argc, argv, {kClients, kGrants, kGrants, kClients}, &play);
+  return review::runCase(argc, argv,
+                         {kClients, kClients, kClients, kClients, kGrants, kGrants, kGrants,
+                          kGrants, kFonts, kFonts, kFonts, kFonts},
+                         &play);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -12,6 +12,7 @@
 
 constexpr char kClients[] = "catalog";
 constexpr char kGrants[] = "licensing";
+constexpr char kFonts[] = "typeserve";
 constexpr char kGrantPath[] = "/xapu221/ny95/seat?work_ms=1500";
 constexpr int kRequests = 6;
 constexpr int kDeadlineMs = 4000;
@@ -30,16 +31,18 @@
 }
 
 Verdict play(Deployment& deployment) {
-  const auto leaving = deployment.startServer(0, kClients, "i-c1");
-  const auto licensing = deployment.startServer(1, kGrants, "i-l1");
-  const auto second = deployment.startServer(2, kGrants, "i-l2");
-  const auto other = deployment.startServer(3, kClients, "i-c2");
+  std::vector<std::unique_ptr<Server>> servers;
+  for (std::size_t index = 0; index < deployment.machines(); ++index) {
+    servers.push_back(deployment.startServer(index, deployment.machine(index).service,
+                                             "i-" + std::to_string(index + 1)));
+  }
+  Server& leaving = *servers.front();
   deployment.store().put("op/config",
                          configuration(7,
                                        {{"r-read", "/lepu270/", "safe", kClients},
                                         {"r-grant", "/xapu221/ny95/", "unsafe", kGrants}},
-                                       {kClients, kGrants}));
-  for (Server* const server : {leaving.get(), licensing.get(), second.get(), other.get()}) {
+                                       {kClients, kGrants, kFonts}));
+  for (const std::unique_ptr<Server>& server : servers) {
     if (!server->isListening()) return Verdict::kCouldNotRun;
     server->writeEntry("ready");
   }
@@ -50,7 +53,7 @@
   std::this_thread::sleep_for(Milliseconds(3500));
 
   // The server of machine 0 is taken away (scale_in), and its node is stopped in turn (roll_term).
-  leaving->writeEntry("draining");
+  leaving.writeEntry("draining");
   std::this_thread::sleep_for(kDrain + Milliseconds(300));
   Process& node = *deployment.machine(0).node;
   node.signal(SIGTERM);
@@ -64,8 +67,8 @@
     }));
   }
   std::this_thread::sleep_for(Milliseconds(700));
-  leaving->crash();
-  leaving->removeEntry();
+  leaving.crash();
+  leaving.removeEntry();
   if (playsTrouble()) {
     node.signal(SIGTERM);
     deployment.record().write("SIGTERM to node " + deployment.machine(0).name +
@@ -87,5 +90,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  return review::runCase(argc, argv, {kClients, kGrants, kGrants, kClients}, &play);
+  return review::runCase(argc, argv,
+                         {kClients, kClients, kClients, kClients, kGrants, kGrants, kGrants,
+                          kGrants, kFonts, kFonts, kFonts, kFonts},
+                         &play);
 }
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -212,7 +212,7 @@
   Endpoint store_at_;
   std::unique_ptr<Store> store_;
   std::vector<Machine> machines_;
-  std::vector<std::string> zones_{"hall-a", "hall-b"};
+  std::vector<std::string> zones_{"hall-a", "hall-b", "hall-c", "hall-d"};
   bool is_usable_ = false;
 };
 
