An ingress uses a new instance of its server only once it is known to be of its service

Cause: the ingress took each id in a 421, or in a health check, for a restart of its own server and sent its requests to that id, in place of the instance that the egress had named. An id does not show the service.

Now an instance is used once an entry names it as a server of the service, or an egress asks for it by its id. Until then requests are refused as not run (unknown_instance, line server_replaced), and what the instance says of itself is not booked. A request that met the 421 goes to another server of the service. The known instance is asked once a second, in case the report was wrong.

Failed before, on: "no request reaches an instance that is not known to be of the ingress's service", "an egress that asks for another service does not vouch for an instance", "a wrong instance id in one answer does not block the server for good", "a health check of another instance neither names the server nor reports for it" (ingress_test) and "a server of another service at a former server's address runs no request" (node_test). Replaced: "a restarted server is detected by its own answer and used at once" and the first form of "requests reach a restarted server under its new instance id" demanded the fault, an instance that no entry names; both now check that it is refused before its entry and used with it.

--- a/src/cli/request_story.cpp
+++ b/src/cli/request_story.cpp
@@ -60,6 +60,10 @@
                "harmless while other servers take over"},
     ReasonText{"wrong_service", "the address belongs to another service now",
                "entry_age_ms: is the source behind (source_trouble)?"},
+    ReasonText{
+        "unknown_instance", "an instance whose service is not known has the address of the server",
+        "server_replaced line of the node, then server_listed: it is used once its entry names "
+        "the service of the node"},
     ReasonText{"no_server", "no server is listed, or none can be reached",
                "server_lapsed, server_unreachable and source_trouble lines"},
     ReasonText{"no_configuration", "the node has just started and has no configuration yet",
@@ -91,8 +95,9 @@
                "a repeat was refused: the retry budget of a service that it calls is used up, or "
                "most runs of its kind fail because of their calls (`retry_runs_unservable_total`)",
                "retry_budget lines of the called service: repeats, calls_of_repeats and left"},
-    ReasonText{"other_instance", "another instance of the server has the address",
-               "harmless: it is sent again, addressed to that instance"},
+    ReasonText{
+        "other_instance", "another instance has the server's address",
+        "harmless: it is sent again, to that instance once it is known to be of the service"},
     ReasonText{"sibling_failed",
                "a call was not repeated, because another call of the same run had failed",
                "the called service"},
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -840,8 +840,9 @@
   conclude(Reason::kQueueFull);
 }
 
-/// The server has restarted, and a new instance has its address. The ingress knows that instance
-/// now, so it is asked again. This counts as a further server that sees the request.
+/// Another instance has the server's address. The ingress is asked again: if it knows the instance
+/// as a server of the service by now, it sends the request there, which counts as a further server
+/// that sees the request; otherwise it refuses, and another server is tried.
 void EgressFlow::onOtherInstance(TimePoint now) {
   if (std::exchange(asked_other_instance_, true)) return onServerRefused(now);
   ++state_.statistics().server_refusals;
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -67,6 +67,12 @@
   RequestFingerprint fingerprint() const {
     return head_.hop_class ? head_.hop_class->fingerprint : RequestFingerprint();
   }
+  /// Returns the instance that an egress asked for as a server of this machine's service.
+  std::string requestedInstance() const {
+    const bool is_own_service =
+        head_.hop_class && head_.hop_class->service == state_.settings().own_service.value();
+    return is_own_service ? head_.target_instance : std::string();
+  }
   bool passesCrashSuspectCheck(TimePoint now);
   bool hasTimeToRun(TimePoint now) const;
   TimePoint latestSlot() const;
@@ -84,6 +90,7 @@
     return proxy::isProperAnswer(answer, head_.request_id, state_.settings().expects_signature);
   }
   void onServerRefused(const AnswerHead& answer, TimePoint now);
+  void onOtherInstance(const AnswerHead& answer, TimePoint now);
   void noteReports(const AnswerHead& answer, proxy::AnswerSource source,
                    const std::string& instance, TimePoint now);
   std::string_view abandonedStage() const;
@@ -122,6 +129,7 @@
   started_ = now;
   delivery_delay_ = state_.onDelivered(head_.hop_class, now);
   phase_ = Phase::kWaiting;
+  state_.onInstanceRequested(requestedInstance());
   if (const auto refusal = state_.refusal(head_.hop_class)) return conclude(*refusal, now);
   if (!passesCrashSuspectCheck(now)) return conclude(Reason::kCrashesServers, now);
   const Settings& settings = state_.settings();
@@ -282,6 +290,7 @@
     return conclude(Reason::kMalformedAnswer, now);
   }
   if (was_refused) return onServerRefused(answer, now);
+  state_.onInstanceAnswered(instance_);
   noteReports(answer, proxy::AnswerSource::kRun, instance_, now);
   run_.has_failed = answer.status >= kLowestServerError;
   note(proxy::DecisionKind::kForwarded, "", answer.status);
@@ -324,13 +333,9 @@
   ++state_.statistics().server_refusals;
   io_.discardAnswer(attempt_);
   if (answer.status != kMisdirected) state_.onServerAnswer(true, now);
-  const bool was_started_anew =
+  const bool is_other_instance =
       answer.status == kMisdirected && !answer.instance.empty() && answer.instance != instance_;
-  if (was_started_anew) {
-    state_.learnInstance(answer.instance);
-    noteReports(answer, proxy::AnswerSource::kRefusal, answer.instance, now);
-    return conclude(Reason::kOtherInstance, now);
-  }
+  if (is_other_instance) return onOtherInstance(answer, now);
   if (answer.status != kMisdirected) {
     noteReports(answer, proxy::AnswerSource::kRefusal, instance_, now);
   }
@@ -338,6 +343,13 @@
   conclude(Reason::kServerRefused, now);
 }
 
+/// The server was restarted, or its address went to a server of another service.
+void IngressFlow::onOtherInstance(const AnswerHead& answer, TimePoint now) {
+  const bool is_own = state_.onInstanceReported(answer.instance, requestedInstance(), now);
+  if (is_own) noteReports(answer, proxy::AnswerSource::kRefusal, answer.instance, now);
+  conclude(Reason::kOtherInstance, now);
+}
+
 void IngressFlow::onDeadline(TimePoint now) {
   if (phase_ == Phase::kAttempting) {
     if (io_.bytesSent(attempt_)) may_have_run_ = true;
@@ -454,6 +466,9 @@
     case Reason::kWrongService:
       ++statistics.refused_draining;
       return;
+    case Reason::kUnknownInstance:
+      ++statistics.refused_instance;
+      return;
     case Reason::kDeadline:
       ++statistics.expired;
       return;
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -9,6 +9,14 @@
 
 using proxy::Reason;
 
+namespace {
+
+/// How often a request is sent to the known instance of a server that seems to be replaced. If the
+/// report was wrong, the instance answers; any other one refuses.
+constexpr Duration kInstanceCheckInterval = std::chrono::seconds(1);
+
+}  // namespace
+
 IngressState::IngressState(const Settings& settings, proxy::RetryAccounts& retries,
                            Environment& environment)
     : settings_(settings),
@@ -26,6 +34,7 @@
   if (is_new_start) {
     const bool is_restart = server_ && server_->id == entry->id;
     instance_ = entry->id.value();
+    unknown_instance_.clear();
     // This may be a new instance with the same id.
     server_ends_.onRestart(now);
     rejections_ = RejectionRate();
@@ -44,11 +53,36 @@
 void IngressState::learnInstance(const std::string& instance) {
   const bool is_new_start = !instance_.empty() && instance != instance_;
   instance_ = instance;
+  unknown_instance_.clear();
   if (!is_new_start) return;
   server_ends_.onRestart(environment_.now());
   forgetReportsOfOthers(false);
 }
 
+void IngressState::onInstanceRequested(const std::string& instance) {
+  if (!instance.empty() && instance == unknown_instance_) learnInstance(instance);
+}
+
+bool IngressState::onInstanceReported(const std::string& instance, const std::string& requested,
+                                      TimePoint now) {
+  if (instance == requested) learnInstance(instance);
+  if (instance == instance_) return true;
+  next_instance_check_ = now + kInstanceCheckInterval;
+  if (std::exchange(unknown_instance_, instance) == instance) return false;
+  note(proxy::ServerChange::kReplaced, EndpointId(instance));
+  server_ends_.onRestart(now);
+  refuseWaiting(Reason::kUnknownInstance, now);
+  return false;
+}
+
+void IngressState::onInstanceAnswered(const std::string& instance) {
+  if (instance == instance_ || instance_.empty()) unknown_instance_.clear();
+}
+
+bool IngressState::isReplaced() const {
+  return !unknown_instance_.empty() && environment_.now() < next_instance_check_;
+}
+
 /// Forgets what the current instance of the server did not report. `is_restart`: the server
 /// was started anew under the id that it had before.
 void IngressState::forgetReportsOfOthers(bool is_restart) {
@@ -73,11 +107,12 @@
 }
 
 void IngressState::onHealth(const ServerHealth& health) {
-  if (!health.instance.empty()) learnInstance(health.instance);
   const TimePoint now = environment_.now();
+  const std::string instance = health.instance.empty() ? instance_ : health.instance;
+  if (!instance_.empty() && !onInstanceReported(instance, "", now)) return;
   cold_start_.onWarmUpReported(health.cold_left, now);
-  onLimitReport(health.limit, proxy::AnswerSource::kHealth, instance_, now, now);
-  if (health.said_leaving) onSaidLeaving(instance_, now);
+  onLimitReport(health.limit, proxy::AnswerSource::kHealth, instance, now, now);
+  if (health.said_leaving) onSaidLeaving(instance, now);
   dispatch(now);
 }
 
@@ -104,6 +139,7 @@
   if (hop && hop->service != settings_.own_service.value()) return Reason::kWrongService;
   if (is_zone_drained_) return Reason::kZoneDrained;
   if (isServerLeaving()) return Reason::kServerDraining;
+  if (isReplaced()) return Reason::kUnknownInstance;
   return std::nullopt;
 }
 
@@ -163,6 +199,7 @@
   ++statistics_.sends;
   cold_start_.onStarted(settings_.cold_start, now);
   server_limit_.onStarted(now);
+  if (!unknown_instance_.empty()) next_instance_check_ = now + kInstanceCheckInterval;
   checkHealthIfSuspected(now);
   waiter.onSlot(now);
 }
@@ -398,7 +435,7 @@
   load.server_limit = server_limit_.perSecond();
   load.service_time = Duration(static_cast<Duration::rep>(service_time_us_));
   if (speed_.isReported()) load.slowness = slowness();
-  load.draining = stop_end_.has_value() || is_stopped_ || isServerLeaving();
+  load.draining = stop_end_.has_value() || is_stopped_ || isServerLeaving() || isReplaced();
   load.link_backlog = linkBacklog();
   return load;
 }
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -47,7 +47,7 @@
   std::uint64_t refused_limit = 0;      ///< The server's limit leaves no request.
   std::uint64_t refused_link = 0;       ///< The link cannot send a large answer in time.
   std::uint64_t refused_draining = 0;   ///< The server, zone or node is leaving or drained.
-  std::uint64_t refused_instance = 0;   ///< Meant for another instance of the server.
+  std::uint64_t refused_instance = 0;   ///< The address went to an instance of unknown service.
   std::uint64_t refused_suspects = 0;   ///< Crash suspects.
   std::uint64_t trials = 0;             ///< Crash suspects that were accepted as a trial.
   std::uint64_t refused_rejecting = 0;  ///< The server rejects too many requests.
@@ -128,9 +128,16 @@
 
   /// Returns the reason why new requests are refused now, if any.
   std::optional<proxy::Reason> refusal(const std::optional<proxy::HopClass>& hop) const;
-  /// Called when the server reported its instance id. This takes precedence over the listed entry,
-  /// which may still describe an earlier instance for seconds.
-  void learnInstance(const std::string& instance);
+  /// Called when an egress sent a request for `instance`, which it knows as a server of this
+  /// ingress's service. It may know the entry of a restarted server earlier than this node.
+  void onInstanceRequested(const std::string& instance);
+  /// Called when the server at the address reported its instance id. `requested` is the instance
+  /// that an egress asked for, as in onInstanceRequested(), or empty. Returns whether `instance` is
+  /// known to belong to this ingress's service. Until it is, all requests are refused: the address
+  /// may have been reassigned to a server of another service, which the id does not show.
+  bool onInstanceReported(const std::string& instance, const std::string& requested, TimePoint now);
+  /// Called when `instance` answered a request that only it may run.
+  void onInstanceAnswered(const std::string& instance);
   /// Returns the instance of the server that requests are sent to; `fallback` while it is unknown.
   const std::string& instanceOr(const std::string& fallback) const {
     return instance_.empty() ? fallback : instance_;
@@ -244,6 +251,8 @@
   void checkHealthIfSuspected(TimePoint now);
   void applyLimitChange(proxy::LimitChange change, TimePoint now);
   void refuseLateWaiting(TimePoint now);
+  void learnInstance(const std::string& instance);
+  bool isReplaced() const;
   void forgetReportsOfOthers(bool is_restart);
   bool isServerLeaving() const;
   Duration expectedWait(std::size_t ahead) const;
@@ -263,6 +272,9 @@
   Address address_;
   std::optional<model::ServerEntry> server_;
   std::string instance_;  ///< May be a later instance of the server than the one in `server_`.
+  /// An instance of unknown service that has the server's address; empty if there is none.
+  std::string unknown_instance_;
+  TimePoint next_instance_check_;  ///< Until then, no request is sent to `unknown_instance_`.
   std::uint32_t connection_limit_ = 100;
   WorkQueue queue_;
   std::uint32_t running_ = 0;
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -85,6 +85,8 @@
        {"ingress_kept_slots_total",
         "Requests that got no free slot at once, since it is kept for shorter work.",
         &S::kept_slots},
+       {"ingress_refused_instance_total",
+        "Refused: an instance of unknown service has the server's address.", &S::refused_instance},
        {"ingress_refused_draining_total", "Refused: the server or this node is leaving.",
         &S::refused_draining},
        {"ingress_displaced_total", "Waiting requests that made room.", &S::displaced},
--- a/src/proxy/decision_log.cpp
+++ b/src/proxy/decision_log.cpp
@@ -30,6 +30,8 @@
       return "server_leaving";
     case ServerChange::kSaidLeaving:
       return "server_said_leaving";
+    case ServerChange::kReplaced:
+      return "server_replaced";
     case ServerChange::kLapsed:
       return "server_lapsed";
     case ServerChange::kForgotten:
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -62,6 +62,7 @@
   kListed,       ///< The server is new or listed again.
   kLeaving,      ///< The server announced that it is leaving.
   kSaidLeaving,  ///< The server said in an answer that it is leaving.
+  kReplaced,     ///< An instance of unknown service has the server's address.
   kLapsed,       ///< The server's entry disappeared without such an announcement.
   kForgotten,    ///< The server was removed and is no longer used.
   kUnreachable,  ///< The server's ingress cannot be reached and is avoided for a while.
--- a/src/proxy/reason.cpp
+++ b/src/proxy/reason.cpp
@@ -50,6 +50,8 @@
       return "zone_drained";
     case Reason::kWrongService:
       return "wrong_service";
+    case Reason::kUnknownInstance:
+      return "unknown_instance";
     case Reason::kRetryBudget:
       return "retry_budget";
     case Reason::kOtherInstance:
--- a/src/proxy/reason.h
+++ b/src/proxy/reason.h
@@ -31,8 +31,9 @@
   kServerDraining,      ///< The server or its ingress is leaving.
   kZoneDrained,         ///< Operators drained the server's zone, or all zones of the service.
   kWrongService,        ///< This machine's server belongs to another service.
+  kUnknownInstance,     ///< The server's address went to an instance of unknown service.
   kRetryBudget,         ///< A repeat whose calls would exceed the retry budget.
-  kOtherInstance,       ///< The server was restarted: ask again for the new instance.
+  kOtherInstance,       ///< Another instance has the server's address: ask the ingress again.
   kServerRefused,       ///< Servers refused, and no further attempt is allowed.
   kConnectFailed,       ///< No connection could be established.
   kConnectionLost,      ///< The connection was lost after the request was sent.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -459,6 +459,7 @@
     case Reason::kServerDraining:
     case Reason::kZoneDrained:
     case Reason::kWrongService:
+    case Reason::kUnknownInstance:
     case Reason::kRetryBudget:
     case Reason::kOtherInstance:
     case Reason::kServerRefused:
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -663,6 +663,22 @@
   CHECK(egress.state.statistics().repeats == 1);
 }
 
+TEST_CASE("a request whose server was replaced by one of unknown service goes to another server") {
+  EgressFixture egress;
+  egress.begin(2);
+  const auto seat = egress.send("/seat");
+  const std::string replaced = seat->plan().target_instance;
+  seat->answer(refusal(seat->id, "other_instance", milliseconds(100)));
+  REQUIRE(seat->io.plans.size() == 2);
+  CHECK(seat->plan().target_instance == replaced);
+  seat->answer(refusal(seat->id, "unknown_instance", milliseconds(100)));
+  REQUIRE(seat->io.plans.size() == 3);
+  CHECK(seat->plan().target_instance != replaced);
+  seat->answerWhole();
+  CHECK(seat->io.forwarded.size() == 1);
+  CHECK(egress.state.statistics().repeats == 1);
+}
+
 TEST_CASE("a repeat that reached no server is not charged to the retry budget") {
   EgressFixture egress;
   egress.begin(3);
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -427,20 +427,95 @@
   checkRefused(exchange, "wrong_service");
 }
 
-TEST_CASE("a restarted server is detected by its own answer and used at once") {
-  // Both instances see a request that is sent to the second one after the first. If the ingress
-  // sent it again free of charge, the requests in flight at each restart of a server would exceed
-  // the operator's limit on repeats. So the egress, which pays for repeats, sends it again.
+// The address of a server that ended may be reassigned to a server of another service.
+TEST_CASE("no request reaches an instance that is not known to be of the ingress's service") {
   IngressFixture ingress;
   const auto first = ingress.send("r1");
+  const auto second = ingress.send("r2");
+  const auto waiting = ingress.send("r3");
   first->answer(otherInstance("i-2"));
   CHECK(first->io.plans.size() == 1);
   checkRefused(*first, "other_instance");
-  // The next request goes to the new instance at once, although that is not listed yet.
-  const auto second = ingress.send("r2");
-  CHECK(second->plan().target_instance == "i-2");
-  second->answerWhole();
-  CHECK(second->io.forwarded.size() == 1);
+  checkRefused(*waiting, "unknown_instance");
+  checkRefused(*ingress.send("r4"), "unknown_instance");
+  CHECK(ingress.state.load().draining);
+  // An entry that does not name the new instance does not show its service.
+  ingress.listServer("i-1", model::MachineState::kLive, /*slots=*/3);
+  checkRefused(*ingress.send("r5"), "unknown_instance");
+  second->answer(otherInstance("i-2"));
+  checkRefused(*second, "other_instance");
+}
+
+TEST_CASE("a restarted server is used as soon as its entry names its new instance") {
+  IngressFixture ingress;
+  ingress.send("r1")->answer(otherInstance("i-2"));
+  ingress.listServer("i-2");
+  CHECK_FALSE(ingress.state.load().draining);
+  const auto next = ingress.send("r2");
+  CHECK(next->plan().target_instance == "i-2");
+  next->answerWhole();
+  CHECK(next->io.forwarded.size() == 1);
+}
+
+TEST_CASE("a restarted server is used as soon as an egress knows its new instance") {
+  IngressFixture ingress;
+  SUBCASE("the egress asks after the server has named the instance") {
+    ingress.send("r1")->answer(otherInstance("i-2"));
+  }
+  SUBCASE("the egress asks first") {
+    // Both instances see a request that is sent to the second one after the first. If the ingress
+    // sent it again free of charge, the requests in flight at each restart of a server would exceed
+    // the operator's limit on repeats. So the egress, which pays for repeats, sends it again.
+    const auto first = ingress.sendTo("i-2", "r1");
+    first->answer(otherInstance("i-2"));
+    CHECK(first->io.plans.size() == 1);
+    checkRefused(*first, "other_instance");
+  }
+  const auto next = ingress.sendTo("i-2", "r2");
+  CHECK(next->plan().target_instance == "i-2");
+  next->answerWhole();
+  CHECK(next->io.forwarded.size() == 1);
+  CHECK(ingress.send("r3")->plan().target_instance == "i-2");
+}
+
+TEST_CASE("an egress that asks for another service does not vouch for an instance") {
+  IngressFixture ingress;
+  ingress.send("r1")->answer(otherInstance("i-2"));
+  const proxy::HopClass other_service{"seats", 1, milliseconds(500), true};
+  checkRefused(*ingress.sendOf(other_service, "r2", "i-2"), "wrong_service");
+  checkRefused(*ingress.send("r3"), "unknown_instance");
+}
+
+TEST_CASE("a wrong instance id in one answer does not block the server for good") {
+  IngressFixture ingress;
+  ingress.send("r1")->answer(otherInstance("i-2"));
+  ingress.environment.advance(seconds(1));
+  const auto check = ingress.send("r2");
+  CHECK(check->plan().target_instance == "i-1");
+  checkRefused(*ingress.send("r3"), "unknown_instance");
+  check->answerWhole();
+  CHECK(ingress.send("r4")->plan().target_instance == "i-1");
+}
+
+TEST_CASE("a health check of another instance neither names the server nor reports for it") {
+  IngressFixture ingress;
+  ServerHealth other{"i-2", Duration(0)};
+  other.said_leaving = true;
+  other.limit = proxy::readLimit("0.5");
+  ingress.state.onHealth(other);
+  checkRefused(*ingress.send("r1"), "unknown_instance");
+  ingress.environment.advance(seconds(1));
+  const auto next = ingress.send("r2");
+  CHECK(next->plan().target_instance == "i-1");
+  CHECK_FALSE(ingress.state.serverLimit().perSecond().has_value());
+}
+
+TEST_CASE("a health check before the server is listed does not name the server") {
+  IngressFixture ingress;
+  proxy::VirtualEnvironment environment;
+  IngressState state(IngressFixture::makeSettings(), ingress.retries, environment);
+  state.onHealth({"i-2", Duration(0)});
+  CHECK(state.instanceOr("i-1") == "i-1");
 }
 
 TEST_CASE("a repeat is accepted only if the retry budget covers the calls that it will make") {
@@ -478,8 +553,9 @@
 TEST_CASE("the entry of an earlier instance affects neither state nor id of the current one") {
   IngressFixture ingress;
   ingress.send("r1")->answer(otherInstance("i-2"));
+  ingress.sendTo("i-2", "r2")->answerWhole();
   ingress.listServer("i-1", model::MachineState::kLeaving);
-  const auto second = ingress.send("r2");
+  const auto second = ingress.send("r3");
   REQUIRE(second->io.plans.size() == 1);
   CHECK(second->plan().target_instance == "i-2");
 }
--- a/tests/node/two_hop_node_test.cpp
+++ b/tests/node/two_hop_node_test.cpp
@@ -452,8 +452,17 @@
   CHECK(mesh.arrivals() == 3);
 }
 
-TEST_CASE("requests reach a restarted server under its new instance id") {
-  Fixture mesh;
+/// Makes the server of the second machine, the only one left of "stock", answer as the instance
+/// "i-new" only.
+void startAnew(Fixture& mesh) {
+  model::ServerEntry& other = mesh.source().servers[2];
+  other.state = model::MachineState::kLeaving;
+  other.revision = Generation(++mesh.source().revision);
+  REQUIRE(mesh.runUntil([&] {
+    mesh.machine(1).received.clear();
+    for (int number = 0; number < 4; ++number) mesh.send("GET", "/read");
+    return mesh.machine(1).received.size() == 4;
+  }));
   mesh.setBehaviour(
       [](const runtime::HttpRequest& request, const runtime::HttpResponder& responder) {
         if (headerOf(request, "X-Target-Instance") == "i-new") {
@@ -464,9 +473,45 @@
         refusal.headers.push_back({"X-Instance-Id", "i-new"});
         responder.respond(refusal);
       });
+}
+
+/// Lists the server "i-new" of this service at the address of the second machine's server.
+void listNewServer(Fixture& mesh, const std::string& service) {
+  model::ServerEntry entry = mesh.source().servers[1];
+  entry.id = EndpointId("i-new");
+  entry.service = ServiceName(service);
+  entry.revision = Generation(++mesh.source().revision);
+  mesh.source().servers.push_back(entry);
+  REQUIRE(mesh.runUntil([&] {
+    return mesh.statusPage(0).find("servers known: 4") != std::string::npos &&
+           mesh.statusPage(1).find("servers known: 4") != std::string::npos;
+  }));
+}
+
+TEST_CASE("requests reach a restarted server under its new instance id") {
+  Fixture mesh;
+  startAnew(mesh);
+  CHECK(mesh.send("POST", "/book", "b").status == 503);
+  listNewServer(mesh, "stock");
   CHECK(mesh.send("POST", "/book", "b").body == "new");
 }
 
+// An unsafe request would otherwise run at a service that no route sends it to.
+TEST_CASE("a server of another service at a former server's address runs no request") {
+  Fixture mesh;
+  startAnew(mesh);
+  const auto sendSome = [&mesh] {
+    for (const char* method : {"POST", "GET"}) {
+      const auto answer = mesh.send(method, method == std::string("GET") ? "/read" : "/book", "b");
+      CHECK(answer.status == 503);
+      CHECK(runtime::findHeader(answer.headers, "X-Outcome") == "not-run");
+    }
+  };
+  sendSome();
+  listNewServer(mesh, "shop");
+  sendSome();
+}
+
 TEST_CASE("a server's not-run refusal reaches the caller as not run with Retry-After") {
   Fixture mesh;
   mesh.setBehaviour([](const runtime::HttpRequest&, const runtime::HttpResponder& responder) {
