A further SIGTERM does not shorten a planned stop

SIGTERM comes from supervisors, several of which may stop the same node; they have SIGKILL to end it early.

Now the first signal begins the stop, a further SIGTERM is logged (stop_repeated), and only a second SIGINT ends the node at once. The decision is StopRequests; a node's stop() is called once, cutStop() ends it.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -92,6 +92,8 @@
   Result<void> open();
   void start();
   void stop(std::function<void(StopOutcome)> stopped);
+  void noteRepeatedStop() { writeLog(runtime::LogLevel::kInfo, "stop_repeated", {}); }
+  void cutStop() { leaveMesh(StopOutcome::kCut); }
   NodeAddresses addresses() const;
 
  private:
@@ -295,10 +297,6 @@
 
 void Implementation::stop(std::function<void(StopOutcome)> stopped) {
   stopped_ = std::move(stopped);
-  if (stopping_) {
-    leaveMesh(StopOutcome::kCut);
-    return;
-  }
   stopping_ = true;
   writeLog(runtime::LogLevel::kInfo, "stopping",
            {{"requests_in_flight", std::to_string(proxy_state_.requestsInFlight())}});
@@ -349,6 +347,10 @@
   implementation_->stop(std::move(stopped));
 }
 
+void Node::noteRepeatedStop() { implementation_->noteRepeatedStop(); }
+
+void Node::cutStop() { implementation_->cutStop(); }
+
 NodeAddresses Node::addresses() const { return implementation_->addresses(); }
 
 }  // namespace coursepond::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,7 +39,7 @@
 /// How a node ended.
 enum class StopOutcome {
   kClean,  ///< Every request in flight was answered.
-  kCut,    ///< The stop timed out, or a second stop was requested: requests may have been cut.
+  kCut,    ///< The stop timed out or was cut short: requests may have been cut.
 };
 
 /// The listening addresses with the bound ports.
@@ -63,9 +63,13 @@
   void start();
 
   /// Stops gracefully: readiness fails, no new connections are accepted after the stop delay,
-  /// requests in flight finish, the node leaves the mesh, then `stopped` is called. A second call
-  /// stops without further waiting.
+  /// requests in flight finish, the node leaves the mesh, then `stopped` is called. May be called
+  /// once.
   void stop(std::function<void(StopOutcome)> stopped);
+  /// Logs a further request to stop, which the stop that has begun fulfils.
+  void noteRepeatedStop();
+  /// Ends a stop that has begun without further waiting. Requests in flight are cut.
+  void cutStop();
 
   NodeAddresses addresses() const;
 
--- a/src/node/run_node.cpp
+++ b/src/node/run_node.cpp
@@ -8,6 +8,7 @@
 
 #include "node/node.h"
 #include "node/settings_watch.h"
+#include "node/stop_requests.h"
 #include "node/two_hop_node.h"
 #include "runtime/asio_environment.h"
 #include "runtime/logging.h"
@@ -27,7 +28,7 @@
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-/// Handles signals: the first SIGTERM or SIGINT starts a graceful stop, a second one shortens it.
+/// Handles signals; see StopRequests.
 template <typename AnyNode>
 class StopSignals {
  public:
@@ -46,16 +47,27 @@
 
  private:
   void wait() {
-    signals_.async_wait([this](const boost::system::error_code& status, int) {
+    signals_.async_wait([this](const boost::system::error_code& status, int signal) {
       if (status) return;
-      node_.stop([this](StopOutcome outcome) {
-        outcome_ = outcome;
-        context_.stop();
-      });
+      onSignal(signal);
       wait();
     });
   }
 
+  void onSignal(int signal) {
+    switch (signal == SIGINT ? requests_.onInterrupt() : requests_.onTerminate()) {
+      case StopAction::kBegin:
+        return node_.stop([this](StopOutcome outcome) {
+          outcome_ = outcome;
+          context_.stop();
+        });
+      case StopAction::kContinue:
+        return node_.noteRepeatedStop();
+      case StopAction::kCut:
+        return node_.cutStop();
+    }
+  }
+
   void waitForHangup() {
     hangup_.async_wait([this](const boost::system::error_code& status, int) {
       if (status) return;
@@ -66,6 +78,7 @@
 
   boost::asio::io_context& context_;
   AnyNode& node_;
+  StopRequests requests_;
   boost::asio::signal_set signals_;
   boost::asio::signal_set hangup_;
   std::function<void()> on_hangup_;
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -182,6 +182,8 @@
   Result<void> open();
   void start();
   void stop(std::function<void(StopOutcome)> stopped);
+  void noteRepeatedStop() { writeLog(runtime::LogLevel::kInfo, "stop_repeated", {}); }
+  void cutStop() { finishStop(StopOutcome::kCut); }
   void changeSettings(const runtime::Settings& settings);
   void rejectSettings(const std::vector<runtime::SettingMistake>& mistakes);
   NodeAddresses addresses() const {
@@ -250,6 +252,7 @@
   bool isIdle() const;
   void beginDrain();
   void onDrained();
+  void finishStop(StopOutcome outcome);
 
   boost::asio::io_context& context_;
   runtime::Settings settings_;
@@ -839,7 +842,6 @@
 
 void Implementation::stop(std::function<void(StopOutcome)> stopped) {
   stopped_ = std::move(stopped);
-  if (stopping_) return stopped_(StopOutcome::kCut);
   stopping_ = true;
   peer_server_->rejectPending(source::Topic::kServers);
   peer_server_->rejectPending(source::Topic::kConfiguration);
@@ -874,9 +876,16 @@
 
 void Implementation::onDrained() {
   if (--draining_servers_ > 0) return;
-  const std::uint64_t cut = egress_server_->statistics().cut_at_stop;
+  const bool has_cut = egress_server_->statistics().cut_at_stop > 0;
+  finishStop(has_cut ? StopOutcome::kCut : StopOutcome::kClean);
+}
+
+void Implementation::finishStop(StopOutcome outcome) {
+  const std::function<void(StopOutcome)> stopped = std::exchange(stopped_, nullptr);
+  if (!stopped) return;
+  const std::uint64_t cut = egress_server_->statistics().cut_at_stop + egress_.inFlight();
   writeLog(runtime::LogLevel::kInfo, "stopped", {{"requests_cut", std::to_string(cut)}});
-  stopped_(cut > 0 ? StopOutcome::kCut : StopOutcome::kClean);
+  stopped(outcome);
 }
 
 // ---- Public interface
@@ -913,6 +922,11 @@
 void TwoHopNode::stop(std::function<void(StopOutcome)> stopped) {
   implementation_->stop(std::move(stopped));
 }
+
+void TwoHopNode::noteRepeatedStop() { implementation_->noteRepeatedStop(); }
+
+void TwoHopNode::cutStop() { implementation_->cutStop(); }
+
 NodeAddresses TwoHopNode::addresses() const { return implementation_->addresses(); }
 
 }  // namespace coursepond::node
--- a/src/node/two_hop_node.h
+++ b/src/node/two_hop_node.h
@@ -28,8 +28,10 @@
   TwoHopNode& operator=(const TwoHopNode&) = delete;
 
   void start();
-  /// Stops gracefully, like Node::stop().
+  /// Like the functions of Node.
   void stop(std::function<void(StopOutcome)> stopped);
+  void noteRepeatedStop();
+  void cutStop();
 
   /// Applies the settings that may change while the node runs. Logs what changed and which changes
   /// need a restart.
--- a/tests/process/data_path_test.cpp
+++ b/tests/process/data_path_test.cpp
@@ -131,6 +131,36 @@
   CHECK(result.unknown == 0);
 }
 
+// Guards against requests that are cut because several supervisors stop the same node.
+TEST_CASE("repeated SIGTERMs during a planned stop interrupt no request") {
+  ServingMesh serving;
+  Mesh& mesh = serving.mesh;
+  LoadProcess load = serving.startLoad(seconds(4));
+  pauseFor(seconds(1));
+  ProcessHandle& node = *mesh.nodes()[0].process;
+  const auto isEnded = [&node] {
+    node.signal(SIGTERM);
+    return !node.running();
+  };
+  CHECK(waitUntil(kHangTimeout, isEnded));
+  CHECK(node.waitForExit(kHangTimeout) == 0);
+  const LoadResult result = load.finish();
+  checkGuarantees(result, 0.99);
+  CHECK(result.cut == 0);
+  CHECK(result.no_answer == 0);
+  CHECK(result.unknown == 0);
+}
+
+TEST_CASE("a second SIGINT ends a node at once") {
+  ServingMesh serving;
+  ProcessHandle& node = *serving.mesh.nodes()[0].process;
+  node.signal(SIGINT);
+  pauseFor(milliseconds(50));
+  REQUIRE(node.running());
+  node.signal(SIGINT);
+  CHECK(node.waitForExit(seconds(1)) == 5);
+}
+
 TEST_CASE("callers get complete answers while the configuration changes") {
   ServingMesh serving;
   Mesh& mesh = serving.mesh;
