A route's prefix is compared with its slash where the source says so

Cause: the product matches prefixes by whole segments, where a slash at the end has no meaning; the users' platform compares their text. The adapter passed the prefix on as if both were one rule, and the codec between nodes dropped the slash as well.

A route now says how its prefix is compared: prefix_match "segments" (the default, as before) or "text" for a prefix that ends with a slash. A look-up tries at most two keys a slash, none beyond the longest prefix.

--- a/src/model/codec.cpp
+++ b/src/model/codec.cpp
@@ -10,11 +10,12 @@
 using Json = boost::json::value;
 using boost::json::storage_ptr;
 
+const std::vector<std::string_view> kPrefixMatchNames = {"segments", "text"};
 const std::vector<std::string_view> kPriorityNames = {"interactive", "batch"};
 const std::vector<std::string_view> kRepeatabilityNames = {"by_method", "always", "never"};
 
 /// Number of keys for which a route object reserves memory.
-constexpr std::size_t kRouteKeys = 17;
+constexpr std::size_t kRouteKeys = 18;
 /// Number of keys for which a tenant object reserves memory.
 constexpr std::size_t kTenantKeys = 6;
 
@@ -45,12 +46,28 @@
   return text;
 }
 
-/// Removes trailing slashes: prefixes match whole segments, so a trailing slash has no meaning.
+/// Removes trailing slashes, which have no meaning in a prefix of whole segments.
 std::string withoutTrailingSlash(std::string path) {
   while (path.size() > 1 && path.back() == '/') path.pop_back();
   return path;
 }
 
+void readPathPrefix(ObjectReader& reader, RouteMatch& match) {
+  std::string prefix = reader.textOr("path_prefix", "/", rules::kPathPrefix);
+  match.prefix_match =
+      static_cast<PrefixMatch>(reader.choiceOr("prefix_match", 0, kPrefixMatchNames));
+  if (match.prefix_match == PrefixMatch::kSegments) {
+    match.path_prefix = withoutTrailingSlash(std::move(prefix));
+    return;
+  }
+  if (!prefix.ends_with('/')) {
+    reader.refuse("path_prefix", ErrorKind::kInvalidArgument,
+                  "'" + prefix + "' does not end with '/', which prefix_match \"text\" requires",
+                  "add the slash, or leave prefix_match out to match whole segments");
+  }
+  match.path_prefix = std::move(prefix);
+}
+
 std::vector<HeaderMatch> readHeaderMatches(ObjectReader& reader) {
   std::vector<HeaderMatch> headers;
   reader.optionalObjects("headers", [&headers](ObjectReader& element) {
@@ -73,7 +90,7 @@
 RouteMatch readMatch(ObjectReader& reader) {
   RouteMatch match;
   match.host = reader.textOr("host", "", rules::kHost);
-  match.path_prefix = withoutTrailingSlash(reader.textOr("path_prefix", "/", rules::kPathPrefix));
+  readPathPrefix(reader, match);
   match.methods = reader.sortedTexts("methods", rules::kMethod);
   match.headers = readHeaderMatches(reader);
   return match;
@@ -247,6 +264,10 @@
   writer.addList("methods", methodsToJson(route.match.methods, storage));
   writer.add("name", route.name.value());
   writer.add("path_prefix", route.match.path_prefix);
+  if (route.match.prefix_match != PrefixMatch::kSegments) {
+    writer.add("prefix_match",
+               kPrefixMatchNames[static_cast<std::size_t>(route.match.prefix_match)]);
+  }
   writer.add("priority", kPriorityNames[static_cast<std::size_t>(route.priority)]);
   if (route.is_public) writer.addFlag("public", true);
   if (route.rank > 0) writer.add("rank", route.rank);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -24,9 +24,16 @@
 };
 
 /// Selects the requests of a route. An empty field matches every request.
+/// How a path prefix is compared with a path.
+enum class PrefixMatch {
+  kSegments,  ///< By whole segments: "/a" takes "/a" and "/a/b". Has no trailing slash.
+  kText,      ///< Character by character: "/a/" takes "/a/" and "/a/b", not "/a". Ends with '/'.
+};
+
 struct RouteMatch {
-  std::string host;                  ///< Exact host, lower case, without the port.
-  std::string path_prefix = "/";     ///< Matches whole path segments.
+  std::string host;               ///< Exact host, lower case, without the port.
+  std::string path_prefix = "/";  ///< See `prefix_match`.
+  PrefixMatch prefix_match = PrefixMatch::kSegments;
   std::vector<std::string> methods;  ///< Upper case.
   std::vector<HeaderMatch> headers;  ///< All must match.
   friend bool operator==(const RouteMatch&, const RouteMatch&) = default;
--- a/src/model/document.h
+++ b/src/model/document.h
@@ -4,10 +4,10 @@
 ///
 /// Shape of a document (JSON; the full description is in docs/operators/CONFIGURATION.md):
 ///   {"version": 7,
-///    "routes":   [{"name", "host"?, "path_prefix"?, "methods"?: [..], "headers"?:
-///    [{"name","value"}],
-///                  "service", "secrets"?: [{"secret","header"}], "zones"?: [..], "regions"?: [..],
-///                  "priority"?: "interactive"|"batch",
+///    "routes":   [{"name", "host"?, "path_prefix"?,
+///                  "prefix_match"?: "segments"|"text", "methods"?: [..],
+///                  "headers"?: [{"name","value"}], "service", "secrets"?: [{"secret","header"}],
+///                  "zones"?: [..], "regions"?: [..], "priority"?: "interactive"|"batch",
 ///                  "repeatable"?: "by_method"|"always"|"never", "timeout_ms"?,
 ///                  "split"?: [{"service","weight"}], "longest_hold_ms"?, "target_latency_ms"?,
 ///                  "rank"?, "max_attempts"?}],
--- a/src/proxy/route_table.cpp
+++ b/src/proxy/route_table.cpp
@@ -8,11 +8,32 @@
 namespace coursepond::proxy {
 namespace {
 
-std::string_view withoutTrailingSlash(std::string_view prefix) {
+/// Returns the key in HostRoutes::by_prefix.
+std::string_view prefixKey(const model::RouteMatch& match) {
+  std::string_view prefix = match.path_prefix;
+  if (match.prefix_match == model::PrefixMatch::kText) return prefix;
   while (prefix.ends_with('/')) prefix.remove_suffix(1);
   return prefix;
 }
 
+/// Returns the beginning of `path` up to its last slash that a key of at most `length` characters
+/// may equal. Longer beginnings cost no lookups, however many slashes the path has.
+std::optional<std::string_view> cutToLength(std::string_view path, std::size_t length) {
+  if (path.size() <= length) return path;
+  const std::size_t slash = path.rfind('/', length);
+  if (slash == std::string_view::npos) return std::nullopt;
+  return path.substr(0, slash < length ? slash + 1 : slash);
+}
+
+/// Returns the next shorter beginning of `path` that a key may equal: it ends with a slash or just
+/// before one.
+std::optional<std::string_view> shorten(std::string_view path) {
+  if (path.ends_with('/')) return path.substr(0, path.size() - 1);
+  const std::size_t slash = path.rfind('/');
+  if (slash == std::string_view::npos) return std::nullopt;
+  return path.substr(0, slash + 1);
+}
+
 bool hasHeader(const RequestHead& head, const model::HeaderMatch& match) {
   return std::any_of(head.headers.begin(), head.headers.end(), [&](const HeaderField& field) {
     return field.value == match.value && equalsIgnoringCase(field.name, match.name);
@@ -43,7 +64,7 @@
 RouteTable::RouteTable(const std::vector<model::Route>& routes) : routes_(routes) {
   for (std::size_t index = 0; index < routes.size(); ++index) {
     const model::RouteMatch& match = routes[index].match;
-    const std::string_view prefix = withoutTrailingSlash(match.path_prefix);
+    const std::string_view prefix = prefixKey(match);
     HostRoutes& host_routes = by_host_[match.host];
     host_routes.longest_prefix = std::max(host_routes.longest_prefix, prefix.size());
     host_routes.by_prefix[prefix].push_back(index);
@@ -70,21 +91,12 @@
   if (found == by_host_.end()) return std::nullopt;
   const HostRoutes& host_routes = found->second;
 
-  std::string_view prefix = head.path;
-  while (true) {
-    // Skip segments beyond the longest prefix, which cannot match, so that a path with many slashes
-    // costs no lookups.
-    if (prefix.size() > host_routes.longest_prefix) {
-      const std::size_t slash = prefix.rfind('/', host_routes.longest_prefix);
-      if (slash == std::string_view::npos) return std::nullopt;
-      prefix = prefix.substr(0, slash);
-      continue;
-    }
-    if (const auto index = findInPrefix(host_routes, prefix, head)) return index;
-    const std::size_t slash = prefix.rfind('/');
-    if (slash == std::string_view::npos) return std::nullopt;
-    prefix = prefix.substr(0, slash);
+  auto prefix = cutToLength(head.path, host_routes.longest_prefix);
+  while (prefix) {
+    if (const auto index = findInPrefix(host_routes, *prefix, head)) return index;
+    prefix = shorten(*prefix);
   }
+  return std::nullopt;
 }
 
 std::optional<std::size_t> RouteTable::findInPrefix(const HostRoutes& host_routes,
--- a/src/proxy/route_table.h
+++ b/src/proxy/route_table.h
@@ -15,12 +15,12 @@
 /// Finds the route of a request. Of all routes that match completely, it is the first in this
 /// order:
 ///   1. a route for a specific host before one for any host;
-///   2. the longer path prefix (whole segments);
+///   2. the longer path prefix;
 ///   3. a route for specific methods before one for any method;
 ///   4. the one with more header conditions;
 ///   5. by name.
-/// A lookup is linear in the number of path segments, up to the length of the longest prefix, and
-/// does not depend on the number of routes with different prefixes.
+/// A lookup is linear in the number of slashes in the path, up to the length of the longest prefix,
+/// and does not depend on the number of routes with different prefixes.
 class RouteTable {
  public:
   /// `routes` must outlive the table.
@@ -35,7 +35,8 @@
   using TextMap = std::unordered_map<std::string_view, Value>;
 
   struct HostRoutes {
-    TextMap<std::vector<std::size_t>> by_prefix;  ///< Without a trailing slash; "" is the root.
+    /// Only the keys of PrefixMatch::kText end with a slash; "" is the root for kSegments.
+    TextMap<std::vector<std::size_t>> by_prefix;
     std::size_t longest_prefix = 0;
   };
 
--- a/tests/model/document_test.cpp
+++ b/tests/model/document_test.cpp
@@ -60,6 +60,25 @@
   CHECK(configuration.services.at(ServiceName("corridor")).slots_per_server == 10);
 }
 
+// Guards against nodes that get a version from another node and match its prefixes differently.
+TEST_CASE("a text prefix keeps its slash and its kind in the canonical form") {
+  const Configuration configuration =
+      parseDocument(altered("\"/book/\"", R"("/book/", "prefix_match": "text")"))->configuration;
+  const RouteMatch& match = configuration.routes.at(RouteName("book")).match;
+  CHECK(match.prefix_match == PrefixMatch::kText);
+  CHECK(match.path_prefix == "/book/");
+  const auto copy = parseCanonical(configuration.version, canonicalText(configuration));
+  REQUIRE(copy.has_value());
+  CHECK(copy->routes.at(RouteName("book")).match == match);
+}
+
+TEST_CASE("a text prefix without a slash at its end is rejected") {
+  checkRefused(altered("\"/book/\"", R"("/book", "prefix_match": "text")"), "routes[0].path_prefix",
+               ErrorKind::kInvalidArgument);
+  checkRefused(altered("\"/book/\"", R"("/book/", "prefix_match": "exact")"),
+               "routes[0].prefix_match", ErrorKind::kInvalidArgument);
+}
+
 TEST_CASE("each mistake reports its location, kind and remedy, and rejects the whole document") {
   checkRefused("{", "", ErrorKind::kMalformed);
   checkRefused(R"({"version": 1, "version": 2, "routes": [], "services": []})", "",
--- a/tests/platform/node_on_store_test.cpp
+++ b/tests/platform/node_on_store_test.cpp
@@ -33,6 +33,21 @@
   CHECK(bench.becomes("/new/x", 200));
 }
 
+// Guards against requests that run at the service of a route whose prefix does not begin their
+// path.
+TEST_CASE("a route takes no path that lacks the slash at the end of its prefix") {
+  NodeOnStore bench;
+  bench.configure(1, "/seats/free/");
+  bench.listServer("ready");
+  bench.start();
+  REQUIRE(bench.becomes("/seats/free/x", 200));
+  CHECK(bench.send("/seats/free/").status == 200);
+  const std::size_t runs = bench.runs();
+  CHECK(bench.send("/seats/free").status == 404);
+  CHECK(bench.send("/seats/free?x=/").status == 404);
+  CHECK(bench.runs() == runs);
+}
+
 TEST_CASE("a node that starts while the store is unavailable answers 503 until the store is back") {
   for (const StoreTrouble trouble :
        {StoreTrouble::kBusy, StoreTrouble::kThrottled, StoreTrouble::kReset}) {
--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -34,6 +34,15 @@
   }
 }
 
+// Guards against a route that takes the path without the slash at the end of its prefix.
+TEST_CASE("a path prefix is compared with its slash") {
+  const auto configuration = decodeConfiguration(kConfiguration);
+  REQUIRE(configuration.has_value());
+  const model::RouteMatch& match = configuration->routes.at(RouteName("seat")).match;
+  CHECK(match.path_prefix == "/x/");
+  CHECK(match.prefix_match == model::PrefixMatch::kText);
+}
+
 TEST_CASE("a configuration is decoded to the product's model without unknown entry types") {
   const auto configuration = decodeConfiguration(kConfiguration);
   REQUIRE(configuration.has_value());
--- a/tests/proxy/route_table_test.cpp
+++ b/tests/proxy/route_table_test.cpp
@@ -13,6 +13,12 @@
   return route;
 }
 
+model::Route textRoute(const std::string& name, const std::string& prefix) {
+  model::Route result = route(name, "", prefix);
+  result.match.prefix_match = model::PrefixMatch::kText;
+  return result;
+}
+
 RequestHead request(const std::string& host, const std::string& path) {
   RequestHead head;
   head.method = "GET";
@@ -42,6 +48,40 @@
   CHECK(found(routes, request("h", "*")) == "none");
 }
 
+// Guards against a request that runs at the service of a route whose prefix does not begin its
+// path.
+TEST_CASE("a text prefix does not match the path without its trailing slash") {
+  const std::vector<model::Route> routes = {textRoute("seats", "/grants/seats/"),
+                                            textRoute("grants", "/grants/")};
+  CHECK(found(routes, request("h", "/grants/seats")) == "grants");
+  CHECK(found(routes, request("h", "/grants/seats/")) == "seats");
+  CHECK(found(routes, request("h", "/grants/seats/a/b")) == "seats");
+  CHECK(found(routes, request("h", "/grants/seats//a")) == "seats");
+  CHECK(found(routes, request("h", "/grants/seatsale")) == "grants");
+  CHECK(found(routes, request("h", "/grants//seats/a")) == "grants");
+  CHECK(found(routes, request("h", "/grants")) == "none");
+  CHECK(found(routes, request("h", "//grants/seats/a")) == "none");
+  CHECK(found(routes, request("h", "")) == "none");
+  CHECK(found(routes, request("h", "*")) == "none");
+}
+
+TEST_CASE("text prefixes match slash by slash") {
+  const std::vector<model::Route> routes = {textRoute("double", "/a//"), textRoute("root", "/")};
+  CHECK(found(routes, request("h", "/a//b")) == "double");
+  CHECK(found(routes, request("h", "/a//")) == "double");
+  CHECK(found(routes, request("h", "/a/b")) == "root");
+  CHECK(found(routes, request("h", "/a/")) == "root");
+  CHECK(found(routes, request("h", "/" + std::string(100000, '/'))) == "root");
+  CHECK(found(routes, request("h", "/" + std::string(100000, 'a'))) == "root");
+}
+
+TEST_CASE("of a text and a segment prefix for the same path, the longer one takes precedence") {
+  const std::vector<model::Route> routes = {textRoute("below", "/a/"), route("whole", "", "/a")};
+  CHECK(found(routes, request("h", "/a")) == "whole");
+  CHECK(found(routes, request("h", "/a/")) == "below");
+  CHECK(found(routes, request("h", "/a/b")) == "below");
+}
+
 TEST_CASE("a specific host takes precedence over a longer prefix for any host") {
   const std::vector<model::Route> routes = {route("any", "", "/a/b/c"), route("host", "h", "/a"),
                                             route("root", "", "/")};
