Soak: reassigned addresses, repeated SIGTERMs, paths without a route

The judge reports wrong_route. The new events are drawn after all others, and the choice of a path from a copy of the generator, so that the schedule and the other requests of a seed stay as they were.

--- a/tests/platform/soak/client.cpp
+++ b/tests/platform/soak/client.cpp
@@ -194,12 +194,16 @@
   sendNext();
 }
 
+std::string withoutSlash(const std::string& prefix) { return prefix.substr(0, prefix.size() - 1); }
+
 void Client::Implementation::send(const RequestPlan& plan) {
   Request request;
   request.id = settings_.name + "-" + std::to_string(++sent_);
   request.machine = settings_.machine;
   request.route = plan.route;
-  request.target = plan.path_prefix + "x?size=" + std::to_string(plan.answer_bytes) +
+  request.lacks_slash = plan.lacks_slash;
+  request.target = (plan.lacks_slash ? withoutSlash(plan.path_prefix) : plan.path_prefix + "x") +
+                   "?size=" + std::to_string(plan.answer_bytes) +
                    "&time_ms=" + std::to_string(toMilliseconds(plan.work));
   if (plan.crasher > 0) request.target += "&crasher=" + std::to_string(plan.crasher);
   request.crasher = plan.crasher;
--- a/tests/platform/soak/client.h
+++ b/tests/platform/soak/client.h
@@ -35,6 +35,7 @@
   Duration deadline{};
   AnswerFault injected_fault = AnswerFault::kNone;
   std::uint64_t crasher = 0;  ///< See Request::crasher.
+  bool lacks_slash = false;   ///< See Request::lacks_slash.
 };
 
 struct ClientSettings {
--- a/tests/platform/soak/judge.cpp
+++ b/tests/platform/soak/judge.cpp
@@ -151,6 +151,7 @@
     return report("unasked", instance + " received a request that no client sent: '" + id + "'");
   }
   if (request->crasher > 0) checkCrasher(*request, instance, now);
+  checkRoute(machine, instance, *request);
   checkNotices(machine, instance, *request, now);
   checkClientGone(machine, instance, *request, now);
   const std::optional<TimePoint> left = machine.leavingSince(instance);
@@ -164,6 +165,17 @@
                                        std::to_string(toMilliseconds(now - *left)) + " ms later"));
 }
 
+void PromiseChecker::checkRoute(const Machine& machine, const std::string& instance,
+                                const Request& request) {
+  if (request.lacks_slash) {
+    report("wrong_route", describeRequest(request, instance + " received a request for " +
+                                                       request.target + ", which has no route"));
+  }
+  if (machine.serverService() == versions_.route(request.route).service) return;
+  report("wrong_route", describeRequest(request, instance + " of " + machine.serverService() +
+                                                     " received a request for another service"));
+}
+
 /// Checks what servers report in their answers: a limit, and that they are leaving.
 void PromiseChecker::checkNotices(const Machine& machine, const std::string& instance,
                                   const Request& request, TimePoint now) {
@@ -256,6 +268,7 @@
   count(request);
   if (!request.answer_error.empty())
     report("mixed", describeRequest(request, request.answer_error));
+  if (request.lacks_slash) return checkNotFound(request);
   checkVersion(request);
   checkStop(request);
   checkFailure(request);
@@ -263,6 +276,16 @@
   checkUnserved(request);
 }
 
+/// Checks a request that has no route in any version. It must be answered, and not by a server.
+void PromiseChecker::checkNotFound(const Request& request) {
+  checkStop(request);
+  checkHeld(request);
+  if (request.end != RequestEnd::kAnswered) return;
+  if (request.status != kNotFound && request.status != kUnavailable) {
+    report("wrong_route", describeRequest(request, "a request without a route was answered"));
+  }
+}
+
 void PromiseChecker::count(const Request& request) {
   ++counts_.requests;
   const bool in_touch = isInTouch(request.machine, request.sent);
--- a/tests/platform/soak/judge.h
+++ b/tests/platform/soak/judge.h
@@ -112,6 +112,8 @@
     TimePoint ended;
   };
 
+  void checkRoute(const Machine& machine, const std::string& instance, const Request& request);
+  void checkNotFound(const Request& request);
   void checkNotices(const Machine& machine, const std::string& instance, const Request& request,
                     TimePoint now);
   void checkClientGone(const Machine& machine, const std::string& instance, const Request& request,
--- a/tests/platform/soak/ledger.h
+++ b/tests/platform/soak/ledger.h
@@ -47,6 +47,8 @@
   bool was_pipelined = false;  ///< Sent while other requests were pending on its connection.
   AnswerFault injected_fault = AnswerFault::kNone;
   std::uint64_t crasher = 0;  ///< Number of the crashing request; 0 if it does not crash servers.
+  bool lacks_slash = false;   ///< Its path lacks the slash at the end of the prefix of `route`, so
+                              ///< that it has no route.
   bool abandoned_early = false;  ///< The client gave it up before its timeout, on purpose or with
                                  ///< another request of its connection.
   std::size_t answer_bytes = 0;
--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint16_t kAdminPort = 8302;
 constexpr std::uint16_t kStorePort = 8309;
 constexpr std::uint16_t kPeerPort = 7620;
+/// Time after which the address of a server that ended may go to another service.
+constexpr Duration kAddressKept = std::chrono::milliseconds(2050);
 /// Time until a server restarts after a crashing request.
 constexpr Duration kCrashDowntime = std::chrono::milliseconds(2500);
 /// Lowest value of the log rate limit. It changes with each write of the settings file.
@@ -62,7 +64,10 @@
 }
 
 Machine::Machine(SoakContext soak, MachineSettings settings)
-    : soak_(std::move(soak)), settings_(std::move(settings)), link_(soak_.context) {
+    : soak_(std::move(soak)),
+      settings_(std::move(settings)),
+      link_(soak_.context),
+      server_service_(settings_.service) {
   const std::string own = ownHost(settings_);
   const std::string link = linkHost(settings_);
   link_.setRate(settings_.link_rate);
@@ -152,6 +157,12 @@
   });
 }
 
+void Machine::terminateNodeAgain() {
+  if (!process_ || !terminated_at_) return;
+  process_->signal(SIGTERM);
+  log("further SIGTERM");
+}
+
 void Machine::killNode(Duration downtime) {
   if (!process_) return;
   const bool is_stopping = std::exchange(is_expected_to_end_, true);
@@ -273,7 +284,7 @@
 // ---- The server
 
 std::string Machine::entryText(const std::string& state) const {
-  return nlohmann::json{{"service", settings_.service},
+  return nlohmann::json{{"service", server_service_},
                         {"zone", settings_.zone},
                         {"slots", BackEnd::kSlots},
                         {"address", linkHost(settings_) + ":" + std::to_string(kServerPort)},
@@ -284,8 +295,11 @@
       .dump();
 }
 
-void Machine::startServer() {
+void Machine::startServer() { startServerOf(settings_.service); }
+
+void Machine::startServerOf(const std::string& service) {
   if (server_) return;
+  server_service_ = service;
   is_server_leaving_ = false;
   if (!said_leaving_.empty() && !said_leaving_.back().ended) said_leaving_.back().ended = now();
   const std::string instance = "i-" + settings_.name + "-" + std::to_string(++server_starts_);
@@ -296,7 +310,7 @@
       [this, instance](std::uint64_t crasher) { onServerCrashed(instance, crasher); });
   state_ = "ready";
   soak_.store.put(entryKey(instance), entryText(state_));
-  log("server " + instance + " ready");
+  log("server " + instance + " of " + service + " ready");
 }
 
 void Machine::drainServer(bool is_announced, Duration length, Duration downtime) {
@@ -366,6 +380,11 @@
 void Machine::crashServer(Duration downtime) {
   if (!server_) return;
   const std::size_t fault = soak_.faults.begin(serverComponent(), FaultKind::kUnplanned, now());
+  dropCrashedServer();
+  restartServerLater(downtime, fault);
+}
+
+void Machine::dropCrashedServer() {
   const std::string instance = server_->instance();
   server_.reset();
   state_.clear();
@@ -373,7 +392,19 @@
   soak_.environment.schedule(kEntryLifetime, [this, instance] {
     if (soak_.store.holds(entryKey(instance))) soak_.store.remove(entryKey(instance));
   });
-  restartServerLater(downtime, fault);
+}
+
+void Machine::reassignServer(const std::string& service, Duration length, Duration downtime) {
+  if (!server_ || server_service_ != settings_.service) return;
+  const std::size_t fault = soak_.faults.begin(serverComponent(), FaultKind::kUnplanned, now());
+  dropCrashedServer();
+  soak_.environment.schedule(kAddressKept, [this, service, length, downtime, fault] {
+    startServerOf(service);
+    const std::string instance = server_->instance();
+    scheduleFaultEnd(fault, length, [this, instance, downtime] {
+      if (server_ && server_->instance() == instance) endServer(instance, downtime);
+    });
+  });
 }
 
 void Machine::restartServerLater(Duration downtime, std::size_t fault) {
--- a/tests/platform/soak/machine.h
+++ b/tests/platform/soak/machine.h
@@ -84,6 +84,8 @@
 
   const std::string& name() const { return settings_.name; }
   const std::string& service() const { return settings_.service; }
+  /// Service of the server that has the address at present; see reassignServer().
+  const std::string& serverService() const { return server_service_; }
   /// Component in the fault log for faults of the server. Faults of the process and the link are
   /// recorded under name().
   std::string serverComponent() const { return "server of " + settings_.name; }
@@ -94,6 +96,8 @@
   /// Faults of the process. They have no effect while the process is not running.
   void startNode();
   void terminateNode(Duration downtime);
+  /// Sends a further SIGTERM to a process that is being stopped.
+  void terminateNodeAgain();
   void killNode(Duration downtime);
   void freezeNode(Duration length);
   /// Freezes the process, and its steady clock does not count the time (see suspend_clock.cpp).
@@ -115,6 +119,9 @@
   /// continues to serve for `length`, then stops and restarts after `downtime`.
   void drainServer(bool is_announced, Duration length, Duration downtime);
   void crashServer(Duration downtime);
+  /// Crashes the server, and gives its address to a server of `service` for `length` after the time
+  /// that an address is kept. A server of the machine's own service starts `downtime` later.
+  void reassignServer(const std::string& service, Duration length, Duration downtime);
   void slowServer(double factor, Duration length);
   /// Makes the server report this limit for `length`, or until the next call.
   void limitServer(double per_second, Duration length);
@@ -141,7 +148,9 @@
   void scheduleLinkFaultEnd(std::size_t fault, Duration length, std::function<void()> undo);
   std::string entryText(const std::string& state) const;
   std::string entryKey(const std::string& instance) const { return "servers/" + instance; }
+  void startServerOf(const std::string& service);
   void endServer(const std::string& instance, Duration downtime);
+  void dropCrashedServer();
   void restartServerLater(Duration downtime, std::size_t fault);
   TimePoint now() const { return soak_.environment.now(); }
   void log(const std::string& what) const;
@@ -159,6 +168,7 @@
   Duration downtime_{};
 
   std::unique_ptr<BackEnd> server_;
+  std::string server_service_;
   std::uint32_t server_starts_ = 0;
   std::uint32_t limits_set_ = 0;
   std::uint64_t heartbeats_written_ = 0;
--- a/tests/platform/soak/schedule.cpp
+++ b/tests/platform/soak/schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <numeric>
 #include <random>
 #include <string_view>
@@ -63,6 +64,8 @@
     KindName{EventKind::kServerLimit, "server-limit"},
     KindName{EventKind::kServerSaysLeaving, "server-says-leaving"},
     KindName{EventKind::kSuspend, "suspend"},
+    KindName{EventKind::kTerminateAgain, "terminate-again"},
+    KindName{EventKind::kServerReassigned, "server-reassigned"},
 };
 
 class ScheduleMaker {
@@ -82,6 +85,8 @@
       makeRestores();
       makeLimits();
       makeAnnouncedLeavings();
+      makeReassignments();
+      makeRepeatedStops();
     }
     std::erase_if(events_, [this](const Event& event) { return event.at >= settings_.length; });
     std::stable_sort(events_.begin(), events_.end(),
@@ -108,6 +113,8 @@
   void makeRestores();
   void makeLimits();
   void makeAnnouncedLeavings();
+  void makeReassignments();
+  void makeRepeatedStops();
   std::vector<std::size_t> oneServerOrAllOfService(double all_fraction);
   void addRestore(Duration at);
   void addVersion(Duration at, std::uint64_t added, std::uint64_t removed);
@@ -220,6 +227,31 @@
   }
 }
 
+/// Gives the addresses of single servers to servers of other services. The node beside one is
+/// stopped before or after that, or goes on.
+void ScheduleMaker::makeReassignments() {
+  for (Duration at = time(500, 6000); at < settings_.length; at += time(3000, 12'000)) {
+    const std::size_t machine = number(0, settings_.machines - 1);
+    addEvent(at, EventKind::kServerReassigned, machine);
+    if (chance(0.5)) addEvent(at + time(500, 4000), EventKind::kTerminate, machine);
+  }
+}
+
+/// Sends further SIGTERMs in many planned stops, some of them several.
+void ScheduleMaker::makeRepeatedStops() {
+  std::vector<Event> stops;
+  std::copy_if(events_.begin(), events_.end(), std::back_inserter(stops),
+               [](const Event& event) { return event.kind == EventKind::kTerminate; });
+  for (const Event& stop : stops) {
+    if (!chance(0.5)) continue;
+    Duration at = stop.at;
+    for (std::uint64_t left = number(1, 4); left > 0; --left) {
+      at += time(5, 1500);
+      addEvent(at, EventKind::kTerminateAgain, stop.machine);
+    }
+  }
+}
+
 std::vector<std::size_t> ScheduleMaker::oneServerOrAllOfService(double all_fraction) {
   const std::size_t one = number(0, settings_.machines - 1);
   if (!chance(all_fraction)) return {one};
@@ -306,6 +338,12 @@
       event.length = time(2400, 5000);
       event.downtime = time(300, 2000);
       break;
+    case EventKind::kServerReassigned:
+      event.length = time(1000, 5000);
+      event.downtime = time(300, 2000);
+      break;
+    case EventKind::kTerminateAgain:
+      break;
     case EventKind::kServerCrash:
       event.downtime = time(300, 3000);
       break;
--- a/tests/platform/soak/schedule.h
+++ b/tests/platform/soak/schedule.h
@@ -40,6 +40,9 @@
   kServerLimit,        ///< A server reports a limit in its answers.
   kServerSaysLeaving,  ///< A server says so in its answers; its entry stays until it ends.
   kSuspend,            ///< A machine and its steady clock stand still.
+  kTerminateAgain,     ///< A further SIGTERM during a planned stop.
+  /// A server crashes, and its address goes to a server of another service.
+  kServerReassigned,
 };
 
 struct Event {
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -47,6 +47,8 @@
 constexpr Duration kProbePause = milliseconds(200);
 constexpr double kAbandonFraction = 0.02;
 constexpr double kInjectedFaultFraction = 0.03;
+/// Fraction of the requests whose path lacks the slash at the end of a route's prefix.
+constexpr double kLacksSlashFraction = 0.03;
 /// Fraction of the requests that crash servers while a crashing request is active.
 constexpr double kCrasherFraction = 0.05;
 /// Body size in bytes of crashing requests that must not be repeated.
@@ -144,6 +146,7 @@
   void measureTimerLag(TimePoint due);
   void poll();
   void writeHeartbeats();
+  std::string otherService(const Machine& machine) const;
   void inject(const Event& event);
   void injectStoreFault(const Event& event);
   void endStoreFault();
@@ -278,7 +281,11 @@
     const std::size_t number = randomNumber(random, 0, versions_.baseCount() - 1);
     const Route& route = versions_.route(number);
     if (style == ClientStyle::kPipelined && !route.is_repeatable) continue;
-    return planFor(number, route, random);
+    RequestPlan plan = planFor(number, route, random);
+    // Drawn from a copy, so that the other draws of a seed stay the same.
+    RandomEngine copy = random;
+    plan.lacks_slash = chance(copy, kLacksSlashFraction);
+    return plan;
   }
 }
 
@@ -368,6 +375,12 @@
       " bytes");
 }
 
+std::string Soak::Implementation::otherService(const Machine& machine) const {
+  const std::vector<std::string> names = serviceNames();
+  const auto found = std::find(names.begin(), names.end(), machine.service());
+  return std::next(found) == names.end() ? names.front() : *std::next(found);
+}
+
 void Soak::Implementation::inject(const Event& event) {
   Machine& machine = *machines_[event.machine];
   switch (event.kind) {
@@ -407,6 +420,10 @@
       return writeVersion(event.amount, event.removed);
     case EventKind::kSuspend:
       return machine.suspendNode(event.length);
+    case EventKind::kTerminateAgain:
+      return machine.terminateNodeAgain();
+    case EventKind::kServerReassigned:
+      return machine.reassignServer(otherService(machine), event.length, event.downtime);
     case EventKind::kCrashingRequest:
       log(describeEvent(event));
       crashers_until_[event.amount] = now() + event.length;
--- a/tests/platform/soak_parts_test.cpp
+++ b/tests/platform/soak_parts_test.cpp
@@ -91,6 +91,12 @@
     checker_.onArrival(*machines_.front(), "i-1", request.id, &request, at(ms));
     return kindsFrom(before);
   }
+  /// Makes a request arrive at the server of m1 as it is sent.
+  std::vector<std::string> violationsOnArrivalOf(const Request& request) {
+    const std::size_t before = checker_.violations().size();
+    checker_.onArrival(*machines_.front(), "i-1", request.id, &request, request.sent);
+    return kindsFrom(before);
+  }
   /// Makes the server i-1 of m1 report a limit from this moment on.
   void limit(std::int64_t ms, std::optional<double> per_second) {
     checker_.onLimit("i-1", per_second, at(ms));
@@ -152,6 +158,19 @@
 
 }  // namespace
 
+TEST_CASE("a request that reaches a server without a route to its service is a violation") {
+  CheckerBench bench;
+  bench.writeVersion(0, 1, 0);
+  Request& proper = bench.addRequest(0, 5000, 200);
+  CHECK(bench.violationsOnArrivalOf(proper).empty());
+  Request& no_route = bench.addRequest(0, 5000, 404);
+  no_route.lacks_slash = true;
+  CHECK(bench.violationsOf(no_route).empty());
+  CHECK(bench.violationsOnArrivalOf(no_route) == std::vector<std::string>{"wrong_route"});
+  no_route.status = 200;
+  CHECK(bench.violationsOf(no_route) == std::vector<std::string>{"wrong_route"});
+}
+
 TEST_CASE(
     "a request that continues to crash servers is a violation, on machines without faults only") {
   CheckerBench bench;
