Route lookup: no lookups for a kind of prefix that the host has no route of

A lookup tried two keys for each slash of a path, one for each kind of prefix. A host whose routes are all of one kind, as the users' platform has them, needs one a slash, as before the kinds were told apart. Covered by the cases of route_table_test with many slashes.

--- a/src/proxy/route_table.cpp
+++ b/src/proxy/route_table.cpp
@@ -68,6 +68,8 @@
     HostRoutes& host_routes = by_host_[match.host];
     host_routes.longest_prefix = std::max(host_routes.longest_prefix, prefix.size());
     host_routes.by_prefix[prefix].push_back(index);
+    const bool is_text = match.prefix_match == model::PrefixMatch::kText;
+    (is_text ? host_routes.has_text : host_routes.has_segments) = true;
   }
   for (auto& [host, host_routes] : by_host_) {
     for (auto& [prefix, indexes] : host_routes.by_prefix) {
@@ -102,6 +104,8 @@
 std::optional<std::size_t> RouteTable::findInPrefix(const HostRoutes& host_routes,
                                                     std::string_view prefix,
                                                     const RequestHead& head) const {
+  const bool may_be_key = prefix.ends_with('/') ? host_routes.has_text : host_routes.has_segments;
+  if (!may_be_key) return std::nullopt;
   const auto found = host_routes.by_prefix.find(prefix);
   if (found == host_routes.by_prefix.end()) return std::nullopt;
   for (const std::size_t index : found->second) {
--- a/src/proxy/route_table.h
+++ b/src/proxy/route_table.h
@@ -38,9 +38,12 @@
     /// Only the keys of PrefixMatch::kText end with a slash; "" is the root for kSegments.
     TextMap<std::vector<std::size_t>> by_prefix;
     std::size_t longest_prefix = 0;
+    bool has_text = false;      ///< Has a key of PrefixMatch::kText.
+    bool has_segments = false;  ///< Has a key of PrefixMatch::kSegments.
   };
 
   std::optional<std::size_t> findInHost(std::string_view host, const RequestHead& head) const;
+  /// `prefix` is the beginning of the path up to a slash, with the slash or without.
   std::optional<std::size_t> findInPrefix(const HostRoutes& host_routes, std::string_view prefix,
                                           const RequestHead& head) const;
 
