--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -258,6 +258,8 @@
   void applyLimitChange(proxy::LimitChange change, TimePoint now);
   void refuseLateWaiting(TimePoint now);
   void learnInstance(const std::string& instance);
+  /// Whether an instance of unknown service has the address, and it is not time to check that
+  /// again.
   bool isReplaced() const;
   void forgetReportsOfOthers(bool is_restart);
   bool isServerLeaving() const;
--- a/src/proxy/route_table.cpp
+++ b/src/proxy/route_table.cpp
@@ -16,8 +16,9 @@
   return prefix;
 }
 
-/// Returns the beginning of `path` up to its last slash that a key of at most `length` characters
-/// may equal. Longer beginnings cost no lookups, however many slashes the path has.
+/// Returns the longest beginning of `path` that may equal a key of at most `length` characters: the
+/// whole path, or a part that ends with a slash or just before one. Longer beginnings cost no
+/// lookups, however many slashes the path has.
 std::optional<std::string_view> cutToLength(std::string_view path, std::size_t length) {
   if (path.size() <= length) return path;
   const std::size_t slash = path.rfind('/', length);
--- a/src/runtime/caller_connection.cpp
+++ b/src/runtime/caller_connection.cpp
@@ -395,7 +395,7 @@
   close();
 }
 
-void CallerConnection::end() {
+void CallerConnection::cutUnlessAnswered() {
   if (state_ != State::kLingering) return cut();
   discardUnreadBytes();
   close();
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -35,9 +35,9 @@
   void closeIfIdle();
   /// Resets the connection and abandons its requests in flight.
   void cut();
-  /// Ends the connection at once, like cut(). If its last answer was written, the system goes on
-  /// sending that answer.
-  void end();
+  /// Like cut(), but if the last answer of the connection was written, closes the connection
+  /// without a reset, so that the operating system still sends the answer.
+  void cutUnlessAnswered();
   bool hasRequest() const { return !exchanges_.empty(); }
 
   // Called by the connection's exchanges
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -95,7 +95,7 @@
     accept_timer_.cancel();
     maintenance_timer_.cancel();
     stop_timer_.cancel();
-    for (const auto& connection : liveConnections()) connection->end();
+    for (const auto& connection : liveConnections()) connection->cutUnlessAnswered();
     shared_->pool.shutDown();
   }
 
@@ -205,7 +205,7 @@
   void onDrainOver() {
     for (const auto& connection : liveConnections()) {
       if (connection->hasRequest()) ++shared_->statistics.cut_at_stop;
-      connection->end();
+      connection->cutUnlessAnswered();
     }
   }
 
--- a/tests/node/stop_order_test.cpp
+++ b/tests/node/stop_order_test.cpp
@@ -528,6 +528,35 @@
   CHECK(outcome == StopOutcome::kClean);
 }
 
+// Guards against requests that are cut because a second supervisor stops the same node.
+TEST_CASE("a repeated request to stop a two-hop node does not cut a request at work") {
+  Fixture mesh({.linger = 50ms, .grace = 50ms, .timeout = 3s});
+  Held held;
+  mesh.setBehaviour(holdIn(held));
+  RawConnection caller(mesh.context(), mesh.machine(0).node->addresses().caller);
+  caller.send("/read/1");
+  REQUIRE(mesh.runUntil([&] { return !held.empty(); }));
+  std::optional<StopOutcome> outcome;
+  mesh.machine(0).node->stop([&outcome](StopOutcome stopped) { outcome = stopped; });
+  mesh.context().run_for(100ms);
+  mesh.machine(0).node->noteRepeatedStop();
+  mesh.context().run_for(300ms);
+  CHECK_FALSE(outcome.has_value());
+  held[0].second.respond(properAnswer(held[0].first, "done"));
+  CHECK(mesh.runUntil([&] { return caller.hasAnswer() || caller.ended; }));
+  CHECK(caller.received.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(mesh.runUntil([&] { return outcome.has_value(); }));
+  CHECK(outcome == StopOutcome::kClean);
+}
+
+TEST_CASE("a two-hop node whose stop is cut short ends immediately") {
+  Fixture mesh({.linger = 50ms, .grace = 50ms, .timeout = 3s});
+  std::optional<StopOutcome> outcome;
+  mesh.machine(0).node->stop([&outcome](StopOutcome stopped) { outcome = stopped; });
+  mesh.machine(0).node->cutStop();
+  CHECK(outcome == StopOutcome::kCut);
+}
+
 // Guards against a connection that is reset without an answer: requests were given the changed
 // times of a stop, but connections were cut after the earlier ones.
 TEST_CASE("a stop after changed settings cuts connections not before the end it announced") {
--- a/tests/platform/soak/client.cpp
+++ b/tests/platform/soak/client.cpp
@@ -53,6 +53,8 @@
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
 
+std::string withoutSlash(const std::string& prefix) { return prefix.substr(0, prefix.size() - 1); }
+
 /// Returns what is wrong with the response itself, or an empty string if it is correct.
 std::string answerErrorOf(const Request& request, const Parser::value_type& answer) {
   const std::string id(answer[wire::kRequestId]);
@@ -194,8 +196,6 @@
   sendNext();
 }
 
-std::string withoutSlash(const std::string& prefix) { return prefix.substr(0, prefix.size() - 1); }
-
 void Client::Implementation::send(const RequestPlan& plan) {
   Request request;
   request.id = settings_.name + "-" + std::to_string(++sent_);
--- a/tests/platform/soak/judge.cpp
+++ b/tests/platform/soak/judge.cpp
@@ -279,6 +279,7 @@
 /// Checks a request that has no route in any version. It must be answered, and not by a server.
 void PromiseChecker::checkNotFound(const Request& request) {
   checkStop(request);
+  checkFailure(request);
   checkHeld(request);
   if (request.end != RequestEnd::kAnswered) return;
   if (request.status != kNotFound && request.status != kUnavailable) {
