--- a/review/standins-2/large_weights.cpp
+++ b/review/standins-2/large_weights.cpp
@@ -9,10 +9,16 @@
 constexpr double kTimeout = 2.0;
 constexpr double kConfigApply = 2.0;
 
+const std::vector<std::string> kPrefixes = {"/font/", "/glyph/", "/specimen/"};
+
 std::string configuration(int version, const std::string& target) {
-  return configurationJson(
-      version, {routeJson("r-font", "fonts.example", "/font/", "safe", "2000ms", target),
-                serviceJson("typeserve"), serviceJson("catalog"), limitsJson(67108864)});
+  std::vector<std::string> resources = {serviceJson("typeserve"), serviceJson("catalog"),
+                                        limitsJson(67108864)};
+  for (const std::string& prefix : kPrefixes) {
+    resources.push_back(
+        routeJson("r-" + prefix.substr(1, 4), "fonts.example", prefix, "safe", "2000ms", target));
+  }
+  return configurationJson(version, resources);
 }
 
 std::string split(const std::string& first, const std::string& second) {
@@ -41,9 +47,9 @@
   mesh.startAll();
   sleepFor(4);
   store.put("op/config",
-            configuration(8, hasTrouble() ? split("3600000000", "400000000") : split("90", "10")));
+            configuration(8, hasTrouble() ? split("900000000", "100000000") : split("90", "10")));
   const double acknowledged = now();
-  record("the store has taken r8, which splits /font/");
+  record("the store has taken r8, which splits three routes");
 
   std::atomic<int> sent = 0;
   std::atomic<int> late = 0;
@@ -62,11 +68,12 @@
     threads.emplace_back([&] {
       sleepUntil(acknowledged + kConfigApply + 0.1);
       std::vector<std::thread> requests;
-      for (int count = 0; count < 40; ++count) {
-        requests.emplace_back([&] {
+      for (int count = 0; count < 20; ++count) {
+        requests.emplace_back([&, count] {
+          const std::string path = kPrefixes[count % kPrefixes.size()] + "a";
           const double at = now();
           ++sent;
-          ask(machine, {nextId(), "GET", "fonts.example", "/font/a", "", 10000}, "font");
+          ask(machine, {nextId(), "GET", "fonts.example", path, "", 10000}, path);
           if (now() > at + kTimeout + 0.5) ++late;
         });
         sleepFor(0.25);
--- a/review/standins-2/stand_ins.h
+++ b/review/standins-2/stand_ins.h
@@ -27,6 +27,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -102,10 +103,19 @@
   return pids;
 }
 
-/// Ends all processes of the case and the program.
+/// The temporary folder of the case; empty while there is none.
+inline std::string& temporaryFolder() {
+  static std::string folder;
+  return folder;
+}
+
+/// Ends all processes of the case and the program. KEEP=1 keeps the logs of the nodes.
 [[noreturn]] inline void finish(int code, const std::string& why) {
   for (const pid_t pid : processes()) ::kill(pid, SIGKILL);
   for (const pid_t pid : processes()) ::waitpid(pid, nullptr, 0);
+  std::error_code ignored;
+  if (std::getenv("KEEP") == nullptr && !temporaryFolder().empty())
+    std::filesystem::remove_all(temporaryFolder(), ignored);
   record("exit " + std::to_string(code) + ": " + why);
   std::cout << (code == kExitBroken ? "BROKEN: "
                 : code == kExitHeld ? "held: "
@@ -307,6 +317,58 @@
   }).detach();
 }
 
+// ---- Links
+
+/// The link of one machine: takes connections at an address of its own, passes them on, and limits
+/// how many bytes a second reach the machine over all of them together.
+class Link {
+ public:
+  /// `megabits`: rate towards the machine; zero: no limit.
+  explicit Link(double megabits) : bytes_per_second_(megabits * 1e6 / 8) {}
+
+  void forward(const std::string& from, const std::string& to, int port) {
+    const int listener = listenOn(from, port);
+    if (listener < 0) finish(kExitNotRun, "the port of a link is taken");
+    // Small windows: what the link does not carry yet waits at its sender.
+    const int window = 16 * 1024;
+    ::setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    acceptAll(listener, [this, to, port](int fd) {
+      const int target = connectTo(to, port);
+      if (target < 0) return resetAndClose(fd);
+      std::thread back([fd, target, this] { pump(target, fd, false); });
+      pump(fd, target, true);
+      back.join();
+      ::close(fd);
+      ::close(target);
+    });
+  }
+
+ private:
+  static constexpr std::size_t kPieceBytes = 4096;
+
+  void pump(int from, int to, bool is_inbound) {
+    std::array<char, kPieceBytes> bytes{};
+    for (;;) {
+      const ssize_t size = ::recv(from, bytes.data(), bytes.size(), 0);
+      if (size <= 0) break;
+      if (is_inbound && bytes_per_second_ > 0) sleepUntil(carriedAt(static_cast<double>(size)));
+      if (!sendAll(to, {bytes.data(), static_cast<std::size_t>(size)})) break;
+    }
+    ::shutdown(to, SHUT_WR);
+    ::shutdown(from, SHUT_RD);
+  }
+
+  double carriedAt(double bytes) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    free_at_ = std::max(free_at_, now()) + bytes / bytes_per_second_;
+    return free_at_;
+  }
+
+  const double bytes_per_second_;
+  std::mutex mutex_;
+  double free_at_ = 0;
+};
+
 // ---- The platform's store
 
 inline std::string encodeBase64(std::string_view bytes) {
@@ -490,12 +552,8 @@
       if (listener_ < 0) return;
       ::shutdown(listener_, SHUT_RDWR);
       ::close(std::exchange(listener_, -1));
-      for (const int fd : connections_) {
-        const linger hard{1, 0};
-        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-        ::shutdown(fd, SHUT_RD);
-      }
-      for (const int fd : std::exchange(connections_, {})) ::close(fd);
+      // Each connection is closed by its own thread, which this wakes.
+      for (const int fd : connections_) ::shutdown(fd, SHUT_RD);
       instance = instance_;
     }
     record("server " + instance + " crashed");
@@ -523,7 +581,7 @@
   void serve(int fd, const std::string& instance) {
     {
       const std::lock_guard<std::mutex> lock(mutex_);
-      if (listener_ < 0 || instance != instance_) return resetAndClose(fd);
+      if (!isRunning(instance)) return resetAndClose(fd);
       connections_.insert(fd);
     }
     Reader reader(fd);
@@ -553,7 +611,13 @@
       if (!answer(fd, id, instance, reaction)) break;
     }
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (connections_.erase(fd) > 0) ::close(fd);
+    connections_.erase(fd);
+    isRunning(instance) ? static_cast<void>(::close(fd)) : resetAndClose(fd);
+  }
+
+  /// Call with the lock.
+  bool isRunning(const std::string& instance) const {
+    return listener_ >= 0 && instance == instance_;
   }
 
   bool answer(int fd, const std::string& id, const std::string& instance,
@@ -565,6 +629,10 @@
         {"Coursepond-Instance-Id", instance},
         {"Coursepond-Server-Load", "1,0,18"}};
     const std::string text = formatAnswer(std::to_string(reaction.status) + " OK", fields, body);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (!isRunning(instance)) return false;
+    }
     if (!reaction.crashes) return sendAll(fd, text);
     if (reaction.bytes_before_crash > 0) {
       sendAll(fd, text.substr(0, text.size() - body.size() + reaction.bytes_before_crash));
@@ -601,28 +669,48 @@
     std::string host;
     std::string zone;
     std::string service;
+    /// Where others reach the machine, and its server listens; the same as `host` without a Link.
+    std::string link_host;
     pid_t pid = -1;
   };
 
   /// `bounds`: names and values, as in the settings file of DEPLOY.md.
-  Mesh(std::map<std::string, std::string> bounds, std::string link_mbps)
+  Mesh(std::map<std::string, std::string> bounds, std::string link_mbps,
+       std::vector<std::uint32_t> preferred_networks = {})
       : bounds_(std::move(bounds)), link_mbps_(std::move(link_mbps)) {
-    chooseNetwork();
+    chooseNetwork(std::move(preferred_networks));
     std::array<char, 64> name{};
     std::snprintf(name.data(), name.size(), "/tmp/coursepond-review-XXXXXX");
     if (::mkdtemp(name.data()) == nullptr) finish(kExitNotRun, "no temporary folder");
-    folder_ = name.data();
+    temporaryFolder() = folder_ = name.data();
   }
 
   std::string hostOf(std::size_t number) const {
     return "127." + std::to_string(network_) + ".0." + std::to_string(number + 1);
   }
+  /// An address at which nobody listens.
+  std::string foreignHost(int number) const {
+    return "127." + std::to_string(network_) + "." + std::to_string(2 + number / 200) + "." +
+           std::to_string(1 + number % 200);
+  }
   std::string storeHost() const { return "127." + std::to_string(network_) + ".1.1"; }
   std::vector<Machine>& machines() { return machines_; }
 
   void add(const std::string& zone, const std::string& service) {
     const std::size_t number = machines_.size();
-    machines_.push_back({"sidecar-" + std::to_string(number + 1), hostOf(number), zone, service});
+    const std::string host = hostOf(number);
+    machines_.push_back({"sidecar-" + std::to_string(number + 1), host, zone, service, host});
+  }
+
+  /// Puts the machine behind a link of its own. Call before startAll() and before its server is
+  /// made.
+  void addLink(std::size_t number, double megabits) {
+    Machine& machine = machines_[number];
+    machine.link_host = "127." + std::to_string(network_) + ".7." + std::to_string(number + 1);
+    links_.push_back(std::make_unique<Link>(megabits));
+    links_.back()->forward(machine.link_host, machine.host, kInboundPort);
+    links_.push_back(std::make_unique<Link>(0));
+    links_.back()->forward(machine.link_host, machine.host, kPeerPort);
   }
 
   void startAll() {
@@ -672,10 +760,13 @@
   const std::string& folder() const { return folder_; }
 
  private:
-  void chooseNetwork() {
+  /// Tries the preferred networks first, and then all others.
+  void chooseNetwork(std::vector<std::uint32_t> candidates) {
     const auto first = static_cast<std::uint32_t>(::getpid());
-    for (std::uint32_t step = 0; step < 200; ++step) {
-      network_ = 20 + (first + step) % 200;
+    for (std::uint32_t step = 0; step < 200; ++step)
+      candidates.push_back(20 + (first + step) % 200);
+    for (const std::uint32_t candidate : candidates) {
+      network_ = candidate;
       bool is_free = true;
       for (const int port : {kInboundPort, kServerPort, kReadyPort, kOutboundPort, kPeerPort}) {
         const int fd = listenOn(hostOf(0), port);
@@ -707,7 +798,7 @@
         {"listen.inbound", at(kInboundPort)},
         {"listen.ready", at(kReadyPort)},
         {"ephemeral_ports.0", std::to_string(kPeerPort)},
-        {"app_addr", at(kServerPort)},
+        {"app_addr", machine.link_host + ":" + std::to_string(kServerPort)},
         {"service", machine.service},
         {"zones|json", R"({"hall-a":"east","hall-b":"east","hall-c":"east","hall-d":"east"})"},
         {"limits.link_mbps", link_mbps_},
@@ -743,6 +834,7 @@
   std::uint32_t network_ = 0;
   std::string folder_;
   std::vector<Machine> machines_;
+  std::vector<std::unique_ptr<Link>> links_;
 };
 
 /// The bounds of the users' page for magnolia-fonts and trfpo-mesh.
--- a/review/standins-2/upload_after_drain.cpp
+++ b/review/standins-2/upload_after_drain.cpp
@@ -7,32 +7,46 @@
 
 namespace {
 
-constexpr std::size_t kUploadBytes = std::size_t{6} * 1024 * 1024;
-constexpr double kDrain = 2.0;
+// The sheet of andina-remesas-grown; the servers have 18 slots, as on the sheet of magnolia-fonts.
+constexpr double kDrain = 2.5;
+constexpr double kLinkMegabits = 10;
+constexpr std::size_t kUploadBytes = 360'000;
+constexpr int kDeadlineMs = 8000;
+
+constexpr std::size_t kServers = 2;
+constexpr std::size_t kClientMachines = 17;
+constexpr int kUploadsPerMachine = 2;
 
 }  // namespace
 
 int main(int, char** argv) {
   begin(argv[1]);
   Store store;
-  Mesh mesh(smallBounds(), "10");
-  for (const std::string zone : {"hall-a", "hall-b"}) mesh.add(zone, "recibos");
-  for (int count = 0; count < 10; ++count)
-    mesh.add(count % 2 == 0 ? "hall-a" : "hall-b", "cartola");
+  Mesh mesh({{"drain", "2500ms"},
+             {"config_apply", "2500ms"},
+             {"contact", "3000ms"},
+             {"grace", "6s"},
+             {"retry_budget_ratio", "0.2"},
+             {"budget_slack", "188"}},
+            "10");
+  const std::vector<std::string> zones = {"hall-a", "hall-b", "hall-c"};
+  for (std::size_t number = 0; number < kServers + kClientMachines; ++number)
+    mesh.add(zones[number % zones.size()], number < kServers ? "recibos" : "cartola");
+  for (std::size_t number = 0; number < kServers; ++number) mesh.addLink(number, kLinkMegabits);
   store.start(mesh.storeHost());
   store.put("op/config", configurationJson(7, {routeJson("r-upload", "up.example", "/up/", "upload",
-                                                         "30000ms", R"("service":"recibos")"),
+                                                         "4000ms", R"("service":"recibos")"),
                                                serviceJson("recibos"), serviceJson("cartola"),
                                                limitsJson(67108864)}));
 
   std::mutex mutex;
-  std::map<std::string, double>
-      heads;  // First arrival of each request's head at the leaving server.
+  std::map<std::string, double> heads;  // When each request first arrived at the leaving server.
   std::vector<std::unique_ptr<Server>> servers;
   for (const Mesh::Machine& machine : mesh.machines()) {
-    servers.push_back(std::make_unique<Server>(store, machine.host, machine.service, machine.zone,
+    servers.push_back(std::make_unique<Server>(store, machine.link_host, machine.service,
+                                               machine.zone,
                                                [](const Message&, const std::string&) {
-                                                 return Reaction{200, 100, 0.14};
+                                                 return Reaction{200, 400, 0.25};
                                                }));
     servers.back()->start();
   }
@@ -44,16 +58,17 @@
   mesh.startAll();
   sleepFor(4);  // All machines are in touch for longer than `contact`.
 
-  // One upload of 6 MiB at each machine that runs the other service, over links of 10 Mbit/s.
   std::vector<std::thread> clients;
-  for (std::size_t number = 2; number < mesh.machines().size(); ++number) {
-    clients.emplace_back([&, number] {
-      Request request{nextId(), "POST", "up.example", "/up/file", "", 30000};
-      request.body.assign(kUploadBytes, 'b');
-      ask(mesh.machines()[number], request, "upload");
-    });
+  for (std::size_t number = kServers; number < mesh.machines().size(); ++number) {
+    for (int count = 0; count < kUploadsPerMachine; ++count) {
+      clients.emplace_back([&, number] {
+        Request request{nextId(), "POST", "up.example", "/up/file", "", kDeadlineMs};
+        request.body.assign(kUploadBytes, 'b');
+        ask(mesh.machines()[number], request, "upload");
+      });
+    }
   }
-  sleepFor(1);
+  sleepFor(0.2);
   const double drained = hasTrouble() ? leaving.drain() : 0;
   for (std::thread& client : clients) client.join();
 
