--- a/review/standins-2/poison_large_answer.cpp
+++ b/review/standins-2/poison_large_answer.cpp
@@ -9,31 +9,41 @@
 
 namespace {
 
-constexpr std::size_t kFileBytes = 1'000'000;
+// The sheet of cuotafacil-mvd-grown: the answers of `settlement-file` have 90,000 bytes on average
+// and 540,000 at most.
+constexpr std::size_t kFileBytes = 540'000;
 constexpr std::size_t kBytesBeforeCrash = 400'000;
-constexpr std::size_t kOrdinaryBytes = 1500;
+constexpr std::size_t kOrdinaryBytes = 90'000;
+constexpr double kWork = 0.065;
+constexpr int kDeadlineMs = 3000;
 
 }  // namespace
 
 int main(int, char** argv) {
   begin(argv[1]);
   Store store;
-  Mesh mesh(smallBounds(), "1000");
-  addMachines(mesh, "typeserve");
+  Mesh mesh({{"drain", "2500ms"},
+             {"config_apply", "2500ms"},
+             {"contact", "3000ms"},
+             {"grace", "6s"},
+             {"retry_budget_ratio", "0.2"},
+             {"budget_slack", "166"}},
+            "200");
+  addMachines(mesh, "comercios");
   store.start(mesh.storeHost());
   store.put("op/config",
             configurationJson(
-                7, {routeJson("r-font", "fonts.example", "/font/", "download", "5000ms",
-                              R"("service":"typeserve")"),
-                    serviceJson("typeserve"), serviceJson("catalog"), limitsJson(67108864)}));
+                7, {routeJson("r-file", "pay.example", "/settlement/", "download", "1500ms",
+                              R"("service":"comercios")"),
+                    serviceJson("comercios"), serviceJson("catalog"), limitsJson(67108864)}));
   PoisonBook book;
   std::vector<std::unique_ptr<Server>> servers;
   for (const Mesh::Machine& machine : mesh.machines()) {
     servers.push_back(std::make_unique<Server>(
         store, machine.host, machine.service, machine.zone,
         [&](const Message& request, const std::string&) {
-          Reaction reaction{200, kOrdinaryBytes, 0.1};
-          if (request.word(1) != "/font/broken") return reaction;
+          Reaction reaction{200, kOrdinaryBytes, kWork};
+          if (request.word(1) != "/settlement/broken") return reaction;
           reaction.answer_bytes = kFileBytes;
           reaction.crashes = hasTrouble();
           reaction.bytes_before_crash = variant() == "small" ? 0 : kBytesBeforeCrash;
@@ -49,9 +59,9 @@
   std::thread([&] {
     for (int number = 1; !is_over; ++number) {
       std::thread([&, number] {
-        const std::string path = "/font/" + std::to_string(number);
-        ask(mesh.machines()[4 + number % 4], {nextId(), "GET", "fonts.example", path, "", 10000},
-            "font");
+        const std::string path = "/settlement/" + std::to_string(number);
+        ask(mesh.machines()[4 + number % 4],
+            {nextId(), "GET", "pay.example", path, "", kDeadlineMs}, "file");
       }).detach();
       sleepFor(0.1);
     }
@@ -61,8 +71,8 @@
     const std::string id = nextId();
     book.onSent(id);
     std::thread([&, id, count] {
-      ask(mesh.machines()[4 + count % 4], {id, "GET", "fonts.example", "/font/broken", "", 10000},
-          "crashing font");
+      ask(mesh.machines()[4 + count % 4],
+          {id, "GET", "pay.example", "/settlement/broken", "", kDeadlineMs}, "crashing file");
     }).detach();
     sleepFor(kPoisonInterval);
   }
