--- a/review/standins-3/mesh.cpp
+++ b/review/standins-3/mesh.cpp
@@ -85,8 +85,8 @@
 }
 
 std::string answer(const std::string& status, const std::string& fields, const std::string& body) {
-  return "HTTP/1.1 " + status + "\r\n" + fields +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 std::string lower(std::string text) {
@@ -140,6 +140,12 @@
   descriptor_ = -1;
 }
 
+void Connection::reset() {
+  const linger at_once{1, 0};
+  ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  close();
+}
+
 bool Connection::send(const std::string& bytes) {
   for (std::size_t sent = 0; sent < bytes.size();) {
     const ssize_t size =
@@ -263,8 +269,8 @@
   item.key = key;
   item.revision = revision_;
   const std::string revision = std::to_string(revision_);
-  item.text = R"({"private_key":")" + key + R"(","value":")" + base64(value) +
-              R"(","revision":)" + revision + R"(,"created_at":)" + revision + R"(,"lease_id":0})";
+  item.text = R"({"private_key":")" + key + R"(","value":")" + base64(value) + R"(","revision":)" +
+              revision + R"(,"created_at":)" + revision + R"(,"lease_id":0})";
   items_[key] = item;
   history_.push_back(std::move(item));
   changed_.notify_all();
@@ -332,10 +338,11 @@
   if (::access(program_.c_str(), X_OK) != 0) throw CannotRun{program_ + " is not built"};
   // Bounds of the small deployments; those that they do not have are empty.
   const std::map<std::string, std::string> bounds = {
-      {"drain", "2000ms"},         {"config_apply", "2000ms"}, {"contact", "3000ms"},
-      {"grace", "6s"},             {"budget_slack", "62"},     {"retry_budget_ratio", "0.2"},
-      {"cold_overshoot", ""},      {"cold_slack", ""},         {"quota_overshoot", ""}};
-  for (const auto& [name, value] : bounds) replaceAll(bounds_word_, "{{bounds." + name + "}}", value);
+      {"drain", "2000ms"},    {"config_apply", "2000ms"}, {"contact", "3000ms"},
+      {"grace", "6s"},        {"budget_slack", "62"},     {"retry_budget_ratio", "0.2"},
+      {"cold_overshoot", ""}, {"cold_slack", ""},         {"quota_overshoot", ""}};
+  for (const auto& [name, value] : bounds)
+    replaceAll(bounds_word_, "{{bounds." + name + "}}", value);
 
   const char* const base = std::getenv("TMPDIR");
   std::string folder = std::string(base != nullptr ? base : "/tmp") + "/review-3-XXXXXX";
@@ -364,7 +371,8 @@
     machine->server_id = "i-" + std::to_string(1000 + index);
     Machine* const raw = machine.get();
     machine->server = std::make_unique<Listener>(
-        machine->host, kServerPort, [this, raw](Connection& connection) { serve(*raw, connection); });
+        machine->host, kServerPort,
+        [this, raw](Connection& connection) { serve(*raw, connection); });
     machines_.push_back(std::move(machine));
   }
 }
@@ -503,8 +511,15 @@
   return false;
 }
 
-/// A sound server: rejects requests for other instances, and signs its answers.
+const Machine* Mesh::serverOf(const std::string& request) {
+  const std::lock_guard lock(runs_mutex_);
+  const auto run = runs_.find(request);
+  return run == runs_.end() ? nullptr : run->second;
+}
+
+/// A server: rejects requests for other instances, and signs its answers.
 void Mesh::serve(Machine& machine, Connection& connection) {
+  std::minstd_rand dice(std::random_device{}());
   while (const auto request = connection.read(Clock::now() + std::chrono::seconds(10))) {
     const std::string id = request->field("coursepond-request-id");
     const std::string carried = id.empty() ? "" : "Coursepond-Request-Id: " + id + "\r\n";
@@ -520,12 +535,24 @@
       continue;
     }
     const std::string line = request->first_line.substr(0, request->first_line.rfind(' '));
-    record_.line("run     " + id + " at " + machine.server_id + " (" + machine.service + ") " + line +
-                 " body " + std::to_string(request->body.size()));
+    record_.line("run     " + id + " at " + machine.server_id + " (" + machine.service + ") " +
+                 line + " body " + std::to_string(request->body.size()));
+    {
+      const std::lock_guard lock(runs_mutex_);
+      runs_[id] = &machine;
+    }
     std::this_thread::sleep_for(Milliseconds(machine.work_ms.load()));
     const std::string fields =
         carried + "Coursepond-Response-Signature: sig." + machine.server_id + "." + id + "\r\n";
-    if (!connection.send(answer("200 OK", fields, machine.service + "\n"))) return;
+    const std::string body = machine.service + "\n" + std::string(machine.answer_bytes, '.');
+    const std::string whole = answer("200 OK", fields, body);
+    if (dice() % 1000 < static_cast<unsigned>(machine.broken_per_thousand)) {
+      record_.line("broken  " + id + ": " + machine.server_id + " breaks its answer off half way");
+      connection.send(whole.substr(0, whole.size() / 2));
+      std::this_thread::sleep_for(Milliseconds(50));
+      return connection.reset();
+    }
+    if (!connection.send(whole)) return;
   }
 }
 
--- a/review/standins-3/mesh.h
+++ b/review/standins-3/mesh.h
@@ -5,6 +5,8 @@
 /// the command of deploy/system.toml and the settings of deploy/node.toml.template. All addresses
 /// are loopback addresses.
 
+#include <sys/types.h>
+
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -18,8 +20,6 @@
 #include <thread>
 #include <vector>
 
-#include <sys/types.h>
-
 namespace review {
 
 using Clock = std::chrono::steady_clock;
@@ -64,6 +64,8 @@
   bool open(const std::string& host, int port);
   bool isOpen() const { return descriptor_ >= 0; }
   void close();
+  /// Closes with a reset.
+  void reset();
   bool send(const std::string& bytes);
 
   struct Message {
@@ -137,6 +139,8 @@
   std::string service;
   std::string server_id;
   std::atomic<int> work_ms{20};
+  std::atomic<std::size_t> answer_bytes{0};  ///< Added to the body of each answer.
+  std::atomic<int> broken_per_thousand{0};   ///< Of its answers, broken off half way.
   std::unique_ptr<Listener> server;
   pid_t node = -1;
 };
@@ -165,6 +169,8 @@
   std::string nextId();
   int callerPort() const { return kCallerPort; }
 
+  /// The server that ran the request; null if none did.
+  const Machine* serverOf(const std::string& request);
   /// Whether a node has ended by itself.
   bool hasNodeEnded();
 
@@ -191,6 +197,8 @@
   std::string program_;
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Machine>> machines_;
+  std::mutex runs_mutex_;
+  std::map<std::string, const Machine*> runs_;  ///< By request.
   std::atomic<std::uint64_t> last_id_{0};
   std::atomic<bool> stopping_{false};
   std::thread beats_;
