Store: an entry under a key without a name is no server

Found beside the incident: an entry under such a key that held the value of a server, a copy for example, counted as a server of its own. Requests went to its address for an instance that does not exist; at a machine whose server has that address it could pass for the newest entry, so that the ingress asked its own server for that instance. An id with a line end was written into the header lines of requests. Why this fixes it: what follows the prefix of a key must be a name by the rule that the model has for names everywhere else (letters, digits, ".", "_", "-"); the rule moves to model/name.h.

--- a/src/model/json_reader.cpp
+++ b/src/model/json_reader.cpp
@@ -8,6 +8,7 @@
 
 #include "core/address.h"
 #include "core/ascii.h"
+#include "model/name.h"
 
 namespace coursepond::model {
 namespace {
@@ -138,10 +139,6 @@
   });
 }
 
-bool isName(std::string_view text) {
-  return !text.empty() && text.size() <= 253 && consistsOf(text, "._-");
-}
-
 bool isHost(std::string_view text) {
   const bool upper = std::any_of(text.begin(), text.end(), [](char character) {
     return character >= 'A' && character <= 'Z';
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -32,8 +32,8 @@
         {"entry_type":"routes","metadata":{"name":"r"},"spec":{"host":"h","path_prefix":"/",
          "type":"safe","service":"s"}}]})";
 
-/// Keys of entries that name no server, before, between and after those of the servers.
-const std::vector<std::string> kOddKeys = {
+/// Keys that contain no name of a server, before, between and after those of the servers.
+const std::vector<std::string> kKeysWithoutName = {
     "servers/a&b",
     "servers/a&stale=1",
     "servers/a&after=servers/z",
@@ -56,12 +56,18 @@
     "servers/i-1&x",
     "servers/i-1 ",
     "servers/i-1%",
-    "servers/i-",
     "servers/i-2+x",
     "servers/z HTTP/1.1",
     std::string("servers/a\0b", 11),
 };
 
+/// Returns these keys, and one with which others begin.
+std::vector<std::string> oddKeys() {
+  std::vector<std::string> keys = kKeysWithoutName;
+  keys.push_back("servers/i-");
+  return keys;
+}
+
 std::vector<std::string> serverIds(const WatchBatch& batch) {
   std::vector<std::string> ids;
   for (const model::ServerEntry& entry : batch.servers) ids.push_back(entry.id.value());
@@ -159,7 +165,7 @@
 // Guards against a list that fails, or ends early, because the key at the end of a page is sent to
 // the store as it is: with such an entry no process had a list of servers after a restart.
 TEST_CASE("an entry whose key holds characters of a query does not end the list of servers") {
-  for (const std::string& key : kOddKeys) {
+  for (const std::string& key : oddKeys()) {
     for (const std::size_t page_size : {1, 2, 3, 500}) {
       CAPTURE(key);
       CAPTURE(page_size);
@@ -174,6 +180,37 @@
   }
 }
 
+// Guards against requests that are sent to an instance that does not exist, and against header
+// lines in its id: the entry counts as another server, and at its address as the newest one.
+TEST_CASE("an entry under a key without a name is no server, whatever its value") {
+  for (const std::string& key : kKeysWithoutName) {
+    CAPTURE(key);
+    Bench bench;
+    bench.store.put(key, serverText("10.0.0.1:80"));
+    const auto list = bench.list();
+    REQUIRE(list.has_value());
+    CHECK(serverIds(*list) == std::vector<std::string>{"i-1", "i-2"});
+    const auto watch = bench.watch(3, Duration(0));
+    REQUIRE(watch.has_value());
+    CHECK(watch->servers.empty());
+    CHECK(watch->removed_servers.empty());
+    bench.store.remove(key);
+    CHECK(bench.watch(4, Duration(0))->removed_servers.empty());
+  }
+}
+
+TEST_CASE("a zone under a key without a name is not drained") {
+  Bench bench;
+  for (const std::string name : {"", "a,b", "a b", "a\r\nb"}) {
+    bench.store.put("op/evacuate/" + name, "{}");
+  }
+  bench.store.put("op/evacuate/north", "{}");
+  const auto list = bench.listConfiguration();
+  REQUIRE(list.has_value());
+  REQUIRE(list->zone_changes.size() == 1);
+  CHECK(list->zone_changes[0].zone == ZoneId("north"));
+}
+
 TEST_CASE("an item without a key at the end of a page does not end the list of servers") {
   Bench bench;
   bench.store.put("servers/i-10", "written by another process");
