Store: one key that is not UTF-8 does not make a page unreadable

Test, red before: "an entry whose key is not UTF-8 does not hide the other entries" (by list and by watch) and "a key with half of a surrogate pair does not hide the other items". Why this fixes it: the envelopes of lists and watches hold strings of different writers, so they are now read with any bytes in their strings. The entry itself is then rejected, since its key contains no name. Configurations and entries of servers are still read as UTF-8 only.

--- a/src/model/json_document.cpp
+++ b/src/model/json_document.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/json.hpp>
 #include <boost/json/basic_parser_impl.hpp>
+#include <charconv>
 #include <cmath>
+#include <string>
 #include <utility>
 
 namespace coursepond::model {
@@ -102,6 +104,40 @@
   return keys;
 }
 
+/// Returns the UTF-16 code unit of the escape at `index`, such as "\\u00e4"; nothing if there is
+/// none.
+std::optional<unsigned> escapedUnit(std::string_view text, std::size_t index) {
+  if (text.substr(index, 2) != "\\u") return std::nullopt;
+  const std::string_view digits = text.substr(index + 2, 4);
+  unsigned unit = 0;
+  const auto [end, status] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), unit, 16);
+  if (status != std::errc() || end != digits.data() + 4) return std::nullopt;
+  return unit;
+}
+
+bool isHighSurrogate(unsigned unit) { return unit >= 0xD800 && unit < 0xDC00; }
+bool isLowSurrogate(unsigned unit) { return unit >= 0xDC00 && unit < 0xE000; }
+
+/// Replaces escaped halves of surrogate pairs by the replacement character.
+std::string withoutLoneSurrogates(std::string_view text) {
+  constexpr std::string_view kReplacement = "\\ufffd";
+  std::string replaced;
+  for (std::size_t index = 0; index < text.size();) {
+    const std::optional<unsigned> unit = escapedUnit(text, index);
+    const bool begins_pair =
+        unit && isHighSurrogate(*unit) &&
+        isLowSurrogate(escapedUnit(text, index + kReplacement.size()).value_or(0));
+    const bool is_lone = unit && !begins_pair && (isHighSurrogate(*unit) || isLowSurrogate(*unit));
+    std::size_t size = text[index] == '\\' ? 2 : 1;  // Skips an escaped backslash as a whole.
+    if (is_lone) size = kReplacement.size();
+    if (begins_pair) size = 2 * kReplacement.size();
+    replaced += is_lone ? kReplacement : text.substr(index, size);
+    index += size;
+  }
+  return replaced;
+}
+
 }  // namespace
 
 struct JsonDocument::Content {
@@ -115,11 +151,21 @@
 JsonDocument::JsonDocument(JsonDocument&&) noexcept = default;
 JsonDocument& JsonDocument::operator=(JsonDocument&&) noexcept = default;
 
-std::optional<JsonDocument> JsonDocument::parse(std::string_view text, std::size_t maximum_depth) {
+std::optional<JsonDocument> JsonDocument::parse(std::string_view text, std::size_t maximum_depth,
+                                                JsonStrings strings) {
   if (text.starts_with(kByteOrderMark)) text.remove_prefix(kByteOrderMark.size());
+  std::optional<JsonDocument> document = parseOnce(text, maximum_depth, strings);
+  if (document || strings == JsonStrings::kUnicode) return document;
+  return parseOnce(withoutLoneSurrogates(text), maximum_depth, strings);
+}
+
+std::optional<JsonDocument> JsonDocument::parseOnce(std::string_view text,
+                                                    std::size_t maximum_depth,
+                                                    JsonStrings strings) {
   auto content = std::make_unique<Content>();
   json::parse_options options;
   options.max_depth = maximum_depth;
+  options.allow_invalid_utf8 = strings == JsonStrings::kAnyBytes;
   json::basic_parser<TreeBuilder> parser(options, json::storage_ptr(&content->memory));
   json::error_code error;
   const std::size_t read = parser.write_some(false, text.data(), text.size(), error);
--- a/src/model/json_document.h
+++ b/src/model/json_document.h
@@ -11,12 +11,21 @@
 
 namespace coursepond::model {
 
+/// What the strings of a document may contain.
+enum class JsonStrings {
+  kUnicode,
+  /// Also bytes that are not UTF-8, which are kept, and halves of surrogate pairs, which become the
+  /// replacement character. For documents in which strings of different writers are put together.
+  kAnyBytes,
+};
+
 class JsonDocument {
  public:
-  /// Returns nothing if `text` is not a single JSON value in UTF-8, if objects and arrays are
-  /// nested deeper than `maximum_depth`, or if a number is out of range for a double. If an object
-  /// has a duplicate key, its last value is used.
-  static std::optional<JsonDocument> parse(std::string_view text, std::size_t maximum_depth);
+  /// Returns nothing if `text` is not a single JSON value, if its strings contain anything else
+  /// than `strings` allows, if objects and arrays are nested deeper than `maximum_depth`, or if a
+  /// number is out of range for a double. If an object has a duplicate key, its last value is used.
+  static std::optional<JsonDocument> parse(std::string_view text, std::size_t maximum_depth,
+                                           JsonStrings strings = JsonStrings::kUnicode);
   ~JsonDocument();
   JsonDocument(JsonDocument&&) noexcept;
   JsonDocument& operator=(JsonDocument&&) noexcept;
@@ -30,6 +39,8 @@
 
  private:
   struct Content;
+  static std::optional<JsonDocument> parseOnce(std::string_view text, std::size_t maximum_depth,
+                                               JsonStrings strings);
   explicit JsonDocument(std::unique_ptr<Content> content);
   std::unique_ptr<Content> content_;
 };
--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -267,6 +267,38 @@
   CHECK(page->last_key == "servers/i-3");
 }
 
+// Some writers of JSON escape a byte that is not UTF-8 as half of a surrogate pair.
+TEST_CASE("a key with half of a surrogate pair does not hide the other items") {
+  const std::string entry =
+      R"({"private_key":"servers/i-3","revision":7,"value":"eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxLjIuMy40OjUiLCJ6b25lIjoiYSIsInNsb3RzIjo0LCJzdGF0ZSI6InJlYWR5In0="})";
+  struct Case {
+    std::string key;
+    std::string read_as;
+  };
+  for (const Case& odd :
+       {Case{R"(servers/a\udcff)", "servers/a\xef\xbf\xbd"},
+        Case{R"(servers/\ud800b)",
+             "servers/\xef\xbf\xbd"
+             "b"},
+        Case{R"(servers/\ud800\u0041)",
+             "servers/\xef\xbf\xbd"
+             "A"},
+        Case{R"(servers/\ud83d\ude00\udcff)", "servers/\xf0\x9f\x98\x80\xef\xbf\xbd"},
+        Case{R"(servers/\\udcff\udcff)", "servers/\\udcff\xef\xbf\xbd"}}) {
+    CAPTURE(odd.key);
+    const std::string items =
+        entry + R"(,{"private_key":")" + odd.key + R"(","revision":8,"value":"e30="})";
+    const auto page = decodePage(R"({"items":[)" + items + R"(],"timestamp":9})");
+    REQUIRE(page.has_value());
+    REQUIRE(page->batch.servers.size() == 1);
+    CHECK(page->batch.servers[0].id == EndpointId("i-3"));
+    CHECK(page->last_key == odd.read_as);
+    const auto batch = decodeEvents(R"({"events":[)" + items + R"(],"timestamp":9})");
+    REQUIRE(batch.has_value());
+    CHECK(batch->servers.size() == 1);
+  }
+}
+
 TEST_CASE("an operator's key drains a zone, and its removal cancels the drain") {
   const auto batch = decodeEvents(R"({"events":[
     {"private_key":"op/evacuate/north","revision":5,"value":"e30="},
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -221,6 +221,27 @@
   CHECK(serverIds(*list) == std::vector<std::string>{"i-1", "i-2"});
 }
 
+// Guards against a page, or the answer to a watch, that is refused whole for one key.
+TEST_CASE("an entry whose key is not UTF-8 does not hide the other entries") {
+  for (const std::string key : {"servers/a\xff", "servers/\xc3", "servers/i-1\x80",
+                                "servers/\xed\xa0\x80", "servers/z\xfe\xff"}) {
+    for (const std::size_t page_size : {1, 2, 500}) {
+      CAPTURE(key);
+      CAPTURE(page_size);
+      Bench bench;
+      bench.store.setPageSize(page_size);
+      bench.store.put(key, serverText("10.0.0.9:80"));
+      const auto list = bench.list();
+      REQUIRE(list.has_value());
+      CHECK(serverIds(*list) == std::vector<std::string>{"i-1", "i-2"});
+      bench.store.put("servers/i-2", serverText("10.0.0.2:80", "draining"));
+      const auto watch = bench.watch(3, Duration(0));
+      REQUIRE(watch.has_value());
+      CHECK(serverIds(*watch) == std::vector<std::string>{"i-2"});
+    }
+  }
+}
+
 // Guards against a part of a list that passes for the whole: the other servers would be removed.
 TEST_CASE("a list of which only a part can be read fails") {
   Bench bench;
--- a/tests/runtime/proxy_server_fixture.h
+++ b/tests/runtime/proxy_server_fixture.h
@@ -37,6 +37,12 @@
     boost::system::error_code ignored;  // The server may already have closed.
     boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
   }
+  /// Sends while the context runs, as far as the other side accepts the bytes.
+  void sendLater(std::string bytes) {
+    const auto held = std::make_shared<const std::string>(std::move(bytes));
+    boost::asio::async_write(socket_, boost::asio::buffer(*held),
+                             [held](const boost::system::error_code&, std::size_t) {});
+  }
   void close() { socket_.close(); }
 
   /// Runs the context until the received bytes contain `text` or the stream has ended.
