--- a/tests/platform/store_answers_test.cpp
+++ b/tests/platform/store_answers_test.cpp
@@ -245,6 +245,9 @@
   CHECK_FALSE(with("\"1500ms\"", "1500").has_value());
   CHECK_FALSE(with("1791000000123", "\"noon\"").has_value());
   CHECK_FALSE(with("10.0.0.9:8080", "nowhere").has_value());
+  CHECK_FALSE(with("10.0.0.9:8080", "nowhere:8080").has_value());
+  CHECK_FALSE(with("10.0.0.9:8080", "10.0.0.9 :8080").has_value());
+  CHECK_FALSE(with("10.0.0.9:8080", "a\\r\\nHost: b:8080").has_value());
   CHECK_FALSE(with("\"zone\":\"a\",", "").has_value());
 
   const std::string odd_key = R"({"private_key":7,"revision":4,"value":"e30="})";
