Upstream: an answer without a length that is reset is not complete

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer. Cause: the system reports a reset to one call only. With an upload under way that is mostly the write, and the read after it sees an orderly end of the stream, which ended the answer. Why this fixes it: once a write of the request has failed, the end of the stream does not end an answer any more; it counts as lost. Where a write is still pending when the stream ends, the end is judged in a later event, since a write that has met the reset has queued its handler by then. With an announced length or chunks nothing changes: their end does not depend on the close. A server that ends the stream in order while it reads nothing is still believed ("an answer without a length that the server ends while it reads nothing is complete", green before and after). What this gives up: a server that first ends the stream in order and then resets the connection under the upload. Its answer was whole, and is lost now if a write has failed before the end is read. Looked at as well: the client for short answers writes its request whole before it reads, and fails if the write does; answers between nodes have a length or chunks.

--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -62,7 +62,7 @@
   expireNever();
   user_ = &user;
   state_ = State::kBusy;
-  sent_bytes_ = false;
+  write_failed_ = sent_bytes_ = false;
   written_bytes_ = 0;
   request_complete_ = false;
   stalls_watched_ = false;
@@ -103,6 +103,7 @@
   // A reset connection takes no more bytes. After any other error, the write is continued.
   const bool is_reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
   if (!is_reset || written > 0) sent_bytes_ = true;
+  if (error && error != asio::error::would_block) write_failed_ = true;
   if (!error && written == output_.size() && request_complete_) return output_.clear();
   writing_ = true;
   writeRest(written);
@@ -136,6 +137,7 @@
     output_.clear();
     return user_->onUpstreamWritten();
   }
+  write_failed_ = true;
   if (written_bytes_ == 0) return fail(UpstreamFailure::kClosedUnsent);
   // The server may have answered before it closed; the pending read will show that.
   request_complete_ = false;
@@ -167,7 +169,17 @@
     return close();
   }
   if (!sent_bytes_) return fail(UpstreamFailure::kClosedUnsent);
-  const bool ended_by_close = error == asio::error::eof && !skipping_ && parser_.headComplete() &&
+  if (error != asio::error::eof) return fail(UpstreamFailure::kLost);
+  if (!writing_) return onStreamEnded();
+  // If a write has met a reset, its handler is already queued.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->onStreamEnded(); });
+}
+
+/// The system reports a reset to one call only. If a write got the report, a read sees an orderly
+/// end of the stream, which then does not prove that an answer without a length is whole.
+void UpstreamConnection::onStreamEnded() {
+  if (!hasRequest()) return;
+  const bool ended_by_close = !write_failed_ && !skipping_ && parser_.headComplete() &&
                               parser_.head().framing == BodyFraming::kUntilClose;
   if (ended_by_close && parser_.parseEnd()) return onAnswerComplete();
   fail(UpstreamFailure::kLost);
--- a/src/runtime/upstream_connection.h
+++ b/src/runtime/upstream_connection.h
@@ -152,6 +152,7 @@
   void read();
   void onRead(const boost::system::error_code& error, std::size_t size);
   void onReadError(const boost::system::error_code& error);
+  void onStreamEnded();
   void writeInTurns();
   void writeRest(std::size_t written);
   void onWritten(const boost::system::error_code& error, std::size_t size);
@@ -182,6 +183,8 @@
   bool head_request_ = false;
   bool reading_ = false;
   bool writing_ = false;
+  /// A write of the current request has failed, and may have taken the report of a reset.
+  bool write_failed_ = false;
   bool sent_bytes_ = false;
   bool request_complete_ = false;
   bool stalls_watched_ = false;
