Client for short answers: bytes without end are given up

What callers would see: a server in trouble that answers a health check with a chunk size, a chunk extension or trailers without end fills the memory of the node beside it until the answer's time limit, which is 40 s where progress extends the timeout. The same holds for the platform's answers. Cause: this client read with the library's own parser, which has no limit for what stands between chunks and applies the limit of the head anew after each field, and with a buffer without a limit. Why this fixes it: it reads with MessageParser now, as the data path does, from a buffer of at most 64 KiB. So there is one place that decides what an answer is. A second Content-Length and a Transfer-Encoding in HTTP/1.0 are refused here too; interim answers are skipped, together up to the size of one head.

--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -6,18 +6,18 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
 #include <optional>
 #include <set>
 
 #include "runtime/boot_timer.h"
+#include "runtime/http_parser.h"
+#include "runtime/receive_buffer.h"
 
 namespace coursepond::runtime {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using Clock = BootClock;
@@ -32,28 +32,27 @@
   TimePoint idle_since;
 };
 
-bool isHttpError(const error_code& error) {
-  return error.category() == make_error_code(http::error::bad_method).category();
+/// Upper bound for bytes that are received but not parsed yet.
+constexpr std::size_t kBufferBytes = std::size_t{64} * 1024;
+
+Error connectionError(const Address& address, const error_code& error) {
+  return {ErrorKind::kUnavailable,
+          "no answer from " + formatAddress(address) + ": " + error.message(),
+          "check that the process is running and reachable, then try again"};
 }
 
-bool isTooLarge(const error_code& error) {
-  return error == http::error::body_limit || error == http::error::header_limit ||
-         error == http::error::buffer_overflow;
+Error tooLargeError(const Address& address) {
+  return {ErrorKind::kTooLarge,
+          "the answer from " + formatAddress(address) + " exceeds the size limit",
+          "raise the client's limit or request less data"};
 }
 
-Error clientError(const Address& address, const error_code& error) {
-  const std::string place = formatAddress(address);
-  if (isTooLarge(error)) {
-    return {ErrorKind::kTooLarge, "the answer from " + place + " exceeds the size limit",
-            "raise the client's limit or request less data"};
-  }
-  const bool lost = error == http::error::end_of_stream || error == http::error::partial_message;
-  if (isHttpError(error) && !lost) {
-    return {ErrorKind::kMalformed, place + " did not answer with valid HTTP: " + error.message(),
-            "check that the address is an HTTP server"};
-  }
-  return {ErrorKind::kUnavailable, "no answer from " + place + ": " + error.message(),
-          "check that the process is running and reachable, then try again"};
+Error answerError(const Address& address, ParseFailure failure) {
+  const bool is_too_large =
+      failure == ParseFailure::kHeadTooLarge || failure == ParseFailure::kBodyTooLarge;
+  if (is_too_large) return tooLargeError(address);
+  return {ErrorKind::kMalformed, formatAddress(address) + " did not answer with valid HTTP",
+          "check that the address is an HTTP server"};
 }
 
 }  // namespace
@@ -115,7 +114,8 @@
 };
 
 /// One request, from its start to its callback.
-class HttpClient::Implementation::Call : public std::enable_shared_from_this<Call> {
+class HttpClient::Implementation::Call : public std::enable_shared_from_this<Call>,
+                                         private BodySink {
  public:
   Call(std::shared_ptr<Implementation> client, Address address, HttpClientRequest request,
        Callback callback)
@@ -174,7 +174,7 @@
 
   void onConnected(const error_code& error) {
     if (done_) return;
-    if (error) return fail(clientError(address_, error));
+    if (error) return fail(connectionError(address_, error));
     error_code ignored;
     connection_->socket.set_option(Tcp::no_delay(true), ignored);
     write();
@@ -199,34 +199,98 @@
   void onWritten(const error_code& error) {
     if (done_) return;
     if (error) return onLost(error);
-    parser_.emplace();
-    parser_->header_limit(client_->limits().header_bytes);
-    parser_->body_limit(body_bytes_.value_or(client_->limits().body_bytes));
-    parser_->skip(message_.method() == http::verb::head);
+    ParserLimits limits;
+    limits.head_bytes = client_->limits().header_bytes;
+    limits.body_bytes = body_bytes_.value_or(client_->limits().body_bytes);
+    parser_.emplace(MessageParser::Kind::kAnswer, limits);
+    parser_->reset(isHeadRequest());
     read();
   }
 
   void read() {
-    http::async_read_some(
-        connection_->socket, buffer_, *parser_,
-        [self = shared_from_this()](const error_code& error, std::size_t) { self->onRead(error); });
+    connection_->socket.async_read_some(
+        buffer_.prepare(), [self = shared_from_this()](const error_code& error, std::size_t size) {
+          self->onRead(error, size);
+        });
   }
 
-  void onRead(const error_code& error) {
+  void onRead(const error_code& error, std::size_t size) {
     if (done_) return;
-    if (error) return onLost(error);
+    if (error) return onReadError(error);
+    buffer_.commit(size);
+    has_received_ = true;
     onProgress();
-    if (!parser_->is_done()) return read();
-    auto message = parser_->release();
-    HttpClientResponse response;
-    response.status = static_cast<int>(message.result_int());
-    for (const auto& field : message) {
-      response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    parse();
+  }
+
+  /// An answer without a length ends with the stream.
+  void onReadError(const error_code& error) {
+    const bool ended_by_close = error == asio::error::eof && parser_->headComplete() &&
+                                parser_->head().framing == BodyFraming::kUntilClose;
+    if (ended_by_close && parser_->parseEnd()) return onAnswer();
+    onLost(error);
+  }
+
+  void parse() {
+    while (!parser_->headComplete()) {
+      if (!parseHead()) return;
+    }
+    buffer_.consume(parser_->parseBody(buffer_.data(), *this));
+    if (parser_->failure() != ParseFailure::kNone) return failAnswer(parser_->failure());
+    if (parser_->complete()) return onAnswer();
+    readMore();
+  }
+
+  /// Returns false when more bytes are needed or the call has ended.
+  bool parseHead() {
+    buffer_.consume(parser_->parseHead(buffer_.data()));
+    if (parser_->failure() != ParseFailure::kNone) {
+      failAnswer(parser_->failure());
+      return false;
     }
-    response.body = std::move(message.body());
-    if (message.keep_alive() && buffer_.size() == 0) {
-      client_->keepIdle(address_, std::move(connection_));
+    if (!parser_->headComplete()) {
+      readMore();
+      return false;
     }
+    const MessageHead& head = parser_->head();
+    if (!isInterim(head.status)) {
+      body_.reserve(head.content_length);
+      return true;
+    }
+    return skipInterim();
+  }
+
+  bool skipInterim() {
+    interim_bytes_ += parser_->headBytes();
+    if (interim_bytes_ > client_->limits().header_bytes) {
+      failAnswer(ParseFailure::kHeadTooLarge);
+      return false;
+    }
+    parser_->reset(isHeadRequest());
+    if (!buffer_.empty()) return true;
+    read();
+    return false;
+  }
+
+  /// A full buffer holds the beginning of something that has no end so far.
+  void readMore() { buffer_.full() ? fail(tooLargeError(address_)) : read(); }
+
+  void failAnswer(ParseFailure failure) { fail(answerError(address_, failure)); }
+
+  void onBody(std::string_view piece) override { body_.append(piece); }
+
+  void onAnswer() {
+    const MessageHead& head = parser_->head();
+    HttpClientResponse response;
+    response.status = static_cast<int>(head.status);
+    for (std::size_t index = 0; index < head.fields.size(); ++index) {
+      const FieldView field = head.fields[index];
+      response.headers.push_back({std::string(field.name), std::string(field.value)});
+    }
+    response.body = std::move(body_);
+    const bool is_reusable =
+        head.keep_alive && head.framing != BodyFraming::kUntilClose && buffer_.empty();
+    if (is_reusable) client_->keepIdle(address_, std::move(connection_));
     if (answer_deadline_) {
       response.receive_time = std::chrono::duration_cast<Duration>(Clock::now() - answer_began_);
     }
@@ -247,16 +311,13 @@
   }
 
   void onLost(const error_code& error) {
-    const bool safe = message_.method() == http::verb::get || message_.method() == http::verb::head;
-    const bool nothing_received = !parser_ || !parser_->got_some();
-    if (reused_ && safe && nothing_received) {
-      parser_.reset();
-      buffer_.clear();
-      return connect();
-    }
-    fail(clientError(address_, error));
+    const bool safe = message_.method() == http::verb::get || isHeadRequest();
+    if (reused_ && safe && !has_received_) return connect();
+    fail(connectionError(address_, error));
   }
 
+  bool isHeadRequest() const { return message_.method() == http::verb::head; }
+
   void onTimeout() {
     if (done_) return;
     fail({ErrorKind::kTimeout,
@@ -268,10 +329,11 @@
   /// Describes how much of the answer had arrived: nothing indicates an unresponsive process, a
   /// large part a slow link.
   std::string describeProgress() const {
-    if (!parser_ || !parser_->is_header_done()) return "nothing received";
-    const std::string whole = parser_->content_length() ? std::to_string(*parser_->content_length())
-                                                        : std::string("an unknown number");
-    return std::to_string(parser_->get().body().size()) + " of " + whole + " bytes received";
+    if (!parser_ || !parser_->headComplete()) return "nothing received";
+    const MessageHead& head = parser_->head();
+    const std::string whole =
+        head.has_content_length ? std::to_string(head.content_length) : "an unknown number";
+    return std::to_string(body_.size()) + " of " + whole + " bytes received";
   }
 
   void fail(Error error) { finish(std::move(error)); }
@@ -310,8 +372,11 @@
   std::optional<Clock::time_point> answer_deadline_;  ///< Set once the answer has begun.
   std::unique_ptr<Connection> connection_;
   http::request<http::string_body> message_;
-  beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  ReceiveBuffer buffer_{kBufferBytes};
+  std::optional<MessageParser> parser_;  ///< Set once the request is written.
+  std::string body_;                     ///< The part of the answer's body that has arrived.
+  std::size_t interim_bytes_ = 0;        ///< Size of the interim answers (100 to 199).
+  bool has_received_ = false;
   bool reused_ = false;
   bool done_ = false;
 };
--- a/src/runtime/http_parser.h
+++ b/src/runtime/http_parser.h
@@ -56,6 +56,9 @@
   FieldBlock fields;
 };
 
+/// Whether an answer with this status is an interim one, which the final answer follows.
+inline bool isInterim(unsigned status) { return status / 100 == 1; }
+
 /// Parses the messages of one connection, one after another.
 class MessageParser {
  public:
@@ -80,6 +83,8 @@
 
   /// Whether no byte of the message has been consumed yet.
   bool atStart() const { return head_bytes_ == 0; }
+  /// Number of bytes of the head that have been consumed.
+  std::size_t headBytes() const { return head_bytes_; }
   bool headComplete() const { return head_complete_; }
   bool complete() const { return complete_; }
   ParseFailure failure() const { return failure_; }
