Answers: a status below 100 is no answer

What callers saw: a server in trouble sent an answer with the status 000. The caller of a mesh got it as an answer, as "HTTP/1.1 0". Tests, red before: "an answer whose status is below 100 is replaced by 502" (mesh), "an answer whose status is below 100 is malformed" (client for short answers, which took such a health check for a valid one) and "an answer whose status is below 100 is malformed, any other status is not" (parser, all numbers from 000 to 999). Already handled: with two hops the caller got 502 before, since the egress could not read the status that its ingress had written with one digit; but the ingress counted the answer as proper. Cause: the library's parser takes any three digits, and nothing behind it looked. Why this fixes it: the parser refuses a status below 100 (RFC 9110, section 15) in the status line, for final and interim answers, on the data path and in the client for short answers. Numbers from 600 on have three digits as HTTP asks for and are passed on unchanged as before.

--- a/src/runtime/http_parser.cpp
+++ b/src/runtime/http_parser.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// The library accepts any three digits (RFC 9110, section 15).
+constexpr int kLowestStatus = 100;
+
 std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 
 ParseFailure failureOf(const error_code& error) {
@@ -115,7 +118,7 @@
       head.status = static_cast<unsigned>(status);
       head.reason = view(reason);
       head.is_http_1_1 = version == 11;
-      error = {};
+      error = status < kLowestStatus ? make_error_code(http::error::bad_status) : error_code();
     }
     void on_field_impl(http::field, beast::string_view name, beast::string_view value,
                        error_code& error) override {
--- a/tests/node/broken_answer_test.cpp
+++ b/tests/node/broken_answer_test.cpp
@@ -158,6 +158,19 @@
   CHECK(received.ends_with("right"));
 }
 
+// Guards against answers whose status is not one of HTTP reaching the caller.
+TEST_CASE("an answer whose status is below 100 is replaced by 502 behind two hops") {
+  for (const char* status : {"000", "042", "099"}) {
+    CAPTURE(status);
+    Fixture bench;
+    const std::string received = bench.ask([&](runtime::RawServer::Connection& server) {
+      server.send("HTTP/1.1 " + std::string(status) + " OK\r\n" + kProperFields +
+                  "Content-Length: 6\r\n\r\nstatus");
+    });
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+  }
+}
+
 // Guards against a part of an answer that the caller takes for the whole.
 TEST_CASE("a part of an answer that is reset during an upload reaches no caller as an answer") {
   constexpr std::size_t kUploadBytes = std::size_t{8} * 1024 * 1024;
--- a/tests/runtime/broken_answer_test.cpp
+++ b/tests/runtime/broken_answer_test.cpp
@@ -7,6 +7,49 @@
 #include "runtime/proxy_server_fixture.h"
 
 namespace coursepond::runtime {
+namespace {
+
+/// Returns what a caller receives until its connection ends, if the server answers with `answer`
+/// and then closes its connection.
+std::string receivedFor(const std::string& answer, const std::string& request) {
+  ProxyServerFixture fixture;
+  RawServer server(fixture.context, [&](RawServer::Connection& connection) {
+    connection.send(answer);
+    connection.socket.close();
+  });
+  fixture.useServers({server.address()});
+  RawCaller caller = fixture.caller();
+  caller.send(request);
+  caller.runToEnd();
+  return caller.received;
+}
+
+std::string closingGet(const std::string& more_fields = "") {
+  return simpleGet("/x", "Connection: close\r\n" + more_fields);
+}
+
+}  // namespace
+
+// Guards against answers whose status is not one of HTTP reaching the caller.
+TEST_CASE("an answer whose status is below 100 is replaced by 502") {
+  for (const char* status : {"000", "001", "042", "099"}) {
+    CAPTURE(status);
+    const std::string received = receivedFor(
+        "HTTP/1.1 " + std::string(status) + " OK\r\nContent-Length: 6\r\n\r\nstatus", closingGet());
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+    CHECK(received.find("status") == std::string::npos);
+  }
+}
+
+TEST_CASE("an answer with a status that HTTP does not define reaches the caller") {
+  for (const char* status : {"299", "599", "600", "999"}) {
+    CAPTURE(status);
+    const std::string received = receivedFor(
+        "HTTP/1.1 " + std::string(status) + " Own\r\nContent-Length: 4\r\n\r\nbody", closingGet());
+    CHECK(received.starts_with("HTTP/1.1 " + std::string(status) + " "));
+    CHECK(received.ends_with("\r\n\r\nbody"));
+  }
+}
 
 // Guards against a part of an answer that the caller takes for the whole.
 TEST_CASE("an answer without a length that is reset during an upload does not look complete") {
--- a/tests/runtime/http_client_answer_test.cpp
+++ b/tests/runtime/http_client_answer_test.cpp
@@ -85,6 +85,16 @@
   CHECK(answer->headers.empty());
 }
 
+// Guards against health and settings that are taken from what is no answer.
+TEST_CASE("an answer whose status is below 100 is malformed") {
+  for (const std::string status : {"000", "007", "099"}) {
+    CAPTURE(status);
+    const auto answer = read("HTTP/1.1 " + status + " OK\r\nContent-Length: 5\r\n\r\nwhole");
+    REQUIRE(answer.has_error());
+    CHECK(answer.error().kind == ErrorKind::kMalformed);
+  }
+}
+
 TEST_CASE("an answer that breaks off is an error") {
   for (const std::string framed : {"Content-Length: 6\r\n\r\nwhole",
                                    "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", "X-A: b"}) {
--- a/tests/runtime/http_parser_test.cpp
+++ b/tests/runtime/http_parser_test.cpp
@@ -77,6 +77,29 @@
   CHECK_FALSE(parser.parseEnd());
 }
 
+// RFC 9110, section 15: a status has three digits, the first of which is not zero.
+TEST_CASE("an answer whose status is below 100 is malformed, any other status is not") {
+  MessageParser parser(MessageParser::Kind::kAnswer, {});
+  for (unsigned status = 0; status < 1000; ++status) {
+    CAPTURE(status);
+    const std::string digits = std::to_string(1000 + status).substr(1);
+    const std::string bytes = "HTTP/1.1 " + digits + " OK\r\nContent-Length: 0\r\n\r\n";
+    for (const std::size_t step : {std::size_t{1}, bytes.size()}) {
+      parser.reset();
+      const Parsed parsed = parseInSteps(parser, bytes, step);
+      const ParseFailure expected = status < 100 ? ParseFailure::kMalformed : ParseFailure::kNone;
+      CHECK(parsed.failure == expected);
+      CHECK(parsed.complete == (status >= 100));
+    }
+  }
+  for (const std::string digits : {"", "2", "20", "2000", "+20", "2x0", " 200", "-01"}) {
+    CAPTURE(digits);
+    parser.reset();
+    const std::string bytes = "HTTP/1.1 " + digits + " OK\r\nContent-Length: 0\r\n\r\n";
+    CHECK(parseInSteps(parser, bytes, bytes.size()).failure != ParseFailure::kNone);
+  }
+}
+
 TEST_CASE("every role is found, whatever the case of the field name") {
   CHECK(roleOf("te") == FieldRole::kHopByHop);
   CHECK(roleOf("HOST") == FieldRole::kHost);
