Answers: a line that begins with a blank is no field

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on as a part of the field before it, or with a body that was not the server's: after " Content-Length: 2" the body went on until the close. Tests, red before for names that begin with a blank or a tab: "an answer with a blank or a control byte in the name of a field is replaced by 502" (mesh) and "... in a field's name ..." (two hops), "... is malformed" (client for short answers), "the name of a field of an answer has no other bytes than those of a token" (parser, all 256 bytes before, in and behind a name) and "a line of an answer that continues the line before is malformed". Already handled: all other bytes, control bytes and the blank within or behind a name included, and a blank at the first line of the fields. The tests hold them too. Cause: the library's parser takes a line that begins with a blank for the continuation of the value before it, an obsolete form of HTTP. Why this fixes it: RFC 9112, section 5.2, lets a proxy replace an answer with such a line by a 502, and that is what callers get now. Requests keep the other way that the section allows ("a line of a request that continues the line before is joined with it", green before and after).

--- a/src/runtime/http_parser.cpp
+++ b/src/runtime/http_parser.cpp
@@ -33,6 +33,13 @@
   return ParseFailure::kMalformed;
 }
 
+/// Returns whether a line of a head begins with a blank. The library joins such a line with the one
+/// before it; the sender may have meant a field of its own (RFC 9112, section 5.2).
+bool hasContinuedLine(std::string_view lines) {
+  return lines.find("\r\n ") != std::string_view::npos ||
+         lines.find("\r\n\t") != std::string_view::npos;
+}
+
 /// RFC 9112, section 6: rejects every message whose end is ambiguous.
 ParseFailure checkLength(const MessageHead& head) {
   const std::size_t lengths = head.fields.count(FieldRole::kContentLength);
@@ -188,6 +195,11 @@
   error_code error;
   const std::size_t used = core_->put(bytes, nullptr, error);
   head_bytes_ += used;
+  // Fields are consumed whole, with the lines that continue them.
+  if (kind_ == Kind::kAnswer && hasContinuedLine(bytes.substr(0, used))) {
+    failure_ = ParseFailure::kMalformed;
+    return used;
+  }
   if (error == http::error::need_more) {
     // Beast applies its own limit anew after each field that it has consumed.
     const bool too_large = head_bytes_ + bytes.size() - used >= limits_.head_bytes;
--- a/tests/node/broken_answer_test.cpp
+++ b/tests/node/broken_answer_test.cpp
@@ -171,6 +171,22 @@
   }
 }
 
+// Guards against a line that is no field being passed on, and against a body whose end is not where
+// the server placed it.
+TEST_CASE("an answer with a blank or a control byte in a field's name is replaced by 502") {
+  for (const std::string line : {"X A: line", "X-A : line", " X-A: line", "\tX-A: line",
+                                 "X\x01: line", "Content-Length : 2", " Content-Length: 2"}) {
+    CAPTURE(line);
+    Fixture bench;
+    const std::string received = bench.ask([&](runtime::RawServer::Connection& server) {
+      server.send("HTTP/1.1 200 OK\r\n" + std::string(kProperFields) + line + "\r\n\r\nthe body");
+      server.socket.close();
+    });
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+    CHECK(received.find("line") == std::string::npos);
+  }
+}
+
 // Guards against a part of an answer that the caller takes for the whole.
 TEST_CASE("a part of an answer that is reset during an upload reaches no caller as an answer") {
   constexpr std::size_t kUploadBytes = std::size_t{8} * 1024 * 1024;
--- a/tests/runtime/broken_answer_test.cpp
+++ b/tests/runtime/broken_answer_test.cpp
@@ -51,6 +51,25 @@
   }
 }
 
+// Guards against a line that is no field being passed on, and against a body whose end is not where
+// the server placed it.
+TEST_CASE("an answer with a blank or a control byte in the name of a field is replaced by 502") {
+  for (const std::string line :
+       {"X A: line", "X-A : line", "X-A\t: line", " X-A: line", "\tX-A: line", " : line",
+        "\x01X: line", "X\x7f: line", "X\rA: line", "\rX-A: line", "Content-Length : 2",
+        " Content-Length: 2", "\x0bTransfer-Encoding: chunked"}) {
+    for (const std::string before : {"", "X-B: before\r\n"}) {
+      CAPTURE(line);
+      CAPTURE(before);
+      const std::string received = receivedFor(
+          "HTTP/1.1 200 OK\r\n" + before + line + "\r\nX-C: after\r\n\r\nthe body", closingGet());
+      CHECK(received.starts_with("HTTP/1.1 502 "));
+      CHECK(received.find("line") == std::string::npos);
+      CHECK(received.find("the body") == std::string::npos);
+    }
+  }
+}
+
 // Guards against a part of an answer that the caller takes for the whole.
 TEST_CASE("an answer without a length that is reset during an upload does not look complete") {
   constexpr std::size_t kUploadBytes = std::size_t{8} * 1024 * 1024;
--- a/tests/runtime/http_client_answer_test.cpp
+++ b/tests/runtime/http_client_answer_test.cpp
@@ -95,6 +95,16 @@
   }
 }
 
+TEST_CASE("an answer with a blank or a control byte in the name of a field is malformed") {
+  for (const std::string line : {"X A: b", "X-A : b", " X-A: b", "\tX-A: b", "X\x01: b"}) {
+    CAPTURE(line);
+    const auto answer =
+        read("HTTP/1.1 200 OK\r\nX-B: c\r\n" + line + "\r\nContent-Length: 5\r\n\r\nwhole");
+    REQUIRE(answer.has_error());
+    CHECK(answer.error().kind == ErrorKind::kMalformed);
+  }
+}
+
 TEST_CASE("an answer that breaks off is an error") {
   for (const std::string framed : {"Content-Length: 6\r\n\r\nwhole",
                                    "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", "X-A: b"}) {
--- a/tests/runtime/http_parser_test.cpp
+++ b/tests/runtime/http_parser_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "core/ascii.h"
+
 namespace coursepond::runtime {
 namespace {
 
@@ -100,6 +102,61 @@
   }
 }
 
+bool mayBeInName(unsigned char byte) {
+  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";  // RFC 9110, section 5.6.2.
+  const auto character = static_cast<char>(byte);
+  return isLetterOrDigit(character) || kOthers.find(character) != std::string_view::npos;
+}
+
+// Guards against lines that are no field, and against a body that ends elsewhere than the server
+// meant: another parser may read a name such as "Content-Length " as one that it knows.
+TEST_CASE("the name of a field of an answer has no other bytes than those of a token") {
+  MessageParser parser(MessageParser::Kind::kAnswer, {});
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  for (unsigned byte = 0; byte < 256; ++byte) {
+    const std::string text(1, static_cast<char>(byte));
+    const bool is_colon = text == ":";
+    for (const std::string before : {"", "X-B: c\r\n"}) {
+      for (const std::string& name : {text + "X-A", "X" + text + "A", "X-A" + text}) {
+        CAPTURE(byte);
+        CAPTURE(before);
+        const std::string bytes = start + before + name + ": d\r\nContent-Length: 2\r\n\r\nok";
+        const bool is_valid =
+            mayBeInName(static_cast<unsigned char>(byte)) || (is_colon && !name.starts_with(':'));
+        for (const std::size_t step : {std::size_t{1}, bytes.size()}) {
+          parser.reset();
+          const Parsed parsed = parseInSteps(parser, bytes, step);
+          CHECK((parsed.failure == ParseFailure::kNone) == is_valid);
+          CHECK(parsed.complete == is_valid);
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("a line of an answer that continues the line before is malformed") {
+  MessageParser parser(MessageParser::Kind::kAnswer, {});
+  for (const std::string fields :
+       {"X-A: b\r\n Content-Length: 2\r\n", "X-A: b\r\n\tc\r\n", "Content-Length:\r\n 2\r\n",
+        "X-A:\r\n \r\n", "X-A: b\r\n \r\nContent-Length: 2\r\n"}) {
+    CAPTURE(fields);
+    const std::string bytes = "HTTP/1.1 200 OK\r\n" + fields + "\r\nok";
+    for (const std::size_t step : {std::size_t{1}, std::size_t{3}, bytes.size()}) {
+      CAPTURE(step);
+      parser.reset();
+      CHECK(parseInSteps(parser, bytes, step).failure == ParseFailure::kMalformed);
+    }
+  }
+}
+
+TEST_CASE("a line of a request that continues the line before is joined with it") {
+  MessageParser parser(MessageParser::Kind::kRequest, {});
+  const std::string bytes = "GET / HTTP/1.1\r\nHost: svc\r\nX-A: b\r\n c\r\n\r\n";
+  CHECK(parseInSteps(parser, bytes, bytes.size()).complete);
+  REQUIRE(parser.head().fields.size() == 2);
+  CHECK(parser.head().fields[1].value == "b c");
+}
+
 TEST_CASE("every role is found, whatever the case of the field name") {
   CHECK(roleOf("te") == FieldRole::kHopByHop);
   CHECK(roleOf("HOST") == FieldRole::kHost);
