Upstream: interim answers without end are given up

What callers would see: a server in trouble that sends interim answers without end was read for as long as the request's deadline allowed, at the speed of the link; the caller got 504 then. Test, red before: "an answer whose head never ends is replaced by an error before its deadline", for interim answers. Its other cases (fields, a name, a value, folded lines, empty lines before the status line, a reason phrase, bytes that are not HTTP) were green and stay. Cause: each interim answer began a new head, and the limit of a head began anew with it. Why this fixes it: the interim answers to a request may take together as much as one head. After that the answer is malformed, the connection is closed and the caller gets 502.

--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -64,6 +64,7 @@
   state_ = State::kBusy;
   write_failed_ = sent_bytes_ = false;
   written_bytes_ = 0;
+  interim_bytes_ = 0;
   request_complete_ = false;
   stalls_watched_ = false;
   skipping_ = false;
@@ -220,18 +221,26 @@
     fail(UpstreamFailure::kMalformed);
     return false;
   }
-  if (status / 100 == 1) {
-    parser_.reset(head_request_);
-    if (user_ != nullptr) user_->onUpstreamInterim(status);
-    if (!hasRequest()) return false;
-    if (!buffer_.empty()) return true;
-    read();
-    return false;
-  }
+  if (isInterim(status)) return skipInterim();
   if (user_ != nullptr) user_->onUpstreamHead(parser_.head());
   return true;
 }
 
+bool UpstreamConnection::skipInterim() {
+  interim_bytes_ += parser_.headBytes();
+  if (interim_bytes_ > settings_.answer_head_bytes) {
+    fail(UpstreamFailure::kMalformed);
+    return false;
+  }
+  const unsigned status = parser_.head().status;
+  parser_.reset(head_request_);
+  if (user_ != nullptr) user_->onUpstreamInterim(status);
+  if (!hasRequest()) return false;
+  if (!buffer_.empty()) return true;
+  read();
+  return false;
+}
+
 void UpstreamConnection::skipAnswer() {
   skipping_ = true;
   skipped_answer_ = true;
--- a/src/runtime/upstream_connection.h
+++ b/src/runtime/upstream_connection.h
@@ -23,6 +23,7 @@
   Duration answer_stall_timeout = std::chrono::seconds(10);
   /// Time limit for reading the rest of an unwanted answer.
   Duration discard_timeout = std::chrono::milliseconds(500);
+  /// Upper bound for the head of an answer, and for all interim answers before it together.
   std::uint32_t answer_head_bytes = 32 * 1024;
   std::uint32_t buffer_bytes = 32 * 1024;             ///< Maximum size of one read.
   const FieldTable* table = &FieldTable::standard();  ///< Must outlive the connections.
@@ -158,6 +159,7 @@
   void onWritten(const boost::system::error_code& error, std::size_t size);
   void parse();
   bool parseHead();
+  bool skipInterim();
   void onSkipped();
   void onAnswerComplete();
   void fail(UpstreamFailure failure);
@@ -178,8 +180,9 @@
   TimePoint output_due_;
   std::uint64_t written_bytes_ = 0;  ///< Bytes of the current request.
   std::size_t discarded_bytes_ = 0;
-  bool skipping_ = false;        ///< The current answer belongs to another request.
-  bool skipped_answer_ = false;  ///< An answer was skipped for the current request.
+  std::size_t interim_bytes_ = 0;  ///< Size of the interim answers to the current request.
+  bool skipping_ = false;          ///< The current answer belongs to another request.
+  bool skipped_answer_ = false;    ///< An answer was skipped for the current request.
   bool head_request_ = false;
   bool reading_ = false;
   bool writing_ = false;
--- a/tests/runtime/broken_answer_test.cpp
+++ b/tests/runtime/broken_answer_test.cpp
@@ -5,10 +5,13 @@
 #include <string>
 
 #include "runtime/proxy_server_fixture.h"
+#include "support/endless_server.h"
 
 namespace coursepond::runtime {
 namespace {
 
+using namespace std::chrono_literals;
+
 /// Returns what a caller receives until its connection ends, if the server answers with `answer`
 /// and then closes its connection.
 std::string receivedFor(const std::string& answer, const std::string& request) {
@@ -33,7 +36,7 @@
 // Guards against answers whose status is not one of HTTP reaching the caller.
 TEST_CASE("an answer whose status is below 100 is replaced by 502") {
   for (const char* status : {"000", "001", "042", "099"}) {
-    CAPTURE(status);
+    CAPTURE(std::string(status));
     const std::string received = receivedFor(
         "HTTP/1.1 " + std::string(status) + " OK\r\nContent-Length: 6\r\n\r\nstatus", closingGet());
     CHECK(received.starts_with("HTTP/1.1 502 "));
@@ -43,7 +46,7 @@
 
 TEST_CASE("an answer with a status that HTTP does not define reaches the caller") {
   for (const char* status : {"299", "599", "600", "999"}) {
-    CAPTURE(status);
+    CAPTURE(std::string(status));
     const std::string received = receivedFor(
         "HTTP/1.1 " + std::string(status) + " Own\r\nContent-Length: 4\r\n\r\nbody", closingGet());
     CHECK(received.starts_with("HTTP/1.1 " + std::string(status) + " "));
@@ -99,4 +102,23 @@
   }
 }
 
+// Guards against a request that never ends, and against a node that keeps reading for a server that
+// has nothing to say.
+TEST_CASE("an answer whose head never ends is replaced by an error before its deadline") {
+  for (const testing::EndlessAnswer& answer : testing::endlessHeads()) {
+    const std::string name = answer.name;
+    CAPTURE(name);
+    ProxyServerFixture fixture;
+    testing::EndlessServer server(fixture.context, answer);
+    fixture.useServers({server.address()});
+    RawCaller caller = fixture.caller();
+    const auto began = std::chrono::steady_clock::now();
+    caller.send(closingGet("X-Deadline-Ms: 5000\r\n"));
+    caller.runToEnd();
+    CHECK(std::chrono::steady_clock::now() - began < 5s);
+    CHECK(caller.received.starts_with("HTTP/1.1 502 "));
+    fixture.runUntil([&] { return server.open() == 0; });
+  }
+}
+
 }  // namespace coursepond::runtime
