Data path: an answer of unknown length ends with its request's deadline

What callers would see: a server in trouble that sends a body without end, in chunks or without a length. Once its beginning had been passed on there was no limit any more: the request held a slot of its server, and a link, until its caller closed. Tests, red before: "an answer whose body never ends is cut when its request's deadline is over" (mesh) and "an answer that never ends is ended by its request's deadline" (two hops), both for bodies without a length and chunks. Their other cases (a chunk size, a chunk extension, trailers, heads) were green and stay, as does "an answer of known length whose body is late is delivered". Cause: the flows disarm their deadline when an answer begins, and the only limit after that was the longest pause within an answer. Why this fixes it: an answer without an announced length fails at its request's deadline, as after too long a pause: the connection to the server is closed and the caller's is reset, so that the part does not look complete. With two hops that is the deadline that the request has there, with the route's limit in it; in a mesh it is the caller's own, up to longest_deadline, since the route's timeout there is for the beginning of an answer. Until then memory is bounded as before: a node reads no more from a server than the caller takes. Answers with a length are delivered however late.

--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -93,6 +93,7 @@
     return routing_ ? routing_->snapshot->version : Version();
   }
   TimePoint dueAt() const override { return started_ + target(); }
+  TimePoint latestEnd() const override { return deadline_; }
 
  private:
   enum class Phase { kNew, kAskingQuota, kWaiting, kAttempting, kForwarding, kFinished };
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -51,6 +51,7 @@
   void onCallerGone() override;
   Version configurationVersion() const override { return Version(); }
   TimePoint dueAt() const override { return due; }
+  TimePoint latestEnd() const override { return deadline_; }
   std::optional<proxy::HopLoad> hopLoad() const override {
     return state_.loadFor(head_.target_instance);
   }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -88,6 +88,7 @@
   Version configurationVersion() const {
     return routing_ ? routing_->snapshot->version : Version();
   }
+  TimePoint latestEnd() const { return latest_end_; }
 
  private:
   enum class Phase { kNew, kWaiting, kAttempting, kForwarding, kFinished };
@@ -142,6 +143,7 @@
   bool is_part_of_retry_ = false;
   std::optional<Duration> server_retry_after_;
   TimePoint deadline_;
+  TimePoint latest_end_;
   TimePoint attempt_started_;
 };
 
@@ -171,7 +173,10 @@
   is_part_of_retry_ = isPartOfRetry(head_);
   const Duration allowed = head_.deadline.value_or(route_->timeout);
   if (allowed <= Duration(0)) return Reason::kDeadline;
-  deadline_ = now + std::min(allowed, parts_.settings.longest_deadline);
+  const Duration longest = parts_.settings.longest_deadline;
+  deadline_ = now + std::min(allowed, longest);
+  // The route's timeout is for the beginning of the answer.
+  latest_end_ = now + std::min(head_.deadline.value_or(longest), longest);
   if (isTooLateInStop(now)) return Reason::kStopping;
   return std::nullopt;
 }
@@ -501,4 +506,6 @@
   return implementation_->configurationVersion();
 }
 
+TimePoint RequestFlow::latestEnd() const { return implementation_->latestEnd(); }
+
 }  // namespace coursepond::proxy
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -233,6 +233,9 @@
   virtual Version configurationVersion() const = 0;
   /// Returns when the answer should be with the caller, by the target latency of its route.
   virtual TimePoint dueAt() const { return TimePoint(); }
+  /// Returns when the forwarding of an answer of unknown length ends, whether it is whole or not.
+  /// Otherwise a server could occupy the request's slot and its caller without end.
+  virtual TimePoint latestEnd() const { return TimePoint::max(); }
   /// Returns the load to send with the answer towards the caller, if this is an ingress.
   virtual std::optional<HopLoad> hopLoad() const { return std::nullopt; }
 };
@@ -252,6 +255,7 @@
   void onAnswerCut(AttemptId attempt) override;
   void onCallerGone() override;
   Version configurationVersion() const override;
+  TimePoint latestEnd() const override;
 
  private:
   class Implementation;
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -503,9 +503,10 @@
     answer_framing_ = BodyFraming::kLength;
     context.whole_length = collected_.size();
   } else {
-    upstream_->watchStalls();
     const MessageHead& head = *answer_head_;
-    unreceived_bytes_ = head.framing == BodyFraming::kLength ? head.content_length : 0;
+    const bool has_length = head.framing == BodyFraming::kLength;
+    upstream_->watchAnswer(has_length ? TimePoint::max() : flow_->latestEnd());
+    unreceived_bytes_ = has_length ? head.content_length : 0;
     answer_framing_ = framingTowards(*answer_head_, parser_.head().is_http_1_1);
     if (answer_framing_ == BodyFraming::kUntilClose) context.close = close_after_ = true;
   }
--- a/src/runtime/upstream_connection.cpp
+++ b/src/runtime/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "runtime/upstream_connection.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -66,7 +67,7 @@
   written_bytes_ = 0;
   interim_bytes_ = 0;
   request_complete_ = false;
-  stalls_watched_ = false;
+  answer_watched_ = false;
   skipping_ = false;
   skipped_answer_ = false;
   output_.clear();
@@ -262,13 +263,20 @@
 
 void UpstreamConnection::resume() {
   if (state_ != State::kBusy) return;
-  if (stalls_watched_) expireAfter(settings_.answer_stall_timeout);
-  read();
+  if (answer_watched_) armAnswerTimer();
+  // A server that sends faster than the timer ticks would otherwise go on.
+  const bool is_over = answer_watched_ && BootClock::now() >= latest_end_;
+  if (!is_over) read();
+}
+
+void UpstreamConnection::watchAnswer(TimePoint latest_end) {
+  answer_watched_ = true;
+  latest_end_ = latest_end;
+  armAnswerTimer();
 }
 
-void UpstreamConnection::watchStalls() {
-  stalls_watched_ = true;
-  expireAfter(settings_.answer_stall_timeout);
+void UpstreamConnection::armAnswerTimer() {
+  expireAt(std::min(BootClock::now() + settings_.answer_stall_timeout, latest_end_));
 }
 
 void UpstreamConnection::onAnswerComplete() {
--- a/src/runtime/upstream_connection.h
+++ b/src/runtime/upstream_connection.h
@@ -36,7 +36,7 @@
   kConnectFailed,
   kClosedUnsent,  ///< No byte of the request was written.
   kLost,          ///< Closed or reset before the answer was complete.
-  kStalled,       ///< The answer paused for too long.
+  kStalled,       ///< The answer paused, or went on, for too long.
   kMalformed,     ///< The answer is not HTTP, or exceeds a limit.
 };
 
@@ -120,8 +120,8 @@
   /// Continues to read after onUpstreamPause().
   void resume();
   /// Call when the answer is being forwarded: from now on, pauses are limited by
-  /// answer_stall_timeout.
-  void watchStalls();
+  /// answer_stall_timeout, and the answer fails if it is not whole at `latest_end`.
+  void watchAnswer(TimePoint latest_end);
 
   /// Abandons the request. The connection is not reused, and the user is not called again.
   void abandon();
@@ -160,6 +160,7 @@
   void parse();
   bool parseHead();
   bool skipInterim();
+  void armAnswerTimer();
   void onSkipped();
   void onAnswerComplete();
   void fail(UpstreamFailure failure);
@@ -190,7 +191,8 @@
   bool write_failed_ = false;
   bool sent_bytes_ = false;
   bool request_complete_ = false;
-  bool stalls_watched_ = false;
+  bool answer_watched_ = false;
+  TimePoint latest_end_;  ///< See watchAnswer().
 };
 
 }  // namespace coursepond::runtime
--- a/tests/node/broken_answer_test.cpp
+++ b/tests/node/broken_answer_test.cpp
@@ -11,6 +11,7 @@
 
 #include "node/two_hop_node.h"
 #include "runtime/proxy_server_fixture.h"
+#include "support/endless_server.h"
 #include "support/loopback_bench.h"
 
 namespace coursepond::node {
@@ -161,7 +162,7 @@
 // Guards against answers whose status is not one of HTTP reaching the caller.
 TEST_CASE("an answer whose status is below 100 is replaced by 502 behind two hops") {
   for (const char* status : {"000", "042", "099"}) {
-    CAPTURE(status);
+    CAPTURE(std::string(status));
     Fixture bench;
     const std::string received = bench.ask([&](runtime::RawServer::Connection& server) {
       server.send("HTTP/1.1 " + std::string(status) + " OK\r\n" + kProperFields +
@@ -216,4 +217,26 @@
   }
 }
 
+// Guards against requests that never end, and that hold a slot of their server for as long.
+TEST_CASE("an answer that never ends is ended by its request's deadline") {
+  std::vector<testing::EndlessAnswer> answers = testing::endlessHeads(kProperFields);
+  for (testing::EndlessAnswer& answer : testing::endlessBodies(kProperFields)) {
+    answers.push_back(std::move(answer));
+  }
+  for (const testing::EndlessAnswer& answer : answers) {
+    const std::string name = answer.name;
+    CAPTURE(name);
+    Fixture bench;
+    testing::EndlessServer server(bench.context(), answer);
+    bench.startNode(server.address());
+    runtime::RawCaller caller = bench.caller();
+    caller.send(Fixture::request("GET /read", "X-Deadline-Ms: 500\r\n"));
+    REQUIRE(bench.runUntil([&] { return caller.ended; }));
+    CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
+    CHECK((caller.reset || caller.received.starts_with("HTTP/1.1 50")));
+    CHECK(bench.runUntil([&] { return server.open() == 0; }));
+    bench.stopNode();
+  }
+}
+
 }  // namespace coursepond::node
--- a/tests/runtime/broken_answer_test.cpp
+++ b/tests/runtime/broken_answer_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <string>
 
 #include "runtime/proxy_server_fixture.h"
@@ -121,4 +122,40 @@
   }
 }
 
+TEST_CASE("an answer whose body never ends is cut when its request's deadline is over") {
+  for (const testing::EndlessAnswer& answer : testing::endlessBodies()) {
+    const std::string name = answer.name;
+    CAPTURE(name);
+    ProxyServerFixture fixture;
+    testing::EndlessServer server(fixture.context, answer);
+    fixture.useServers({server.address()});
+    RawCaller caller = fixture.caller();
+    const auto began = std::chrono::steady_clock::now();
+    caller.send(closingGet("X-Deadline-Ms: 400\r\n"));
+    caller.runUntil([&] { return caller.ended || std::chrono::steady_clock::now() - began > 3s; });
+    REQUIRE(caller.ended);
+    CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
+    const bool is_error = caller.received.starts_with("HTTP/1.1 50");
+    CHECK((caller.reset || is_error));
+    fixture.runUntil([&] { return server.open() == 0; });
+  }
+}
+
+TEST_CASE("an answer of known length whose body is late is delivered") {
+  ProxyServerFixture fixture;
+  boost::asio::steady_timer timer(fixture.context);
+  RawServer server(fixture.context, [&](RawServer::Connection& connection) {
+    connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst");
+    timer.expires_after(500ms);
+    timer.async_wait([&connection](const boost::system::error_code& error) {
+      if (!error) connection.send(" late");
+    });
+  });
+  fixture.useServers({server.address()});
+  RawCaller caller = fixture.caller();
+  caller.send(closingGet("X-Deadline-Ms: 300\r\n"));
+  caller.runToEnd();
+  CHECK(caller.received.ends_with("\r\n\r\nfirst late"));
+}
+
 }  // namespace coursepond::runtime
