Parser: an empty chunked body in small pieces does not end the process

Such a message is valid. Test, red before (the test program was aborted): "an empty chunked body parses the same, whatever pieces it arrives in". Cause: when the library returns to a last chunk that is not whole, it asserts that it has seen five bytes, which holds only if a chunk came before. Why this fixes it: the parser does not pass "0\r\n" alone on as the beginning of a body, but waits for the next byte. What is malformed is still refused at once.

--- a/src/runtime/http_parser.cpp
+++ b/src/runtime/http_parser.cpp
@@ -17,6 +17,8 @@
 
 /// The library accepts any three digits (RFC 9110, section 15).
 constexpr int kLowestStatus = 100;
+/// The library asserts that it has seen more than this when it returns to an incomplete last chunk.
+constexpr std::string_view kShortestLastChunk = "0\r\n";
 
 std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 
@@ -184,7 +186,7 @@
 void MessageParser::reset(bool answer_to_head) {
   head_.fields.clear();
   head_bytes_ = 0;
-  head_complete_ = false;
+  head_complete_ = body_begun_ = false;
   complete_ = false;
   failure_ = ParseFailure::kNone;
   core_->reset(limits_, answer_to_head);
@@ -223,6 +225,8 @@
 }
 
 std::size_t MessageParser::parseBody(std::string_view bytes, BodySink& sink) {
+  const bool is_chunked = head_.framing == BodyFraming::kChunked;
+  if (is_chunked && !body_begun_ && bytes == kShortestLastChunk) return 0;
   std::size_t used = 0;
   while (used < bytes.size() && !complete_) {
     error_code error;
@@ -235,6 +239,7 @@
       break;
     }
   }
+  if (used > 0) body_begun_ = true;
   return used;
 }
 
--- a/src/runtime/http_parser.h
+++ b/src/runtime/http_parser.h
@@ -100,6 +100,7 @@
   MessageHead head_;
   std::size_t head_bytes_ = 0;
   bool head_complete_ = false;
+  bool body_begun_ = false;  ///< Some bytes of the body have been consumed.
   bool complete_ = false;
   ParseFailure failure_ = ParseFailure::kNone;
   std::unique_ptr<Core> core_;
--- a/tests/runtime/http_parser_test.cpp
+++ b/tests/runtime/http_parser_test.cpp
@@ -53,6 +53,24 @@
   }
 }
 
+// Guards against a process that ends at a valid message: the library asserts that the last chunk is
+// seen with more bytes before it.
+TEST_CASE("an empty chunked body parses the same, whatever pieces it arrives in") {
+  MessageParser parser(MessageParser::Kind::kAnswer, {});
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string body : {"0\r\n\r\n", "0;a\r\n\r\n", "00\r\nX-A: b\r\n\r\n"}) {
+    for (std::size_t step = 1; step <= head.size() + body.size(); ++step) {
+      CAPTURE(body);
+      CAPTURE(step);
+      parser.reset();
+      const Parsed parsed = parseInSteps(parser, head + body, step);
+      CHECK(parsed.failure == ParseFailure::kNone);
+      CHECK(parsed.complete);
+      CHECK(parsed.body.empty());
+    }
+  }
+}
+
 TEST_CASE("the head limit covers all fields, however they arrive") {
   const std::string line = "X-A: 0123456789\r\n";
   std::string bytes = "GET / HTTP/1.1\r\nHost: svc\r\n";
