Health checks: an answer of more than 256 KiB is given up

What callers would see: a server in trouble that answers a health check with a body without end made the node beside it hold up to 64 MiB of it, and twice that while the text grew: more than a small machine has. Only the head of such an answer is used. Also: the client for short answers reserves memory for a body only if there is one. Since it reads with MessageParser, a 304 or an answer to HEAD that announced an impossible length ended the process ("an answer without a body may announce any length", red before).

--- a/src/model/json_document.cpp
+++ b/src/model/json_document.cpp
@@ -104,7 +104,7 @@
   return keys;
 }
 
-/// Returns the UTF-16 code unit of the escape at `index`, such as "\\u00e4"; nothing if there is
+/// Returns the UTF-16 code unit of the escape at `index`, such as "\u00e4"; nothing if there is
 /// none.
 std::optional<unsigned> escapedUnit(std::string_view text, std::size_t index) {
   if (text.substr(index, 2) != "\\u") return std::nullopt;
--- a/src/node/server_health.cpp
+++ b/src/node/server_health.cpp
@@ -8,6 +8,8 @@
 
 /// A later answer would describe an outdated state.
 constexpr Duration kHealthTimeout = std::chrono::milliseconds(600);
+/// Only the head of an answer is used.
+constexpr std::uint64_t kMaxHealthBytes = std::uint64_t{256} * 1024;
 
 std::optional<Duration> parseMilliseconds(std::string_view text) {
   double milliseconds = 0;
@@ -40,6 +42,12 @@
   return health;
 }
 
+runtime::HttpClientLimits ServerHealthClient::limits() {
+  runtime::HttpClientLimits limits;
+  limits.body_bytes = kMaxHealthBytes;
+  return limits;
+}
+
 void ServerHealthClient::fetch(Callback callback) {
   if (path_.empty()) return;
   runtime::HttpClientRequest request;
--- a/src/node/server_health.h
+++ b/src/node/server_health.h
@@ -20,7 +20,7 @@
 
   /// `context` must outlive the client.
   ServerHealthClient(boost::asio::io_context& context, Address server, runtime::HeaderNames names)
-      : client_(context), server_(std::move(server)), names_(std::move(names)) {}
+      : client_(context, limits()), server_(std::move(server)), names_(std::move(names)) {}
 
   /// Sets the path of the server's health endpoint. Empty if the server has none.
   void setPath(std::string path) { path_ = std::move(path); }
@@ -30,6 +30,8 @@
   void fetch(Callback callback);
 
  private:
+  static runtime::HttpClientLimits limits();
+
   runtime::HttpClient client_;
   Address server_;
   runtime::HeaderNames names_;
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -254,7 +254,8 @@
     }
     const MessageHead& head = parser_->head();
     if (!isInterim(head.status)) {
-      body_.reserve(head.content_length);
+      // An answer without a body may announce any length.
+      if (head.framing == BodyFraming::kLength) body_.reserve(head.content_length);
       return true;
     }
     return skipInterim();
--- a/tests/node/server_health_test.cpp
+++ b/tests/node/server_health_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "runtime/http_server.h"
+#include "support/endless_server.h"
 #include "support/loopback_bench.h"
 
 namespace coursepond::node {
@@ -70,4 +71,23 @@
   CHECK(received[0].cold_left == milliseconds(200));
 }
 
+// Guards against a node whose memory is filled by the health answer of a server in trouble.
+TEST_CASE("a health answer whose body never ends is given up early") {
+  for (const testing::EndlessAnswer& answer : testing::endlessBodies("X-Instance-Id: i-7\r\n")) {
+    const std::string name = answer.name;
+    CAPTURE(name);
+    testing::LoopbackBench bench;
+    testing::EndlessServer server(bench.context(), answer);
+    ServerHealthClient client(bench.context(), server.address(), {});
+    client.setPath("/healthy");
+    std::size_t received = 0;
+    client.fetch([&](const ingress::ServerHealth&) { ++received; });
+    REQUIRE(bench.runUntil([&] { return server.accepted() > 0 && server.sentBytes() > 0; }));
+    CHECK(bench.runUntil([&] { return server.open() == 0; }));
+    constexpr std::uint64_t kMaxSentBytes = std::uint64_t{16} * 1024 * 1024;
+    CHECK(server.sentBytes() < kMaxSentBytes);
+    CHECK(received == 0);
+  }
+}
+
 }  // namespace coursepond::node
--- a/tests/runtime/http_client_answer_test.cpp
+++ b/tests/runtime/http_client_answer_test.cpp
@@ -85,6 +85,14 @@
   CHECK(answer->headers.empty());
 }
 
+TEST_CASE("an answer without a body may announce any length") {
+  const auto answer =
+      read("HTTP/1.1 304 Not Modified\r\nContent-Length: 18446744073709551615\r\n\r\n");
+  REQUIRE(answer.has_value());
+  CHECK(answer->status == 304);
+  CHECK(answer->body.empty());
+}
+
 // Guards against health and settings that are taken from what is no answer.
 TEST_CASE("an answer whose status is below 100 is malformed") {
   for (const std::string status : {"000", "007", "099"}) {
