Reading: standbys and shared knowledge of silent parents keep versions in time

Cause: the timeouts of silent parents added up (1.925 + 0.45 + 0.45 s for the configuration), the read of the configuration did not know what the reads of the servers had found 0.75 s earlier, and no node was bound to read the source in place of the readers: each did by chance, and was asked by nobody. No test held the sum against the promise.

Change: the machines that would be chosen next as readers are standbys. They read the source while no reader answers them, and the others ask them after the readers; each asks only groups before its own. Both topics share which parents are silent. A parent that should answer at once and has not begun to is not waited for before the next is asked. A standby that is asked as a reader checks its parents at once. A parent that failed is asked without a wait until it has answered.

Why it works: the first silent parent is found after 0.48 of the promise by the reads of the servers, for both topics, and each of eight further ones costs 0.05; a living standby has read the source by the time that it is asked. promises_test holds the sum.

Tests: runtime_test "silent readers", real decisions of whole meshes in virtual time. Cases of relay_client_test, reader_choice_test and promises_test for each decision. settings_watch_test lists two more keys that follow from a promise; it is as strict as before.

--- a/src/node/peer_state_exchange.cpp
+++ b/src/node/peer_state_exchange.cpp
@@ -136,7 +136,11 @@
   const bool is_ahead = question.version > held_.version();
   if (is_ahead && on_requester_ahead_) on_requester_ahead_(request.remote.host);
   if (!hasState(*topic)) return waitForFirstState(question, std::move(responder));
-  if (!satisfiesFreshness(question)) return responder.respond(plainAnswer(kServiceUnavailable));
+  if (!satisfiesFreshness(question)) {
+    responder.respond(plainAnswer(kServiceUnavailable));
+    if (on_refused_) on_refused_(*topic);
+    return;
+  }
   if (hasNewerState(question)) return responder.respond(makeAnswer(question));
   if (question.wait == Duration(0)) return responder.respond(plainAnswer(kNoContent));
   wait(question, std::move(responder));
@@ -229,9 +233,12 @@
   return response;
 }
 
-void HttpPeerStateClient::read(const std::string& host, const source::StateRequest& question,
-                               Duration timeout, source::PeerStateCallback callback) {
+void HttpPeerStateClient::readWithProgress(const std::string& host,
+                                           const source::StateRequest& question, Duration timeout,
+                                           std::function<void()> on_begun,
+                                           source::PeerStateCallback callback) {
   runtime::HttpClientRequest request;
+  request.on_first_bytes = std::move(on_begun);
   request.target = targetOf(question);
   request.stall_limit = settings_.stall_limit;
   // Server updates are small, so a peer that takes long to send one is treated as failed.
--- a/src/node/peer_state_exchange.h
+++ b/src/node/peer_state_exchange.h
@@ -58,6 +58,11 @@
   void onRequesterAhead(std::function<void(const std::string& host)> callback) {
     on_requester_ahead_ = std::move(callback);
   }
+  /// Sets a callback for requests that were refused because this node does not read `topic` from
+  /// the source: the requesting node expects it to.
+  void onRefused(std::function<void(source::Topic topic)> callback) {
+    on_refused_ = std::move(callback);
+  }
   /// Sets the function that returns how long ago the source was known to have no newer
   /// configuration version than this node, or nothing if that is not known.
   void setVersionAgeSource(std::function<std::optional<Duration>()> callback) {
@@ -107,6 +112,7 @@
   Environment& environment_;
   FreshnessCheck is_fresh_;
   std::function<void(const std::string& host)> on_requester_ahead_;
+  std::function<void(source::Topic topic)> on_refused_;
   std::function<std::optional<Duration>()> version_age_;
   std::map<std::string_view, Handler> handlers_;  ///< Keyed by path.
   PendingList pending_;
@@ -122,7 +128,12 @@
                       const source::RelaySettings& settings)
       : port_(port), settings_(settings), client_(context) {}
   void read(const std::string& host, const source::StateRequest& question, Duration timeout,
-            source::PeerStateCallback callback) override;
+            source::PeerStateCallback callback) override {
+    readWithProgress(host, question, timeout, nullptr, std::move(callback));
+  }
+  void readWithProgress(const std::string& host, const source::StateRequest& question,
+                        Duration timeout, std::function<void()> on_begun,
+                        source::PeerStateCallback callback) override;
 
  private:
   std::uint16_t port_;
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -226,8 +226,13 @@
       &S::source_watches_aborted);
   add("relay_source_bytes_total", "Bytes of the source's answers to this node.", &S::source_bytes);
   add("relay_source_failures_total", "Those that failed.", &S::source_failures);
+  add("relay_standby_source_reads_total",
+      "Reads of the source that a standby made in place of the readers.", &S::standby_source_reads);
   add("relay_peer_reads_total", "Questions to nodes that read the source.", &S::peer_reads);
   add("relay_peer_failures_total", "Those that failed.", &S::peer_failures);
+  add("relay_overlapping_peer_reads_total",
+      "Questions asked while an earlier one of the same read was unanswered.",
+      &S::overlapping_peer_reads);
   table.addGauge("relay_reads_source", "1 when this node is one that reads the source for others.",
                  [&servers] { return servers.role() == source::ReaderRole::kReader ? 1.0 : 0.0; });
   table.addGauge("relay_relays", "1 when this node relays what readers read.",
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -166,6 +166,9 @@
         settling_(held_, environment_,
                   {[this](const source::ServerChanges& changes) { onServersSettled(changes); },
                    [this](bool has_changed) { onZonesSettled(has_changed); }}) {
+    const auto silent = std::make_shared<source::SilentParents>(environment_);
+    servers_.relay->shareSilentParents(silent);
+    configuration_.relay->shareSilentParents(silent);
     ingress_.setAddress(settings_.two_hop.server);
     ingress_.onHealthCheckNeeded([this] { fetchServerHealth(); });
     ingress_.onLimitChanged([this](proxy::LimitChange change) { onLimitChanged(change); });
@@ -365,6 +368,8 @@
     if (age > kMaxVersionAge) return std::nullopt;
     return age;
   });
+  peer_server_->onRefused(
+      [this](source::Topic topic) { topicClients(topic).relay->checkParents(); });
   peer_server_->onRequesterAhead(
       [this](const std::string& host) { peers_.askPeer(source::Topic::kConfiguration, host); });
   peer_server_->addHandler(
@@ -698,13 +703,17 @@
     writeLog(runtime::LogLevel::kInfo, "source_role",
              {{"role", std::string(roleName(role))},
               {"readers", std::to_string(plan.readers.size())},
-              {"relays", std::to_string(plan.relays.size())}});
+              {"relays", std::to_string(plan.relays.size())},
+              {"standby", plan.isStandby(own) ? "yes" : "no"}});
   }
-  const std::vector<std::string> parents = source::parentOrder(own, plan.parentsOf(role));
+  const std::vector<std::string> parents = source::pathOrder(own, plan);
   const bool is_relay = role == source::ReaderRole::kRelay;
   const std::size_t child_count = is_relay ? plan.relays.size() : machines.size();
   servers_.relay->setParents(parents, role, child_count);
   configuration_.relay->setParents(parents, role, child_count);
+  const bool is_standby = plan.isStandby(own);
+  servers_.relay->setStandby(is_standby);
+  configuration_.relay->setStandby(is_standby);
   held_.keepVersions(role == source::ReaderRole::kFollower ? 1 : kReaderVersionHistory);
 }
 
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "runtime/boot_timer.h"
 #include "runtime/http_parser.h"
@@ -125,7 +126,8 @@
         callback_(std::move(callback)),
         stall_limit_(request.stall_limit),
         body_bytes_(request.body_bytes),
-        answer_timeout_(request.answer_timeout.value_or(client_->limits().answer_timeout)) {
+        answer_timeout_(request.answer_timeout.value_or(client_->limits().answer_timeout)),
+        on_first_bytes_(std::move(request.on_first_bytes)) {
     fill(std::move(request));
   }
 
@@ -218,7 +220,8 @@
     if (done_) return;
     if (error) return onReadError(error);
     buffer_.commit(size);
-    has_received_ = true;
+    const bool is_first = !std::exchange(has_received_, true);
+    if (is_first && on_first_bytes_) on_first_bytes_();
     onProgress();
     parse();
   }
@@ -368,6 +371,7 @@
   std::optional<Duration> stall_limit_;
   std::optional<std::uint64_t> body_bytes_;
   Duration answer_timeout_;
+  std::function<void()> on_first_bytes_;
   Clock::time_point due_;
   Clock::time_point answer_began_;                    ///< Valid if answer_deadline_ is set.
   std::optional<Clock::time_point> answer_deadline_;  ///< Set once the answer has begun.
--- a/src/runtime/http_message.h
+++ b/src/runtime/http_message.h
@@ -3,6 +3,7 @@
 /// Complete HTTP messages as plain values, for the small HTTP server and the one-shot client. The
 /// data path (proxy_server.h) never holds a whole message.
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -57,6 +58,8 @@
   std::optional<Duration> answer_timeout = std::nullopt;
   /// Replaces HttpClientLimits::body_bytes. An answer that announces more is aborted at its header.
   std::optional<std::uint64_t> body_bytes = std::nullopt;
+  /// Called when the first bytes of the answer arrive.
+  std::function<void()> on_first_bytes = nullptr;
 };
 
 /// An answer that the one-shot client received completely.
--- a/src/runtime/promises.cpp
+++ b/src/runtime/promises.cpp
@@ -41,6 +41,11 @@
 constexpr double kRelayWaitPart = 0.3;
 constexpr double kSourceSlackPart = 0.25;
 constexpr double kPeerSlackPart = 0.18;
+/// The wait at a silent parent, and then this for each of eight further silent parents (the other
+/// readers and two groups of standbys), end within the promise.
+constexpr double kNextParentPart = 0.05;
+/// A parent that refused may be fresh soon, so it is asked again within the promise.
+constexpr double kStaleParentPart = 0.2;
 /// Applies also when a reader stops in the middle of its answer.
 constexpr double kStallPart = 0.25;
 /// A read of the configuration waits longer (RelaySettings). A reader whose source fails is
@@ -54,6 +59,9 @@
   relay.peer_slack = fractionOf(shorter, kPeerSlackPart);
   relay.stall_limit = fractionOf(shorter, kStallPart);
   relay.configuration_wait = fractionOf(shorter, kConfigurationWaitPart);
+  relay.next_parent_delay = fractionOf(shorter, kNextParentPart);
+  relay.avoid_stale_parent =
+      std::min(source::RelaySettings().avoid_stale_parent, fractionOf(shorter, kStaleParentPart));
 }
 
 void derivePropagation(const Promises& promises, Settings& settings) {
--- a/src/runtime/settings_keys.cpp
+++ b/src/runtime/settings_keys.cpp
@@ -404,6 +404,10 @@
   keys.push_back(millisecondsKey(section, "avoid_unfit_ms", {0, kMinuteMs},
                                  "The same for a node that does not currently read the source.",
                                  FIELD(relay.avoid_stale_parent)));
+  keys.push_back(millisecondsKey(section, "next_parent_ms", {1, kMinuteMs},
+                                 "How long a node that should answer at once may take before the "
+                                 "next one is queried too.",
+                                 FIELD(relay.next_parent_delay)));
   keys.push_back(
       millisecondsKey(section, "avoid_source_ms", {0, kMinuteMs},
                       "How long a reader that the source refused queries other nodes instead.",
--- a/src/source/peer_reader.h
+++ b/src/source/peer_reader.h
@@ -38,6 +38,14 @@
   /// Asks the node on `host` for everything newer than what `question` says the asker holds.
   virtual void read(const std::string& host, const StateRequest& question, Duration timeout,
                     PeerStateCallback callback) = 0;
+  /// Like read(). Also calls `on_begun` when the first bytes of the answer arrive, at the latest
+  /// before `callback`; a client that cannot tell never calls it.
+  virtual void readWithProgress(const std::string& host, const StateRequest& question,
+                                Duration timeout, std::function<void()> on_begun,
+                                PeerStateCallback callback) {
+    static_cast<void>(on_begun);
+    read(host, question, timeout, std::move(callback));
+  }
 };
 
 struct PeerReaderSettings {
--- a/src/source/reader_choice.cpp
+++ b/src/source/reader_choice.cpp
@@ -44,10 +44,31 @@
   return (whole + size - 1) / size;
 }
 
+/// Upper bound for the relays that a follower asks before it asks a reader.
+constexpr std::size_t kMaxRelaysAsked = 4;
+
 bool contains(const std::vector<NodeMachine>& machines, const NodeMachine& machine) {
   return std::find(machines.begin(), machines.end(), machine) != machines.end();
 }
 
+std::vector<std::vector<NodeMachine>> standbyGroups(std::span<const Candidate> successors,
+                                                    std::size_t group_size, std::size_t count) {
+  std::vector<std::vector<NodeMachine>> groups;
+  const std::size_t last = std::min(successors.size(), group_size * count);
+  for (std::size_t index = 0; index < last; ++index) {
+    if (index % group_size == 0) groups.emplace_back();
+    groups.back().push_back(*successors[index].machine);
+  }
+  return groups;
+}
+
+/// Appends the hosts that `hosts` does not contain yet.
+void appendNew(std::vector<std::string>& hosts, const std::vector<std::string>& more) {
+  for (const std::string& host : more) {
+    if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) hosts.push_back(host);
+  }
+}
+
 }  // namespace
 
 std::vector<NodeMachine> MachineCollector::machines() const {
@@ -74,6 +95,11 @@
   return contains(relays, machine) ? ReaderRole::kRelay : ReaderRole::kFollower;
 }
 
+bool ReaderPlan::isStandby(const NodeMachine& machine) const {
+  return std::any_of(standby_groups.begin(), standby_groups.end(),
+                     [&machine](const auto& group) { return contains(group, machine); });
+}
+
 const std::vector<NodeMachine>& ReaderPlan::parentsOf(ReaderRole role) const {
   return role == ReaderRole::kFollower && !relays.empty() ? relays : readers;
 }
@@ -87,13 +113,16 @@
   const std::size_t relays = has_relays ? needed : 0;
   const std::size_t readers = std::max(min_readers, divideRoundingUp(relays, per_reader));
   ReaderPlan plan;
-  for (const Candidate& candidate : candidatesByRank(machines)) {
+  const std::vector<Candidate> candidates = candidatesByRank(machines);
+  for (const Candidate& candidate : candidates) {
     if (plan.readers.size() < readers) {
       plan.readers.push_back(*candidate.machine);
     } else if (plan.relays.size() < relays) {
       plan.relays.push_back(*candidate.machine);
     }
   }
+  plan.standby_groups = standbyGroups(std::span(candidates).subspan(plan.readers.size()),
+                                      plan.readers.size(), settings.standby_groups);
   return plan;
 }
 
@@ -112,4 +141,16 @@
   return hosts;
 }
 
+std::vector<std::string> pathOrder(const NodeMachine& own, const ReaderPlan& plan) {
+  std::vector<std::string> hosts = parentOrder(own, plan.parentsOf(plan.roleOf(own)));
+  const bool asks_relays = plan.roleOf(own) == ReaderRole::kFollower && !plan.relays.empty();
+  if (asks_relays) hosts.resize(std::min(hosts.size(), kMaxRelaysAsked));
+  appendNew(hosts, parentOrder(own, plan.readers));
+  for (const std::vector<NodeMachine>& group : plan.standby_groups) {
+    if (contains(group, own)) break;
+    appendNew(hosts, parentOrder(own, group));
+  }
+  return hosts;
+}
+
 }  // namespace coursepond::source
--- a/src/source/reader_choice.h
+++ b/src/source/reader_choice.h
@@ -46,6 +46,7 @@
   /// Minimum number of readers: two may fail while the third still answers. In a fleet with fewer
   /// machines, all read the source themselves.
   std::size_t min_readers = 3;
+  std::size_t standby_groups = 2;
 };
 
 /// A node's role in distributing the state of the source.
@@ -62,8 +63,12 @@
   std::vector<NodeMachine> readers;
   /// Empty while the readers can answer all other nodes.
   std::vector<NodeMachine> relays;
+  /// Relays or followers that read the source while no reader answers them, in groups as large as
+  /// the readers. They are the machines that would be chosen next, in that order.
+  std::vector<std::vector<NodeMachine>> standby_groups;
 
   ReaderRole roleOf(const NodeMachine& machine) const;
+  bool isStandby(const NodeMachine& machine) const;
   /// Returns the machines that a node with this role asks.
   const std::vector<NodeMachine>& parentsOf(ReaderRole role) const;
 };
@@ -77,4 +82,9 @@
 /// other readers.
 std::vector<std::string> parentOrder(const NodeMachine& own, std::span<const NodeMachine> readers);
 
+/// Returns the machines that `own` asks, in this order: the parents of its role, then the readers
+/// and the standbys. A standby asks only the groups before its own and then reads the source, so
+/// that no two nodes wait for each other.
+std::vector<std::string> pathOrder(const NodeMachine& own, const ReaderPlan& plan);
+
 }  // namespace coursepond::source
--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -7,11 +7,14 @@
 namespace coursepond::source {
 namespace {
 
-/// Expected number of nodes that read the configuration from the source at the same time while all
-/// readers fail. The other nodes ask each other several times per second, so that with this many
-/// they learn of a new version within a second. The probability that no node reads in a given round
-/// is one in 400.
+/// Expected number of nodes, besides the standbys, that read the configuration from the source at
+/// the same time while all readers fail. The other nodes ask each other several times per second,
+/// so that with this many they learn of a new version within a second. The probability that no node
+/// reads in a given round is one in 400; this covers only the loss of all standbys as well.
 constexpr double kExpectedFallbackReaders = 6;
+/// Upper bound for the refusals after which a read asks no further parent. While the source is
+/// down, all parents refuse at once, and the questions of all nodes would load them.
+constexpr std::size_t kMaxRefusals = 4;
 
 Error earlierEraError() {
   return Error{ErrorKind::kOverloaded, "the peer does not know yet that the source was restored",
@@ -40,7 +43,9 @@
       source_(source),
       peers_(peers),
       held_(held),
-      environment_(environment) {}
+      environment_(environment) {
+  shareSilentParents(std::make_shared<SilentParents>(environment_));
+}
 
 Duration RelayClient::sourceWait() const {
   return topic_ == Topic::kConfiguration ? settings_.configuration_wait : settings_.source_wait;
@@ -53,10 +58,19 @@
   return settings_.configuration_wait + settings_.peer_slack / 2;
 }
 
+void RelayClient::shareSilentParents(std::shared_ptr<SilentParents> silent) {
+  silent_ = std::move(silent);
+  silent_->subscribe(
+      [this, alive = std::weak_ptr<int>(alive_)](const std::string& host, const Error& error) {
+        if (!alive.expired()) onParentSilent(host, error);
+      });
+}
+
 void RelayClient::setParents(std::vector<std::string> parents, ReaderRole role, std::size_t nodes) {
   parents_ = std::move(parents);
   nodes_ = nodes;
   role_ = role;
+  silent_->retain(parents_);
   std::erase_if(avoided_until_, [this](const auto& item) {
     return std::find(parents_.begin(), parents_.end(), item.first) == parents_.end();
   });
@@ -96,11 +110,23 @@
 
 void RelayClient::watch(SourceRevision after, Duration wait, Duration timeout,
                         WatchCallback callback) {
-  step(std::make_shared<Read>(Read{after, wait, timeout, std::move(callback), held_.version(),
-                                   environment_.now(), TimePoint(), false, false, std::nullopt}));
+  const auto read = std::make_shared<Read>();
+  read->after = after;
+  read->wait = wait;
+  read->timeout = timeout;
+  read->callback = std::move(callback);
+  read->version = held_.version();
+  read->began = environment_.now();
+  current_read_ = read;
+  step(read);
 }
 
+/// Starts the next step of `read`. Earlier steps may still be unanswered: the first useful answer
+/// ends the read.
 void RelayClient::step(const ReadPointer& read) {
+  if (read->is_done) return;
+  environment_.cancel(read->next_step_timer);
+  read->waits_at.clear();
   const TimePoint now = environment_.now();
   const bool reads_itself = isReader() && now >= source_avoided_until_;
   if (reads_itself && !read->was_source_asked) return readSource(read);
@@ -110,17 +136,38 @@
   const bool has_waited = now - read->began > settings_.peer_slack;
   const bool skips_peers = read->failure && held_.configuration() == nullptr &&
                            (has_waited || read->failure->kind != ErrorKind::kOverloaded);
-  const std::optional<std::string> host = skips_peers ? std::nullopt : nextPeer();
+  const std::optional<std::string> host = skips_peers ? std::nullopt : nextPeer(*read);
   if (host) return askPeer(read, *host);
-  if (!read->was_source_asked && !leavesSourceToReaders() && readsAsFallback())
+  if (!read->was_source_asked && !leavesSourceToReaders() && readsAsFallback(*read))
     return readSource(read);
-  fail(read);
+  if (read->in_flight == 0) fail(read);
+}
+
+void RelayClient::finish(const ReadPointer& read, Result<WatchBatch> answer) {
+  read->is_done = true;
+  environment_.cancel(read->next_step_timer);
+  read->callback(std::move(answer));
 }
 
 void RelayClient::fail(const ReadPointer& read) {
   if (!read->failure) read->failure = noPathError();
   loseFreshness();
-  read->callback(*read->failure);
+  finish(read, *read->failure);
+}
+
+void RelayClient::onParentSilent(const std::string& host, const Error& error) {
+  const ReadPointer read = current_read_.lock();
+  if (!read || read->waits_at != host) return;
+  read->failure = error;
+  read->is_urgent = true;
+  step(read);
+}
+
+void RelayClient::checkParents() {
+  const ReadPointer read = current_read_.lock();
+  if (!is_standby_ || !read || read->waits_at.empty()) return;
+  read->is_urgent = true;
+  step(read);
 }
 
 /// Returns whether this node should not read the source because the readers already retry on behalf
@@ -131,23 +178,31 @@
   return !isReader() && has_something && environment_.now() < source_avoided_until_;
 }
 
-/// Returns whether this node reads the source as a fallback while its readers fail. Only some nodes
-/// read the configuration, since the source sends each version of a burst in full: if most nodes of
-/// a fleet did so after a planned stop of all readers, they would saturate their links and delay
-/// requests. Entries of servers are small and needed sooner, so every node reads them.
-bool RelayClient::readsAsFallback() const {
+/// Returns whether this node reads the source as a fallback while its readers fail. Of the
+/// configuration, only the standbys and by chance a few other nodes do, since the source sends each
+/// version of a burst in full: if most nodes of a fleet did so after a planned stop of all readers,
+/// they would saturate their links and delay requests. Entries of servers are small and needed
+/// sooner, so every node reads them.
+bool RelayClient::readsAsFallback(Read& read) const {
   const bool must_read = topic_ == Topic::kServers || held_.configuration() == nullptr;
-  if (isReader() || must_read || nodes_ == 0) return true;
-  return randomBool(environment_, kExpectedFallbackReaders / static_cast<double>(nodes_));
+  if (isReader() || is_standby_ || must_read || nodes_ == 0) return true;
+  // Drawn once, since the steps of one read may ask this several times.
+  if (!read.is_drawn_as_fallback) {
+    read.is_drawn_as_fallback =
+        randomBool(environment_, kExpectedFallbackReaders / static_cast<double>(nodes_));
+  }
+  return *read.is_drawn_as_fallback;
 }
 
 // ---- The source
 
 void RelayClient::readSource(const ReadPointer& read) {
   ++statistics_.source_reads;
+  if (is_standby_ && !isReader()) ++statistics_.standby_source_reads;
+  ++read->in_flight;
   read->was_source_asked = true;
-  read->asked = environment_.now();
-  const Duration wait = read->failure ? Duration(0) : std::min(read->wait, sourceWait());
+  read->source_asked = environment_.now();
+  const Duration wait = read->is_urgent ? Duration(0) : std::min(read->wait, sourceWait());
   // A caller that does not wait is retrying a failed read, and its own timeout applies.
   const Duration timeout =
       read->wait == Duration(0) ? read->timeout : wait + settings_.source_slack;
@@ -167,14 +222,17 @@
 }
 
 void RelayClient::onSourceAnswer(const ReadPointer& read, Result<WatchBatch> answer) {
+  --read->in_flight;
+  // A parent answered first, so that what the source sent is not applied.
+  if (read->is_done) return;
   if (answer) {
-    const Duration elapsed = environment_.now() - read->asked;
+    const Duration elapsed = environment_.now() - read->source_asked;
     addTransferTime(*answer, elapsed);
     noteSourceAnswer(*answer, read->is_list, elapsed);
     // This list follows a new version and has no newer one. Without a change in the batch, the
     // caller does not pause before its next read.
     if (topic_ == Topic::kConfiguration && !lists_next_) answer->configurations.clear();
-    return read->callback(std::move(answer));
+    return finish(read, std::move(answer));
   }
   // The answer has many versions, or one that is much larger than before; a list has only the
   // newest. Followers keep waiting at this node, since no other path is faster.
@@ -185,9 +243,10 @@
   }
   ++statistics_.source_failures;
   loseFreshness();
-  if (answer.error().kind == ErrorKind::kBaseMismatch) return read->callback(std::move(answer));
+  if (answer.error().kind == ErrorKind::kBaseMismatch) return finish(read, std::move(answer));
   source_avoided_until_ = environment_.now() + settings_.avoid_source;
   read->failure = answer.error();
+  read->is_urgent = true;
   step(read);
 }
 
@@ -205,7 +264,6 @@
 
 /// A relay is fresh after its parent answered, since parents answer only while they are fresh.
 void RelayClient::noteParentAnswer() {
-  if (role_ != ReaderRole::kRelay) return;
   is_fresh_ = true;
   last_fresh_answer_ = environment_.now();
 }
@@ -216,61 +274,110 @@
 
 // ---- Parents
 
-std::optional<std::string> RelayClient::nextPeer() {
-  const TimePoint now = environment_.now();
+bool RelayClient::isAvoided(const std::string& host) const {
+  const auto found = avoided_until_.find(host);
+  const bool has_refused = found != avoided_until_.end() && found->second > environment_.now();
+  return has_refused || silent_->isAvoided(host);
+}
+
+bool RelayClient::isUnproven(const std::string& host) const {
+  return silent_->isUnproven(host) || avoided_until_.contains(host);
+}
+
+std::optional<std::string> RelayClient::nextPeer(const Read& read) const {
+  if (read.refusals >= kMaxRefusals) return std::nullopt;
   for (const std::string& host : parents_) {
-    const auto found = avoided_until_.find(host);
-    if (found == avoided_until_.end() || found->second <= now) return host;
+    if (!read.asked_hosts.contains(host) && !isAvoided(host)) return host;
   }
   return std::nullopt;
 }
 
 void RelayClient::askPeer(const ReadPointer& read, const std::string& host) {
   ++statistics_.peer_reads;
-  read->asked = environment_.now();
-  // A relay stays fresh: nodes keep waiting at it, since it gets its parent's answer shortly after.
-  if (role_ != ReaderRole::kRelay) loseFreshness();
+  if (read->in_flight > 0) ++statistics_.overlapping_peer_reads;
+  ++read->in_flight;
+  read->asked_hosts.insert(host);
+  // A parent that failed is not waited at until it answers again.
+  const bool may_wait = !read->is_urgent && !isUnproven(host);
   StateRequest question;
   question.topic = topic_;
   question.after = read->after;
   question.version = read->version;
-  question.wait = read->failure ? Duration(0) : std::min(read->wait, peerWait());
+  question.wait = may_wait ? std::min(read->wait, peerWait()) : Duration(0);
   question.only_fresh = true;
-  peers_.read(host, question, question.wait + settings_.peer_slack,
-              [this, read, host, alive = std::weak_ptr<int>(alive_)](
-                  const Result<std::optional<StateUpdate>>& answer) {
-                if (!alive.expired()) onPeerAnswer(read, host, answer);
-              });
+  // A relay stays fresh: nodes keep waiting at it, since it gets its parent's answer shortly after.
+  // So does a standby that reads the source, until a reader answers again.
+  const bool only_checks = is_standby_ && question.wait == Duration(0);
+  if (role_ != ReaderRole::kRelay && !only_checks) loseFreshness();
+  if (question.wait > Duration(0)) read->waits_at = host;
+  const std::weak_ptr<int> alive = alive_;
+  peers_.readWithProgress(
+      host, question, question.wait + settings_.peer_slack,
+      [this, read, alive] {
+        if (!alive.expired()) onPeerBegun(read);
+      },
+      [this, read, host, alive,
+       asked = environment_.now()](const Result<std::optional<StateUpdate>>& answer) {
+        if (!alive.expired()) onPeerAnswer(read, host, asked, answer);
+      });
+  if (question.wait == Duration(0)) scheduleNextStep(read);
 }
 
-void RelayClient::onPeerAnswer(const ReadPointer& read, const std::string& host,
+/// A whole configuration takes long to encode, and the parents of a fleet that has just started
+/// hold requests until they have it: these questions do not overlap.
+void RelayClient::scheduleNextStep(const ReadPointer& read) {
+  const bool needs_whole = topic_ == Topic::kConfiguration && read->version == Version();
+  if (needs_whole || held_.configuration() == nullptr) return;
+  read->next_step_timer = environment_.schedule(settings_.next_parent_delay,
+                                                [this, read, alive = std::weak_ptr<int>(alive_)] {
+                                                  if (!alive.expired()) step(read);
+                                                });
+}
+
+/// An answer that has begun is waited for. A second one would compete with it for the link.
+void RelayClient::onPeerBegun(const ReadPointer& read) {
+  environment_.cancel(read->next_step_timer);
+  read->waits_at.clear();
+}
+
+void RelayClient::onPeerAnswer(const ReadPointer& read, const std::string& host, TimePoint asked,
                                const Result<std::optional<StateUpdate>>& answer) {
+  --read->in_flight;
   if (!answer) return onPeerFailed(read, host, answer.error());
   const bool is_behind = answer->has_value() && (*answer)->revision.era < read->after.era;
   if (is_behind) return onPeerFailed(read, host, earlierEraError());
+  silent_->remove(host);
+  avoided_until_.erase(host);
+  if (!read->is_done) applyPeerAnswer(read, host, asked, *answer);
+}
+
+void RelayClient::applyPeerAnswer(const ReadPointer& read, const std::string& host, TimePoint asked,
+                                  const std::optional<StateUpdate>& answer) {
   // The parent's state is the newest, so a pending list of the source is no longer needed.
   lists_next_ = false;
-  noteParentAnswer();
-  if (!answer->has_value()) {
+  role_ == ReaderRole::kRelay ? noteParentAnswer() : loseFreshness();
+  if (!answer) {
     WatchBatch unchanged;
     unchanged.revision = read->after;
     unchanged.age = std::nullopt;
-    return read->callback(std::move(unchanged));
+    return finish(read, std::move(unchanged));
   }
   const ConfigurationPointer held = held_.configuration();
-  Result<WatchBatch> batch = toBatch(**answer, held.get());
+  Result<WatchBatch> batch = toBatch(*answer, held.get());
   if (batch) {
     batch->is_relayed = true;
-    const bool is_whole = (*answer)->configuration != nullptr;
-    if (is_whole) addTransferTime(*batch, environment_.now() - read->asked);
-    return read->callback(std::move(batch));
+    const bool is_whole = answer->configuration != nullptr;
+    if (is_whole) addTransferTime(*batch, environment_.now() - asked);
+    return finish(read, std::move(batch));
   }
   // The delta does not apply to the held version: ask again for the whole configuration.
   ++statistics_.peer_failures;
   read->failure = batch.error();
+  read->is_urgent = true;
   const bool was_whole = read->version == Version();
   read->version = Version();
   if (was_whole) avoided_until_[host] = environment_.now() + settings_.avoid_silent_parent;
+  if (!was_whole) read->asked_hosts.erase(host);
   step(read);
 }
 
@@ -278,10 +385,19 @@
                                const Error& error) {
   ++statistics_.peer_failures;
   if (on_reader_failed_) on_reader_failed_(host, error);
-  const bool is_unfit = error.kind == ErrorKind::kOverloaded;
-  avoided_until_[host] = environment_.now() +
-                         (is_unfit ? settings_.avoid_stale_parent : settings_.avoid_silent_parent);
+  if (read->waits_at == host) read->waits_at.clear();
+  const int factor = is_standby_ ? 2 : 1;
+  const bool has_refused = error.kind == ErrorKind::kOverloaded;
+  if (has_refused) {
+    silent_->remove(host);
+    avoided_until_[host] = environment_.now() + factor * settings_.avoid_stale_parent;
+    ++read->refusals;
+  } else {
+    silent_->add(host, factor * settings_.avoid_silent_parent, error);
+  }
+  if (read->is_done) return;
   read->failure = error;
+  read->is_urgent = true;
   step(read);
 }
 
--- /dev/null
+++ b/src/source/silent_parents.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/// Remembers which parents did not answer. The reads of both topics share it: the reads of the
+/// servers wait for a shorter time, so they find a silent parent first, and a read of the
+/// configuration that waits at the same parent then continues elsewhere.
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/environment.h"
+#include "core/error.h"
+#include "core/time.h"
+
+namespace coursepond::source {
+
+class SilentParents {
+ public:
+  using Listener = std::function<void(const std::string& host, const Error& error)>;
+
+  /// `environment` must outlive this object.
+  explicit SilentParents(const Environment& environment) : environment_(environment) {}
+
+  /// Adds a listener that is called when a parent is found silent.
+  void subscribe(Listener listener) { listeners_.push_back(std::move(listener)); }
+  /// Notes that `host` did not answer, so that it is not asked for `avoid`.
+  void add(const std::string& host, Duration avoid, const Error& error);
+  /// Notes that `host` answered.
+  void remove(const std::string& host) { avoided_until_.erase(host); }
+  /// Forgets all hosts other than `hosts`.
+  void retain(const std::vector<std::string>& hosts);
+
+  bool isAvoided(const std::string& host) const;
+  /// Returns whether `host` has not answered since it was found silent.
+  bool isUnproven(const std::string& host) const { return avoided_until_.contains(host); }
+
+ private:
+  const Environment& environment_;
+  std::map<std::string, TimePoint> avoided_until_;  ///< Keyed by host.
+  std::vector<Listener> listeners_;
+};
+
+}  // namespace coursepond::source
--- a/tests/node/settings_watch_test.cpp
+++ b/tests/node/settings_watch_test.cpp
@@ -96,11 +96,11 @@
   for (const runtime::SettingChange& change : changes) {
     (change.needs_restart ? needs_restart_keys : applied).push_back(change.key);
   }
-  CHECK(applied == std::vector<std::string>{"promises.leaving_ms", "watch.gather_ms",
-                                            "relay.source_wait_ms", "relay.source_slack_ms",
-                                            "relay.peer_wait_ms", "relay.peer_slack_ms",
-                                            "relay.configuration_wait_ms", "relay.stall_limit_ms",
-                                            "log.lines_per_second"});
+  CHECK(applied == std::vector<std::string>{
+                       "promises.leaving_ms", "watch.gather_ms", "relay.source_wait_ms",
+                       "relay.source_slack_ms", "relay.peer_wait_ms", "relay.peer_slack_ms",
+                       "relay.configuration_wait_ms", "relay.stall_limit_ms",
+                       "relay.avoid_unfit_ms", "relay.next_parent_ms", "log.lines_per_second"});
   CHECK(needs_restart_keys == std::vector<std::string>{"node.zone"});
   runtime::Settings current = before;
   applyChangeable(current, after);
--- a/tests/runtime/promises_test.cpp
+++ b/tests/runtime/promises_test.cpp
@@ -119,6 +119,25 @@
   }
 }
 
+// Guards against waits at silent parents that add up to more than the promise.
+TEST_CASE("a read past all readers and standbys but one ends within the promise") {
+  for (const Duration shorter : {milliseconds(600), milliseconds(2500), milliseconds(19'000)}) {
+    CAPTURE(toMilliseconds(shorter));
+    const source::RelaySettings relay = derived({shorter, shorter, seconds(20), seconds(30)}).relay;
+    const source::ReaderChoiceSettings choice;
+    const auto silent_parents =
+        static_cast<int>(choice.min_readers * (choice.standby_groups + 1) - 1);
+    // The reads of the servers find the first parent silent, for both topics.
+    CHECK(relay.peer_wait + relay.peer_slack + silent_parents * relay.next_parent_delay < shorter);
+    // The same for the configuration alone, with silent readers.
+    const Duration configuration_wait = relay.configuration_wait + relay.peer_slack / 2;
+    const auto readers = static_cast<int>(choice.min_readers);
+    CHECK(configuration_wait + relay.peer_slack + readers * relay.next_parent_delay < shorter);
+    // A parent that refused is asked again soon enough to have read the source by then.
+    CHECK(relay.peer_wait + relay.peer_slack + relay.avoid_stale_parent < shorter);
+  }
+}
+
 TEST_CASE("without promises the components keep their own times") {
   const Settings settings = derived({});
   CHECK(settings.watch.gather == source::WatchSettings().gather);
--- a/tests/source/reader_choice_test.cpp
+++ b/tests/source/reader_choice_test.cpp
@@ -102,4 +102,53 @@
   CHECK(parentOrder({"10.0.0.1", ZoneId("a")}, {}).empty());
 }
 
+TEST_CASE("the standbys are the machines that would be chosen next as readers") {
+  for (const std::size_t count : {12, 67, 300, 3100}) {
+    CAPTURE(count);
+    std::vector<NodeMachine> machines = makeMachines(count, 1);
+    const ReaderPlan plan = planReaders(machines, {});
+    REQUIRE(plan.standby_groups.size() == 2);
+    for (const std::vector<NodeMachine>& group : plan.standby_groups)
+      CHECK(group.size() == plan.readers.size());
+    std::erase_if(machines, [&plan](const NodeMachine& machine) {
+      return plan.roleOf(machine) == ReaderRole::kReader;
+    });
+    CHECK(planReaders(machines, {}).readers == plan.standby_groups.front());
+  }
+  // Fleets without enough machines have fewer standbys.
+  CHECK(planReaders(makeMachines(3, 1), {}).standby_groups.empty());
+  const ReaderPlan few = planReaders(makeMachines(7, 1), {});
+  REQUIRE(few.standby_groups.size() == 2);
+  CHECK(few.standby_groups[0].size() == 3);
+  CHECK(few.standby_groups[1].size() == 1);
+}
+
+// Guards against nodes that wait for each other while no reader answers.
+TEST_CASE("every path without the readers leads to a standby that asks no other standby") {
+  for (const std::size_t count : {4, 12, 67, 300, 984}) {
+    CAPTURE(count);
+    const std::vector<NodeMachine> machines = makeMachines(count, 4);
+    const ReaderPlan plan = planReaders(machines, {});
+    const std::vector<NodeMachine>& first = plan.standby_groups.front();
+    const auto isIn = [](const std::vector<NodeMachine>& group, const std::string& host) {
+      return std::any_of(group.begin(), group.end(),
+                         [&host](const NodeMachine& machine) { return machine.host == host; });
+    };
+    for (const NodeMachine& machine : machines) {
+      const std::vector<std::string> path = pathOrder(machine, plan);
+      CHECK(std::set<std::string>(path.begin(), path.end()).size() == path.size());
+      CHECK_FALSE(std::find(path.begin(), path.end(), machine.host) != path.end());
+      const auto asksFirstGroup = std::count_if(
+          path.begin(), path.end(), [&](const std::string& host) { return isIn(first, host); });
+      const bool is_first_standby = isIn(first, machine.host);
+      CHECK(asksFirstGroup == static_cast<std::ptrdiff_t>(is_first_standby ? 0 : first.size()));
+      const std::size_t readers_asked =
+          plan.readers.size() - (plan.roleOf(machine) == ReaderRole::kReader ? 1 : 0);
+      CHECK(std::count_if(path.begin(), path.end(), [&](const std::string& host) {
+              return isIn(plan.readers, host);
+            }) == static_cast<std::ptrdiff_t>(readers_asked));
+    }
+  }
+}
+
 }  // namespace coursepond::source
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -40,13 +40,18 @@
   StateRequest question;
   Duration timeout{};
   PeerStateCallback callback;
+  std::function<void()> on_begun;
 };
 
 class ControlledPeers final : public PeerStateClient {
  public:
   void read(const std::string& host, const StateRequest& question, Duration timeout,
             PeerStateCallback callback) override {
-    reads.push_back({host, question, timeout, std::move(callback)});
+    reads.push_back({host, question, timeout, std::move(callback), nullptr});
+  }
+  void readWithProgress(const std::string& host, const StateRequest& question, Duration timeout,
+                        std::function<void()> on_begun, PeerStateCallback callback) override {
+    reads.push_back({host, question, timeout, std::move(callback), std::move(on_begun)});
   }
   void answer(const Result<std::optional<StateUpdate>>& answer) {
     const PeerStateCallback callback = reads.back().callback;
@@ -510,4 +515,148 @@
   CHECK_FALSE(fixture.client.isFresh());
 }
 
+// Guards against a read of the configuration that waits on at a parent that is known to be silent.
+TEST_CASE("a read leaves a parent that a read of the other topic found silent") {
+  RelayFixture fixture(false);
+  const auto silent = std::make_shared<SilentParents>(fixture.environment);
+  fixture.client.shareSilentParents(silent);
+  fixture.watch();
+  const Error timeout{ErrorKind::kTimeout, "", ""};
+  silent->add("r2", seconds(4), timeout);
+  REQUIRE(fixture.peers.reads.size() == 1);
+  silent->remove("r2");
+  silent->add("r1", seconds(4), timeout);
+  REQUIRE(fixture.peers.reads.size() == 2);
+  CHECK(fixture.peers.reads[1].host == "r2");
+  CHECK(fixture.peers.reads[1].question.wait == Duration(0));
+  fixture.peers.answer(std::optional<StateUpdate>());
+  CHECK(fixture.answers.size() == 1);
+  // The silent parent's own timeout comes later and ends no read.
+  fixture.watch();
+  fixture.peers.reads[0].callback(timeout);
+  CHECK(fixture.peers.reads.size() == 3);
+  CHECK(fixture.answers.size() == 1);
+}
+
+// Guards against a large answer that is requested twice.
+TEST_CASE("a read does not leave a parent whose answer has begun") {
+  RelayFixture fixture(false);
+  const auto silent = std::make_shared<SilentParents>(fixture.environment);
+  fixture.client.shareSilentParents(silent);
+  SUBCASE("when the other topic finds the parent silent") {
+    fixture.watch();
+    fixture.peers.reads[0].on_begun();
+    silent->add("r1", seconds(4), Error{ErrorKind::kTimeout, "", ""});
+    CHECK(fixture.peers.reads.size() == 1);
+  }
+  SUBCASE("when the answer takes longer than the delay of the next step") {
+    fixture.watch();
+    fixture.peers.fail(ErrorKind::kTimeout);
+    REQUIRE(fixture.peers.reads.size() == 2);
+    fixture.peers.reads[1].on_begun();
+    fixture.environment.advance(seconds(10));
+    CHECK(fixture.source.reads.empty());
+  }
+  CHECK(fixture.answers.empty());
+  fixture.peers.answer(std::optional<StateUpdate>());
+  CHECK(fixture.answers.size() == 1);
+}
+
+// Guards against timeouts of several silent parents that add up.
+TEST_CASE("the next parent is asked before the timeout of one that should answer at once") {
+  RelayFixture fixture(false, Topic::kServers);
+  fixture.held.updateConfiguration(makeBatch(9, 7));
+  fixture.client.setParents({"r1", "r2", "r3"}, ReaderRole::kFollower);
+  fixture.watch();
+  fixture.environment.advance(fixture.settings.next_parent_delay);
+  CHECK(fixture.peers.reads.size() == 1);
+  fixture.peers.fail(ErrorKind::kTimeout);
+  REQUIRE(fixture.peers.reads.size() == 2);
+  fixture.environment.advance(fixture.settings.next_parent_delay);
+  REQUIRE(fixture.peers.reads.size() == 3);
+  CHECK(fixture.client.statistics().overlapping_peer_reads == 1);
+  SUBCASE("an answer of the slow one is used") {
+    fixture.peers.reads[1].callback(std::optional<StateUpdate>());
+    CHECK(fixture.answers.size() == 1);
+  }
+  SUBCASE("the source is read next") {
+    fixture.environment.advance(fixture.settings.next_parent_delay);
+    REQUIRE(fixture.source.reads.size() == 1);
+    fixture.source.answer(makeBatch(11));
+    CHECK(fixture.answers.size() == 1);
+  }
+  // Late answers end no other read.
+  fixture.peers.reads[2].callback(std::optional<StateUpdate>());
+  CHECK(fixture.answers.size() == 1);
+}
+
+TEST_CASE("a standby reads the source while its readers are silent, and stays fresh") {
+  constexpr std::size_t kNodes = 1'000'000;  // Nothing is read by chance.
+  for (const bool is_standby : {false, true}) {
+    CAPTURE(is_standby);
+    RelayFixture fixture(false);
+    fixture.client.setParents({"r1", "r2"}, ReaderRole::kFollower, kNodes);
+    fixture.client.setStandby(is_standby);
+    fixture.watch();
+    fixture.peers.fail(ErrorKind::kTimeout);
+    fixture.peers.fail(ErrorKind::kTimeout);
+    REQUIRE(fixture.source.reads.size() == (is_standby ? 1 : 0));
+    if (!is_standby) continue;
+    fixture.source.answer(makeBatch(11));
+    CHECK(fixture.client.isFresh());
+    // Other nodes ask it meanwhile, so the next read waits for a change.
+    fixture.watch();
+    REQUIRE(fixture.source.reads.size() == 2);
+    CHECK(fixture.source.reads[1].wait == fixture.sourceWait());
+    fixture.source.answer(makeBatch(12));
+    CHECK(fixture.client.statistics().standby_source_reads == 2);
+    // It checks the readers after the other nodes, and loses its freshness when one answers.
+    fixture.environment.advance(fixture.settings.avoid_silent_parent);
+    fixture.watch();
+    CHECK(fixture.peers.reads.size() == 2);
+    fixture.source.answer(makeBatch(13));
+    fixture.environment.advance(fixture.settings.avoid_silent_parent);
+    fixture.watch();
+    REQUIRE(fixture.peers.reads.size() == 3);
+    CHECK(fixture.peers.reads[2].question.wait == Duration(0));
+    CHECK(fixture.client.isFresh());
+    fixture.peers.answer(std::optional<StateUpdate>());
+    CHECK_FALSE(fixture.client.isFresh());
+    fixture.watch();
+    CHECK(fixture.peers.reads.back().question.wait == fixture.peerWait());
+  }
+}
+
+// Guards against standbys that find the silent readers later than the nodes that depend on them.
+TEST_CASE("a standby that is asked as a reader checks its own parents at once") {
+  RelayFixture fixture(false);
+  fixture.client.setParents({"r1", "r2"}, ReaderRole::kFollower, 1'000'000);
+  fixture.watch();
+  fixture.client.checkParents();
+  CHECK(fixture.peers.reads.size() == 1);  // Not a standby.
+  fixture.client.setStandby(true);
+  fixture.client.checkParents();
+  REQUIRE(fixture.peers.reads.size() == 2);
+  CHECK(fixture.peers.reads[1].question.wait == Duration(0));
+  fixture.client.checkParents();
+  CHECK(fixture.peers.reads.size() == 2);  // Once a read.
+  fixture.environment.advance(fixture.settings.next_parent_delay);
+  REQUIRE(fixture.source.reads.size() == 1);
+  CHECK(fixture.source.reads[0].wait == Duration(0));
+}
+
+// Guards against requests of all nodes to all parents while the source is down.
+TEST_CASE("a read that several parents refused asks no further parent") {
+  RelayFixture fixture(false);
+  std::vector<std::string> parents;
+  for (int number = 1; number <= 9; ++number) parents.push_back("r" + std::to_string(number));
+  fixture.client.setParents(parents, ReaderRole::kFollower, 1'000'000);
+  fixture.watch();
+  while (fixture.answers.empty()) fixture.peers.fail(ErrorKind::kOverloaded);
+  CHECK(fixture.peers.reads.size() == 4);
+  // The next read goes on where this one ended.
+  fixture.watch();
+  CHECK(fixture.peers.reads.back().host == "r5");
+}
+
 }  // namespace coursepond::source
