Reading: one late timeout does not make an answering parent silent; soak with frozen readers

Follows from overlapping steps: a slow parent's request may time out after a later one was answered, and the parent was then avoided for 4 s. It is silent only if it has not answered since the request. Whole lists of the servers are not requested twice either. Test, red before: relay_client_test "a late timeout of a parent that has answered since does not make it silent".

The soak freezes the nodes that read the store, for 0.3 to 7 s, and writes versions during that.

--- a/src/source/relay_client.cpp
+++ b/src/source/relay_client.cpp
@@ -323,10 +323,11 @@
   if (question.wait == Duration(0)) scheduleNextStep(read);
 }
 
-/// A whole configuration takes long to encode, and the parents of a fleet that has just started
-/// hold requests until they have it: these questions do not overlap.
+/// Whole states take long to encode, and the parents of a fleet that has just started hold requests
+/// until they have one: requests for them do not overlap.
 void RelayClient::scheduleNextStep(const ReadPointer& read) {
-  const bool needs_whole = topic_ == Topic::kConfiguration && read->version == Version();
+  const bool needs_configuration = topic_ == Topic::kConfiguration && read->version == Version();
+  const bool needs_whole = needs_configuration || read->after == SourceRevision();
   if (needs_whole || held_.configuration() == nullptr) return;
   read->next_step_timer = environment_.schedule(settings_.next_parent_delay,
                                                 [this, read, alive = std::weak_ptr<int>(alive_)] {
@@ -343,9 +344,9 @@
 void RelayClient::onPeerAnswer(const ReadPointer& read, const std::string& host, TimePoint asked,
                                const Result<std::optional<StateUpdate>>& answer) {
   --read->in_flight;
-  if (!answer) return onPeerFailed(read, host, answer.error());
+  if (!answer) return onPeerFailed(read, host, asked, answer.error());
   const bool is_behind = answer->has_value() && (*answer)->revision.era < read->after.era;
-  if (is_behind) return onPeerFailed(read, host, earlierEraError());
+  if (is_behind) return onPeerFailed(read, host, asked, earlierEraError());
   silent_->remove(host);
   avoided_until_.erase(host);
   if (!read->is_done) applyPeerAnswer(read, host, asked, *answer);
@@ -381,7 +382,7 @@
   step(read);
 }
 
-void RelayClient::onPeerFailed(const ReadPointer& read, const std::string& host,
+void RelayClient::onPeerFailed(const ReadPointer& read, const std::string& host, TimePoint asked,
                                const Error& error) {
   ++statistics_.peer_failures;
   if (on_reader_failed_) on_reader_failed_(host, error);
@@ -393,7 +394,7 @@
     avoided_until_[host] = environment_.now() + factor * settings_.avoid_stale_parent;
     ++read->refusals;
   } else {
-    silent_->add(host, factor * settings_.avoid_silent_parent, error);
+    silent_->add(host, asked, factor * settings_.avoid_silent_parent, error);
   }
   if (read->is_done) return;
   read->failure = error;
--- a/src/source/relay_client.h
+++ b/src/source/relay_client.h
@@ -154,7 +154,8 @@
                     const Result<std::optional<StateUpdate>>& answer);
   void applyPeerAnswer(const ReadPointer& read, const std::string& host, TimePoint asked,
                        const std::optional<StateUpdate>& answer);
-  void onPeerFailed(const ReadPointer& read, const std::string& host, const Error& error);
+  void onPeerFailed(const ReadPointer& read, const std::string& host, TimePoint asked,
+                    const Error& error);
   std::optional<std::string> nextPeer(const Read& read) const;
   bool isAvoided(const std::string& host) const;
   bool isUnproven(const std::string& host) const;
--- a/src/source/silent_parents.h
+++ b/src/source/silent_parents.h
@@ -24,10 +24,11 @@
 
   /// Adds a listener that is called when a parent is found silent.
   void subscribe(Listener listener) { listeners_.push_back(std::move(listener)); }
-  /// Notes that `host` did not answer, so that it is not asked for `avoid`.
-  void add(const std::string& host, Duration avoid, const Error& error);
+  /// Notes that `host` did not answer a request of the time `asked`, so that it is not asked for
+  /// `avoid`. Has no effect if the host has answered another request since.
+  void add(const std::string& host, TimePoint asked, Duration avoid, const Error& error);
   /// Notes that `host` answered.
-  void remove(const std::string& host) { avoided_until_.erase(host); }
+  void remove(const std::string& host);
   /// Forgets all hosts other than `hosts`.
   void retain(const std::vector<std::string>& hosts);
 
@@ -38,6 +39,7 @@
  private:
   const Environment& environment_;
   std::map<std::string, TimePoint> avoided_until_;  ///< Keyed by host.
+  std::map<std::string, TimePoint> last_answers_;   ///< Keyed by host.
   std::vector<Listener> listeners_;
 };
 
--- a/tests/platform/soak/machine.cpp
+++ b/tests/platform/soak/machine.cpp
@@ -175,6 +175,18 @@
   log("SIGKILL");
 }
 
+bool Machine::readsStore() const {
+  if (!process_) return false;
+  std::ifstream log(settings_.folder + "/" + settings_.name + ".log");
+  bool reads = true;  // A node has this role until it logs another.
+  for (std::string line; std::getline(log, line);) {
+    if (line.find("event=started") != std::string::npos) reads = true;
+    if (line.find("event=source_role") != std::string::npos)
+      reads = line.find("role=reader") != std::string::npos;
+  }
+  return reads;
+}
+
 void Machine::freezeNode(Duration length) { pauseProcess(length, false); }
 
 void Machine::suspendNode(Duration length) { pauseProcess(length, true); }
--- a/tests/platform/soak/machine.h
+++ b/tests/platform/soak/machine.h
@@ -92,6 +92,8 @@
   Address callerAddress() const;
   std::uint32_t nodeIncarnation() const { return incarnation_; }
   bool isNodeRunning() const { return process_ != nullptr; }
+  /// Returns whether the node's log says last that it reads the store for others.
+  bool readsStore() const;
 
   /// Faults of the process. They have no effect while the process is not running.
   void startNode();
--- a/tests/platform/soak/schedule.cpp
+++ b/tests/platform/soak/schedule.cpp
@@ -66,6 +66,7 @@
     KindName{EventKind::kSuspend, "suspend"},
     KindName{EventKind::kTerminateAgain, "terminate-again"},
     KindName{EventKind::kServerReassigned, "server-reassigned"},
+    KindName{EventKind::kFreezeReaders, "freeze-readers"},
 };
 
 class ScheduleMaker {
@@ -87,6 +88,7 @@
       makeAnnouncedLeavings();
       makeReassignments();
       makeRepeatedStops();
+      makeReaderFreezes();
     }
     std::erase_if(events_, [this](const Event& event) { return event.at >= settings_.length; });
     std::stable_sort(events_.begin(), events_.end(),
@@ -115,6 +117,7 @@
   void makeAnnouncedLeavings();
   void makeReassignments();
   void makeRepeatedStops();
+  void makeReaderFreezes();
   std::vector<std::size_t> oneServerOrAllOfService(double all_fraction);
   void addRestore(Duration at);
   void addVersion(Duration at, std::uint64_t added, std::uint64_t removed);
@@ -252,6 +255,20 @@
   }
 }
 
+/// Freezes the readers of the store and writes versions during the freeze. Some freezes follow soon
+/// on the one before, when other nodes may read.
+void ScheduleMaker::makeReaderFreezes() {
+  for (Duration at = time(1000, 10'000); at < settings_.length; at += time(1500, 14'000)) {
+    Event event;
+    event.at = at;
+    event.kind = EventKind::kFreezeReaders;
+    event.length = time(300, 7000);
+    events_.push_back(event);
+    for (std::uint64_t left = number(1, 3); left > 0; --left)
+      addVersion(at + time(0, static_cast<std::uint64_t>(toMilliseconds(event.length))), 1, 0);
+  }
+}
+
 std::vector<std::size_t> ScheduleMaker::oneServerOrAllOfService(double all_fraction) {
   const std::size_t one = number(0, settings_.machines - 1);
   if (!chance(all_fraction)) return {one};
@@ -398,7 +415,8 @@
   }
   const bool is_of_store =
       event.kind >= EventKind::kStoreSlow && event.kind <= EventKind::kStoreRestored;
-  const bool is_of_all = is_of_store || event.kind == EventKind::kCrashingRequest;
+  const bool is_of_all = is_of_store || event.kind == EventKind::kCrashingRequest ||
+                         event.kind == EventKind::kFreezeReaders;
   if (!is_of_all) text += " machine=" + std::to_string(event.machine + 1);
   text += " length_ms=" + std::to_string(toMilliseconds(event.length));
   if (event.downtime > Duration(0)) {
--- a/tests/platform/soak/schedule.h
+++ b/tests/platform/soak/schedule.h
@@ -43,6 +43,7 @@
   kTerminateAgain,     ///< A further SIGTERM during a planned stop.
   /// A server crashes, and its address goes to a server of another service.
   kServerReassigned,
+  kFreezeReaders,  ///< All nodes that read the store for the others are stopped.
 };
 
 struct Event {
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -424,6 +424,11 @@
       return machine.terminateNodeAgain();
     case EventKind::kServerReassigned:
       return machine.reassignServer(otherService(machine), event.length, event.downtime);
+    case EventKind::kFreezeReaders:
+      for (const auto& each : machines_) {
+        if (each->readsStore()) each->freezeNode(event.length);
+      }
+      return;
     case EventKind::kCrashingRequest:
       log(describeEvent(event));
       crashers_until_[event.amount] = now() + event.length;
--- a/tests/source/relay_client_test.cpp
+++ b/tests/source/relay_client_test.cpp
@@ -522,10 +522,10 @@
   fixture.client.shareSilentParents(silent);
   fixture.watch();
   const Error timeout{ErrorKind::kTimeout, "", ""};
-  silent->add("r2", seconds(4), timeout);
+  silent->add("r2", fixture.environment.now(), seconds(4), timeout);
   REQUIRE(fixture.peers.reads.size() == 1);
   silent->remove("r2");
-  silent->add("r1", seconds(4), timeout);
+  silent->add("r1", fixture.environment.now(), seconds(4), timeout);
   REQUIRE(fixture.peers.reads.size() == 2);
   CHECK(fixture.peers.reads[1].host == "r2");
   CHECK(fixture.peers.reads[1].question.wait == Duration(0));
@@ -546,7 +546,7 @@
   SUBCASE("when the other topic finds the parent silent") {
     fixture.watch();
     fixture.peers.reads[0].on_begun();
-    silent->add("r1", seconds(4), Error{ErrorKind::kTimeout, "", ""});
+    silent->add("r1", fixture.environment.now(), seconds(4), Error{ErrorKind::kTimeout, "", ""});
     CHECK(fixture.peers.reads.size() == 1);
   }
   SUBCASE("when the answer takes longer than the delay of the next step") {
@@ -659,4 +659,25 @@
   CHECK(fixture.peers.reads.back().host == "r5");
 }
 
+// Guards against a parent that is avoided although it answers, after one slow answer.
+TEST_CASE("a late timeout of a parent that has answered since does not make it silent") {
+  RelayFixture fixture(false);
+  fixture.client.setParents({"r1", "r2", "r3"}, ReaderRole::kFollower);
+  fixture.watch();
+  fixture.peers.fail(ErrorKind::kOverloaded);
+  fixture.environment.advance(fixture.settings.next_parent_delay);
+  REQUIRE(fixture.peers.reads.size() == 3);
+  const PeerRead slow = fixture.peers.reads[1];
+  REQUIRE(slow.host == "r2");
+  fixture.peers.answer(std::optional<StateUpdate>());
+  fixture.watch();
+  REQUIRE(fixture.peers.reads.back().host == "r2");
+  fixture.environment.advance(milliseconds(1));
+  fixture.peers.answer(std::optional<StateUpdate>());
+  slow.callback(Error{ErrorKind::kTimeout, "", ""});
+  fixture.watch();
+  CHECK(fixture.peers.reads.back().host == "r2");
+  CHECK(fixture.peers.reads.back().question.wait == fixture.peerWait());
+}
+
 }  // namespace coursepond::source
