Soak: a scenario in which only the readers of the store freeze

In the mixed scenario most moments near a freeze of the readers are excused by other troubles. Here all other machines stay in touch, and the versions written during a freeze also remove a route.

--- a/tests/platform/soak/main.cpp
+++ b/tests/platform/soak/main.cpp
@@ -46,7 +46,9 @@
       cxxopts::value<std::int64_t>()->default_value("45"));
   add("machines", "Number of nodes, each with a server (3 to 120)",
       cxxopts::value<std::size_t>()->default_value("6"));
-  add("scenario", "mixed: all faults; large: slow links, thousands of routes, draining servers",
+  add("scenario",
+      "mixed: all faults; large: slow links, thousands of routes, draining servers; "
+      "readers: versions, draining servers, and the nodes that read the store freeze",
       cxxopts::value<std::string>()->default_value("mixed"));
   add("link-mbps", "Bandwidth of each machine's link in Mbit/s; 0: default of the scenario",
       cxxopts::value<double>()->default_value("0"));
@@ -70,12 +72,13 @@
   settings.network = flags["network"].as<std::uint32_t>();
   if (settings.network == 0) settings.network = freeNetwork();
   const std::string scenario = flags["scenario"].as<std::string>();
-  if (scenario != "mixed" && scenario != "large") {
-    throw std::invalid_argument("unknown scenario '" + scenario + "': use mixed or large");
+  if (scenario != "mixed" && scenario != "large" && scenario != "readers") {
+    throw std::invalid_argument("unknown scenario '" + scenario + "': use mixed, large or readers");
   }
   if (schedule.machines < 3 || schedule.machines > kMaxMachines) {
     throw std::invalid_argument("use 3 to 120 machines");
   }
+  schedule.only_reader_freezes = scenario == "readers";
   double megabits = 100;
   if (scenario == "large") {
     schedule.only_versions = true;
--- a/tests/platform/soak/schedule.cpp
+++ b/tests/platform/soak/schedule.cpp
@@ -78,6 +78,9 @@
     makeVersions();
     if (settings_.only_versions) {
       makeDrains();
+    } else if (settings_.only_reader_freezes) {
+      makeDrains();
+      makeReaderFreezes();
     } else {
       for (Duration start{}; start < settings_.length; start += kPeriod) makePeriod(start);
       std::swap(random_, later_random_);
@@ -265,7 +268,7 @@
     event.length = time(300, 7000);
     events_.push_back(event);
     for (std::uint64_t left = number(1, 3); left > 0; --left)
-      addVersion(at + time(0, static_cast<std::uint64_t>(toMilliseconds(event.length))), 1, 0);
+      addVersion(at + time(0, static_cast<std::uint64_t>(toMilliseconds(event.length))), 2, 1);
   }
 }
 
--- a/tests/platform/soak/schedule.h
+++ b/tests/platform/soak/schedule.h
@@ -65,6 +65,8 @@
   std::size_t max_routes = 800;  ///< Maximum number of routes of one version.
   std::size_t max_added = 400;   ///< Maximum number of routes that one version adds.
   bool only_versions = false;    ///< Only versions and draining servers, no faults.
+  /// Only versions, draining servers and frozen readers, so that all other machines stay in touch.
+  bool only_reader_freezes = false;
 };
 
 /// Returns the events in the order of time. Series of faults overlap. In a period with series of
