--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -699,19 +699,19 @@
   crashes_.setMachines(own, machines);
   const source::ReaderPlan plan = source::planReaders(machines, {});
   const source::ReaderRole role = plan.roleOf(own);
-  if (role != servers_.relay->role()) {
+  const bool is_standby = plan.isStandby(own);
+  if (role != servers_.relay->role() || is_standby != servers_.relay->isStandby()) {
     writeLog(runtime::LogLevel::kInfo, "source_role",
              {{"role", std::string(roleName(role))},
               {"readers", std::to_string(plan.readers.size())},
               {"relays", std::to_string(plan.relays.size())},
-              {"standby", plan.isStandby(own) ? "yes" : "no"}});
+              {"standby", is_standby ? "yes" : "no"}});
   }
   const std::vector<std::string> parents = source::pathOrder(own, plan);
   const bool is_relay = role == source::ReaderRole::kRelay;
   const std::size_t child_count = is_relay ? plan.relays.size() : machines.size();
   servers_.relay->setParents(parents, role, child_count);
   configuration_.relay->setParents(parents, role, child_count);
-  const bool is_standby = plan.isStandby(own);
   servers_.relay->setStandby(is_standby);
   configuration_.relay->setStandby(is_standby);
   held_.keepVersions(role == source::ReaderRole::kFollower ? 1 : kReaderVersionHistory);
--- a/src/source/relay_client.h
+++ b/src/source/relay_client.h
@@ -90,6 +90,7 @@
   void setParents(std::vector<std::string> parents, ReaderRole role, std::size_t nodes = 0);
   /// Sets whether this node reads the source while no reader answers it.
   void setStandby(bool is_standby) { is_standby_ = is_standby; }
+  bool isStandby() const { return is_standby_; }
   /// Asks the next parent without waiting for the current one. Called when another node asks this
   /// standby as if it read the source, probably because the readers are silent.
   void checkParents();
--- a/src/source/silent_parents.cpp
+++ b/src/source/silent_parents.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 namespace coursepond::source {
-
 namespace {
 
 void retainKeys(std::map<std::string, TimePoint>& times, const std::vector<std::string>& hosts) {
