--- a/tests/platform/soak/schedule.h
+++ b/tests/platform/soak/schedule.h
@@ -67,6 +67,7 @@
   bool only_versions = false;    ///< Only versions and draining servers, no faults.
   /// Only versions, draining servers and frozen readers, so that all other machines stay in touch.
   bool only_reader_freezes = false;
+  bool adds_reader_freezes = false;  ///< Frozen readers besides all other faults.
 };
 
 /// Returns the events in the order of time. Series of faults overlap. In a period with series of
