Log: name the request whose answer clears recorded server ends

A record of one server end that an answer cleared left no line, since only records with two ends or more were logged. The logs could not tell a request that clears its own ends from another one that clears them.

The ingress now writes server_ends_cleared with the request, its fingerprint and its server, also for a single end.

--- a/src/admission/crash_suspects.cpp
+++ b/src/admission/crash_suspects.cpp
@@ -97,9 +97,9 @@
   notifyChange();
 }
 
-void CrashSuspects::onAnswered(RequestFingerprint request, TimePoint now) {
+bool CrashSuspects::onAnswered(RequestFingerprint request, TimePoint now) {
   const auto found = records_.find(request);
-  if (found == records_.end() || found->second.ends.empty()) return;
+  if (found == records_.end() || found->second.ends.empty()) return false;
   Record& record = found->second;
   const std::size_t before = record.ends.size();
   ++record.round;
@@ -110,6 +110,7 @@
   ++statistics_.cleared;
   notifyVerdict(request, before, 0);
   if (before >= kMinEndsOfSuspect) notifyChange();
+  return true;
 }
 
 bool CrashSuspects::merge(std::span<const SuspectReport> reports, TimePoint now) {
--- a/src/admission/crash_suspects.h
+++ b/src/admission/crash_suspects.h
@@ -85,8 +85,9 @@
   void onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests, TimePoint now);
   /// Called when a trial that may have run ended without an answer.
   void onTrialFailed(RequestFingerprint request, TrialId trial, TimePoint now);
-  /// Called when a server answered the request, which shows that it does not crash servers.
-  void onAnswered(RequestFingerprint request, TimePoint now);
+  /// Called when a server answered the request, which shows that it does not crash servers. Returns
+  /// whether this cleared server ends.
+  bool onAnswered(RequestFingerprint request, TimePoint now);
 
   /// Merges the reports of another node. Returns whether any of them changed this table.
   bool merge(std::span<const SuspectReport> reports, TimePoint now);
--- a/src/cli/request_story.cpp
+++ b/src/cli/request_story.cpp
@@ -145,7 +145,8 @@
 }
 
 std::string outcomeOf(const LogLine& line) {
-  if (line.event == proxy::decisionName(proxy::DecisionKind::kForwarded)) {
+  if (line.event == proxy::decisionName(proxy::DecisionKind::kForwarded) ||
+      line.event == proxy::decisionName(proxy::DecisionKind::kServerEndsCleared)) {
     return "the server's answer was forwarded";
   }
   if (line.event == proxy::decisionName(proxy::DecisionKind::kAnswerCut)) {
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -309,7 +309,9 @@
   // crashed it.
   if (answer.status != kGatewayTimeout) {
     was_answered_ = true;
-    state_.onRunAnswered(fingerprint(), now);
+    if (state_.onRunAnswered(fingerprint(), now)) {
+      note(proxy::DecisionKind::kServerEndsCleared, "", answer.status);
+    }
   }
   phase_ = Phase::kForwarding;
   state_.deadlines().disarm(*this);
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -113,9 +113,9 @@
   bool beginTrial(RequestFingerprint request);
   /// Called when the trial has ended. `has_failed`: it may have run and was not answered.
   void endTrial(RequestFingerprint request, bool has_failed);
-  /// Called when the server answered the request.
-  void onRunAnswered(RequestFingerprint request, TimePoint now) {
-    if (suspects_ != nullptr) suspects_->onAnswered(request, now);
+  /// Called when the server answered the request. Returns whether this cleared server ends.
+  bool onRunAnswered(RequestFingerprint request, TimePoint now) {
+    return suspects_ != nullptr && suspects_->onAnswered(request, now);
   }
   bool isCold(TimePoint now) const { return cold_start_.isCold(settings_.cold_start, now); }
   /// Announces a planned stop of this node: load reports tell egresses to send elsewhere. Requests
--- a/src/proxy/decision_log.cpp
+++ b/src/proxy/decision_log.cpp
@@ -18,6 +18,8 @@
       return "answer_cut";
     case DecisionKind::kCallerGone:
       return "caller_gone";
+    case DecisionKind::kServerEndsCleared:
+      return "server_ends_cleared";
   }
   return "unknown";
 }
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -19,6 +19,8 @@
   kAnsweredItself,  ///< This node itself gave the final answer.
   kAnswerCut,       ///< A server's answer was truncated while it was forwarded.
   kCallerGone,      ///< The caller disconnected, and its running attempt was cancelled.
+  /// The answer cleared the server ends that were recorded under the request's fingerprint.
+  kServerEndsCleared,
 };
 
 /// Returns the name for log lines, such as "attempt_ended".
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -830,6 +830,29 @@
   CHECK(fixture.sendWithFingerprint(kCrashingRequest, "r3")->isOpen());
 }
 
+// Guards against server ends that disappear without a trace of the request that cleared them.
+TEST_CASE("a request whose answer clears a single server end is logged") {
+  struct Log final : proxy::DecisionLog {
+    void onDecision(const proxy::Decision& decision) override {
+      if (decision.kind == proxy::DecisionKind::kServerEndsCleared) {
+        requests.emplace_back(decision.request);
+      }
+    }
+    void onServerChange(proxy::ServerChange, const EndpointId&) override {}
+    std::vector<std::string> requests;
+  };
+  IngressFixture fixture;
+  Log log;
+  admission::CrashSuspects suspects;
+  fixture.state.setDecisionLog(&log);
+  fixture.state.setSuspects(&suspects);
+  suspects.onServerEnd(1, std::vector{kCrashingRequest}, fixture.environment.now());
+  fixture.sendWithFingerprint(RequestFingerprint(78), "r1")->answerWhole();
+  fixture.sendWithFingerprint(kCrashingRequest, "r2")->answerWhole();
+  fixture.sendWithFingerprint(kCrashingRequest, "r3")->answerWhole();
+  CHECK(log.requests == std::vector<std::string>{"r2"});
+}
+
 TEST_CASE("a failed trial is not followed by another one at once") {
   SuspectFixture fixture;
   const auto trial = fixture.sendWithFingerprint(kCrashingRequest, "r1", /*is_trial=*/true);
