--- a/src/admission/crash_suspects.cpp
+++ b/src/admission/crash_suspects.cpp
@@ -49,6 +49,29 @@
   return record.changed_at + settings_.trial_pause;
 }
 
+bool CrashSuspects::hasServerEnds(RequestFingerprint head) const {
+  return !records_.empty() && byHead().contains(head);
+}
+
+std::span<const RequestFingerprint> CrashSuspects::suspectsWith(RequestFingerprint head) const {
+  if (records_.empty()) return {};
+  const auto found = byHead().find(head);
+  if (found == byHead().end()) return {};
+  return found->second;
+}
+
+const CrashSuspects::HeadIndex& CrashSuspects::byHead() const {
+  if (by_head_) return *by_head_;
+  by_head_.emplace();
+  for (const auto& [request, record] : records_) {
+    if (record.ends.empty() || record.head.empty()) continue;
+    std::vector<RequestFingerprint>& suspects = (*by_head_)[record.head];
+    const bool is_identified = request != record.head;
+    if (is_identified && isSuspected(record)) suspects.push_back(request);
+  }
+  return *by_head_;
+}
+
 CrashVerdict CrashSuspects::verdict(RequestFingerprint request, TimePoint now) const {
   const auto found = records_.find(request);
   if (found == records_.end() || !isSuspected(found->second)) return CrashVerdict::kMayRun;
@@ -69,23 +92,26 @@
   return found == records_.end() ? 0 : found->second.ends.size();
 }
 
-void CrashSuspects::onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests,
+void CrashSuspects::onServerEnd(ServerEndId end, std::span<const RequestFingerprints> requests,
                                 TimePoint now) {
   if (std::exchange(last_server_end_, end) != end) ++statistics_.server_ends;
-  for (const RequestFingerprint request : requests) {
+  for (const RequestFingerprints& request : requests) {
     if (!request.empty()) addEnd(request, end, now);
   }
   evictExcess();
   notifyChange();
 }
 
-void CrashSuspects::addEnd(RequestFingerprint request, ServerEndId end, TimePoint now) {
-  Record& record = records_[request];
+void CrashSuspects::addEnd(const RequestFingerprints& request, ServerEndId end, TimePoint now) {
+  const RequestFingerprint key = request.narrowest();
+  Record& record = records_[key];
   const std::size_t before = record.ends.size();
   addSorted(record.ends, end);
+  record.head = request.head;
   record.changed_at = now;
   record.learned_at = now;
-  notifyVerdict(request, before, record.ends.size());
+  by_head_.reset();
+  notifyVerdict(key, record, before);
 }
 
 void CrashSuspects::onTrialFailed(RequestFingerprint request, TrialId trial, TimePoint now) {
@@ -94,11 +120,12 @@
   addSorted(found->second.trials, trial);
   found->second.changed_at = now;
   found->second.learned_at = now;
+  by_head_.reset();
   notifyChange();
 }
 
-bool CrashSuspects::onAnswered(RequestFingerprint request, TimePoint now) {
-  const auto found = records_.find(request);
+bool CrashSuspects::onAnswered(RequestFingerprint whole, TimePoint now) {
+  const auto found = records_.find(whole);
   if (found == records_.end() || found->second.ends.empty()) return false;
   Record& record = found->second;
   const std::size_t before = record.ends.size();
@@ -108,7 +135,8 @@
   record.changed_at = now;
   record.learned_at = now;
   ++statistics_.cleared;
-  notifyVerdict(request, before, 0);
+  by_head_.reset();
+  notifyVerdict(whole, record, before);
   if (before >= kMinEndsOfSuspect) notifyChange();
   return true;
 }
@@ -129,13 +157,19 @@
   addAllSorted(reported.trials, report.trials);
   reported.changed_at = now - std::max(report.age, Duration(0));
   reported.learned_at = now;
+  reported.head = report.head;
   if (report.request.empty() || isExpired(reported, now)) return false;
   const auto [found, is_new] = records_.try_emplace(report.request, reported);
   Record& record = found->second;
   const std::size_t ends_before = is_new ? 0 : record.ends.size();
-  if (!is_new && !mergeRound(record, reported)) return false;
+  const RequestFingerprint known_head = record.head;
+  const bool is_changed = is_new || mergeRound(record, reported);
+  // Nodes of an earlier release pass reports on without the head.
+  record.head = std::max(known_head, reported.head);
+  by_head_.reset();
+  if (!is_changed && record.head == known_head) return false;
   record.learned_at = now;
-  notifyVerdict(report.request, ends_before, record.ends.size());
+  notifyVerdict(report.request, record, ends_before);
   return true;
 }
 
@@ -153,8 +187,11 @@
   return true;
 }
 
-void CrashSuspects::notifyVerdict(RequestFingerprint request, std::size_t ends_before,
-                                  std::size_t ends) const {
+void CrashSuspects::notifyVerdict(RequestFingerprint request, const Record& record,
+                                  std::size_t ends_before) const {
+  const bool is_identified = request != record.head;
+  if (!is_identified) return;
+  const std::size_t ends = record.ends.size();
   const bool is_notable = ends >= kMinEndsOfSuspect || ends_before >= kMinEndsOfSuspect;
   if (on_verdict_ && is_notable && ends != ends_before) on_verdict_(request, ends);
 }
@@ -220,7 +257,9 @@
 }
 
 void CrashSuspects::removeExpired(TimePoint now) {
-  std::erase_if(records_, [&](const auto& entry) { return isExpired(entry.second, now); });
+  const std::size_t removed =
+      std::erase_if(records_, [&](const auto& entry) { return isExpired(entry.second, now); });
+  if (removed > 0) by_head_.reset();
 }
 
 /// Evicts records when there are too many, as under a flood of different requests: those with the
@@ -239,6 +278,7 @@
   std::nth_element(ranks.begin(), bound, ranks.end());
   const Rank least_kept = *bound;
   statistics_.forgotten += excess;
+  by_head_.reset();
   std::erase_if(records_, [&](const auto& entry) {
     const bool is_evicted =
         excess > 0 && Rank(entry.second.ends.size(), entry.second.changed_at) <= least_kept;
--- a/src/admission/crash_suspects.h
+++ b/src/admission/crash_suspects.h
@@ -12,6 +12,10 @@
 /// innocent request is refused for no longer than one run takes, even after many servers ended at
 /// the same moment. If it gets no answer, a second trial is allowed after a pause, and then none.
 ///
+/// Records are kept by the fingerprint of the whole request, so that only an answer to the same
+/// request clears one. A server may end before it has the whole body; such an end is recorded by
+/// the head alone, which restricts no request.
+///
 /// Each node has its own table. Merging tables is commutative and idempotent, so that all nodes
 /// converge to the same table (see SuspectGossip). An answer starts a new round of a record, which
 /// replaces the ends and trials of earlier rounds.
@@ -34,11 +38,12 @@
 
 /// State of one request, as sent to other nodes.
 struct SuspectReport {
-  RequestFingerprint request;
+  RequestFingerprint request;     ///< Of the whole request, or `head` if that is not known.
   std::uint32_t round = 0;        ///< Number of times an answer cleared the request.
   Duration age{};                 ///< Time since its last end, trial or answer.
   std::vector<ServerEndId> ends;  ///< Server ends in this round; sorted.
   std::vector<TrialId> trials;    ///< Trials without an answer in this round; sorted.
+  RequestFingerprint head{};      ///< Fingerprint of its head; empty if it has no body.
   friend bool operator==(const SuspectReport&, const SuspectReport&) = default;
 };
 
@@ -74,6 +79,11 @@
 
   explicit CrashSuspects(const CrashSuspectSettings& settings = {}) : settings_(settings) {}
 
+  /// Returns whether servers ended while requests with this head were running.
+  bool hasServerEnds(RequestFingerprint head) const;
+  /// Returns the suspects with this head; valid until the next change.
+  std::span<const RequestFingerprint> suspectsWith(RequestFingerprint head) const;
+
   CrashVerdict verdict(RequestFingerprint request, TimePoint now) const;
   /// Returns the time until a trial is allowed, or nothing if no further trial is.
   std::optional<Duration> timeUntilTrial(RequestFingerprint request, TimePoint now) const;
@@ -82,12 +92,12 @@
 
   /// Called when this node's server ended while these requests were running on it. May be called
   /// again with further requests of the same end.
-  void onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests, TimePoint now);
+  void onServerEnd(ServerEndId end, std::span<const RequestFingerprints> requests, TimePoint now);
   /// Called when a trial that may have run ended without an answer.
   void onTrialFailed(RequestFingerprint request, TrialId trial, TimePoint now);
-  /// Called when a server answered the request, which shows that it does not crash servers. Returns
-  /// whether this cleared server ends.
-  bool onAnswered(RequestFingerprint request, TimePoint now);
+  /// Called when a server answered the request, which shows that it does not crash servers.
+  /// `whole` is the fingerprint of the whole request. Returns whether this cleared server ends.
+  bool onAnswered(RequestFingerprint whole, TimePoint now);
 
   /// Merges the reports of another node. Returns whether any of them changed this table.
   bool merge(std::span<const SuspectReport> reports, TimePoint now);
@@ -118,26 +128,34 @@
     std::vector<TrialId> trials;    ///< Sorted; at most kMaxIds.
     TimePoint changed_at;           ///< Time of its last end, trial or answer.
     TimePoint learned_at;           ///< When this node last learned of a change.
+    RequestFingerprint head;        ///< Empty if it is not known, or if there is no body.
   };
+  /// Suspects by the head of their requests. A head with server ends has an entry even if none of
+  /// its requests is a suspect.
+  using HeadIndex = std::unordered_map<RequestFingerprint, std::vector<RequestFingerprint>>;
   using Records = std::unordered_map<RequestFingerprint, Record>;
 
   static bool isSuspected(const Record& record);
   static SuspectReport reportOf(RequestFingerprint request, const Record& record, TimePoint now) {
-    return {request, record.round, now - record.changed_at, record.ends, record.trials};
+    return {request,     record.round,  now - record.changed_at,
+            record.ends, record.trials, record.head};
   }
   TimePoint nextTrialAt(const Record& record) const;
   bool isExpired(const Record& record, TimePoint now) const;
   bool mergeReport(const SuspectReport& report, TimePoint now);
   bool mergeRound(Record& record, const Record& reported) const;
-  void addEnd(RequestFingerprint request, ServerEndId end, TimePoint now);
-  void notifyVerdict(RequestFingerprint request, std::size_t ends_before, std::size_t ends) const;
+  void addEnd(const RequestFingerprints& request, ServerEndId end, TimePoint now);
+  void notifyVerdict(RequestFingerprint request, const Record& record,
+                     std::size_t ends_before) const;
   void evictExcess();
+  const HeadIndex& byHead() const;
   void notifyChange() const {
     if (on_change_) on_change_();
   }
 
   CrashSuspectSettings settings_;
   Records records_;
+  mutable std::optional<HeadIndex> by_head_;  ///< Empty after a change of `records_`.
   std::function<void()> on_change_;
   VerdictListener on_verdict_;
   CrashSuspectStatistics statistics_;
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -20,6 +20,27 @@
   return digest;
 }
 
+DigestBuilder::DigestBuilder() : context_(EVP_MD_CTX_new()) {
+  EVP_DigestInit_ex(context_.get(), EVP_sha256(), nullptr);
+}
+
+void DigestBuilder::add(std::string_view piece) {
+  EVP_DigestUpdate(context_.get(), piece.data(), piece.size());
+}
+
+Digest DigestBuilder::digest() const {
+  // Finishing a context ends it, so a copy is finished.
+  const std::unique_ptr<EVP_MD_CTX, ContextDeleter> copy(EVP_MD_CTX_new());
+  EVP_MD_CTX_copy_ex(copy.get(), context_.get());
+  Digest digest;
+  EVP_DigestFinal_ex(copy.get(), digest.bytes_.data(), nullptr);
+  return digest;
+}
+
+void DigestBuilder::ContextDeleter::operator()(EVP_MD_CTX* context) const {
+  EVP_MD_CTX_free(context);
+}
+
 Result<Digest> Digest::fromHex(std::string_view text) {
   std::string raw;
   try {
--- a/src/core/digest.h
+++ b/src/core/digest.h
@@ -5,11 +5,14 @@
 #include <cstdint>
 #include <cstring>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
 #include "core/error.h"
 
+struct evp_md_ctx_st;  // OpenSSL's EVP_MD_CTX.
+
 namespace coursepond {
 
 /// A SHA-256 digest. All bytes zero means "no digest".
@@ -37,10 +40,26 @@
   friend auto operator<=>(const Digest&, const Digest&) = default;
 
  private:
+  friend class DigestBuilder;
   friend struct std::hash<Digest>;
   std::array<std::uint8_t, kSize> bytes_{};
 };
 
+/// Computes the SHA-256 digest of bytes that arrive in pieces.
+class DigestBuilder {
+ public:
+  DigestBuilder();
+  void add(std::string_view piece);
+  /// Returns the digest of all pieces so far. More may follow.
+  Digest digest() const;
+
+ private:
+  struct ContextDeleter {
+    void operator()(evp_md_ctx_st* context) const;
+  };
+  std::unique_ptr<evp_md_ctx_st, ContextDeleter> context_;
+};
+
 }  // namespace coursepond
 
 /// Uses the first bytes as the hash, because digests are uniformly distributed.
--- a/src/core/http_headers.h
+++ b/src/core/http_headers.h
@@ -46,9 +46,12 @@
 /// From a back end, in its health response: for how many more milliseconds it is cold.
 inline constexpr char kColdLeftMs[] = "X-Cold-Left-Ms";
 /// From an egress to an ingress: "service,rank,target latency in ms,repeatable 0|1,
-/// call 0|1,share of a repeat in thousandths,may wait 0|1,fingerprint in hexadecimal digits,
-/// trial 0|1,known limit of the server in requests per 1000 s or nothing,returning 0|1,
-/// number of the sender's clock,time of sending by that clock in ms".
+/// call 0|1,share of a repeat in thousandths,may wait 0|1,
+/// fingerprint of the whole request in hexadecimal digits or zero,
+/// trial of that fingerprint 0|1,known limit of the server in requests per 1000 s or nothing,
+/// returning 0|1,number of the sender's clock,time of sending by that clock in ms,
+/// fingerprint of the head or nothing,fingerprint that a trial is allowed of or nothing". The last
+/// two may be left out together.
 inline constexpr char kHopClass[] = "X-Hop-Class";
 /// From an ingress to an egress: "running,waiting,slots,mean service time in ms,draining 0|1,
 /// limit of the server in requests per 1000 s or 'none', nothing if
--- a/src/core/request_fingerprint.cpp
+++ b/src/core/request_fingerprint.cpp
@@ -4,9 +4,22 @@
 #include <cstdio>
 #include <cstring>
 
-#include "core/digest.h"
-
 namespace coursepond {
+namespace {
+
+/// Distinguishes the kinds of fingerprints, also from those of earlier releases.
+constexpr std::string_view kHeadKind = "head";
+constexpr std::string_view kWholeKind = "whole";
+
+RequestFingerprint firstBytesOf(const Digest& digest) {
+  const std::string bytes = digest.bytes();
+  std::uint64_t value = 0;
+  std::memcpy(&value, bytes.data(), sizeof value);
+  constexpr std::uint64_t kNotEmpty = 1;
+  return RequestFingerprint(value == 0 ? kNotEmpty : value);
+}
+
+}  // namespace
 
 std::string RequestFingerprint::toHex() const {
   std::array<char, 17> text{};
@@ -14,19 +27,22 @@
   return text.data();
 }
 
-RequestFingerprint fingerprintOf(const RequestIdentity& identity) {
-  std::string text;
-  text.reserve(identity.target.size() + identity.host.size() + identity.body.size() + 64);
-  for (const std::string_view part :
-       {identity.method, identity.host, identity.target, identity.caller, identity.body}) {
+void RequestFingerprints::addBody(const Digest& body) {
+  if (head.empty() || !whole.empty()) return;
+  whole = fingerprintOfWhole(head, body);
+}
+
+RequestFingerprint fingerprintOfHead(const HeadIdentity& head) {
+  std::string text(kHeadKind);
+  for (const std::string_view part : {head.method, head.host, head.target, head.caller}) {
     // The length prefix distinguishes "a" + "bc" from "ab" + "c".
     text.append(std::to_string(part.size())).append(":").append(part);
   }
-  const std::string digest = Digest::of(text).bytes();
-  std::uint64_t value = 0;
-  std::memcpy(&value, digest.data(), sizeof value);
-  constexpr std::uint64_t kNotEmpty = 1;
-  return RequestFingerprint(value == 0 ? kNotEmpty : value);
+  return firstBytesOf(Digest::of(text));
+}
+
+RequestFingerprint fingerprintOfWhole(RequestFingerprint head, const Digest& body) {
+  return firstBytesOf(Digest::of(std::string(kWholeKind) + head.toHex() + body.bytes()));
 }
 
 }  // namespace coursepond
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -126,7 +126,8 @@
   bool placeLarge(TimePoint now);
   ServerPointer pickForRepeat(TimePoint now) const;
   void sendTrial(TimePoint now);
-  CrashVerdict verdict(TimePoint now) const { return state_.verdict(head_.fingerprint, now); }
+  CrashVerdict verdict(TimePoint now);
+  RequestFingerprint allowedTrial(TimePoint now) const;
   void send(ServerPointer server, TimePoint now);
   proxy::AttemptPlan makePlan(TimePoint now) const;
   Duration remaining(TimePoint now) const;
@@ -438,13 +439,32 @@
   return state_.pick(destination(), tried_, now);
 }
 
+/// Uses what is known of the body by now: a request may become a suspect while it runs. The ingress
+/// judges requests whose body is not known here.
+CrashVerdict EgressFlow::verdict(TimePoint now) {
+  RequestFingerprints& known = head_.fingerprints;
+  if (known.whole.empty() && state_.hasServerEnds(known.head)) {
+    if (const auto body = io_.bodyDigest()) known.addBody(*body);
+  }
+  return state_.verdict(known.whole, now);
+}
+
+/// Returns the suspect that the request may turn out to be, if its trial is due at the server of
+/// this attempt.
+RequestFingerprint EgressFlow::allowedTrial(TimePoint now) const {
+  if (is_trial_) return head_.fingerprints.whole;
+  const bool is_identified = !head_.fingerprints.whole.empty();
+  if (is_identified || attempt_ > 1) return {};
+  return state_.trialAt(server_, destination(), head_.fingerprints.head, now);
+}
+
 /// Servers have crashed while running requests with this fingerprint. One trial at a time on a
 /// single server shows whether the request is the cause, without a risk for the other servers. All
 /// other requests with the fingerprint are refused at once, here or by the ingress of that server.
 void EgressFlow::sendTrial(TimePoint now) {
   const bool may_try = verdict(now) == CrashVerdict::kTrialOnly && attempt_ == 0;
   ServerPointer server =
-      may_try ? state_.pickForTrial(destination(), head_.fingerprint, now) : nullptr;
+      may_try ? state_.pickForTrial(destination(), head_.fingerprints.whole, now) : nullptr;
   if (!server) return conclude(Reason::kCrashesServers);
   is_trial_ = true;
   send(std::move(server), now);
@@ -497,8 +517,8 @@
   hop.is_call = is_call_;
   hop.repeat_share = repeatShare();
   hop.may_wait = is_trial_ || slots_->mayWait();
-  hop.fingerprint = head_.fingerprint;
-  hop.is_trial = is_trial_;
+  hop.fingerprints = head_.fingerprints;
+  hop.trial_of = allowedTrial(now);
   hop.server_limit = server_->load.server_limit;
   hop.sent = state_.sendTime(now);
   plan.hop_class = std::move(hop);
@@ -1023,7 +1043,7 @@
   decision.kind = kind;
   decision.side = proxy::kEgressSide;
   decision.request = head_.request_id;
-  decision.fingerprint = head_.fingerprint;
+  decision.fingerprints = head_.fingerprints;
   decision.service = service_.value();
   decision.attempt = attempt;
   if (server) decision.server = server->entry.id.value();
@@ -1082,7 +1102,7 @@
 
 Duration EgressFlow::retryAfter(Reason reason) const {
   if (reason == Reason::kCrashesServers) {
-    return state_.suspectRetryAfter(head_.fingerprint, environment_.now());
+    return state_.suspectRetryAfter(head_.fingerprints.whole, environment_.now());
   }
   return retry_after_.value_or(state_.settings().default_retry_after);
 }
--- a/src/egress/egress_state.cpp
+++ b/src/egress/egress_state.cpp
@@ -167,6 +167,16 @@
   return best;
 }
 
+RequestFingerprint EgressState::trialAt(const ServerPointer& server, const Destination& to,
+                                        RequestFingerprint head, TimePoint now) const {
+  if (suspects_ == nullptr) return {};
+  for (const RequestFingerprint suspect : suspects_->suspectsWith(head)) {
+    const bool is_due = suspects_->verdict(suspect, now) == admission::CrashVerdict::kTrialOnly;
+    if (is_due && pickForTrial(to, suspect, now) == server) return suspect;
+  }
+  return {};
+}
+
 admission::CrashVerdict EgressState::verdict(RequestFingerprint request, TimePoint now) const {
   return suspects_ == nullptr ? admission::CrashVerdict::kMayRun : suspects_->verdict(request, now);
 }
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -194,6 +194,13 @@
   admission::QuotaAccounts* quotas() { return quotas_; }
   /// `suspects` may be null: no request is refused as a crash suspect.
   void setSuspects(const admission::CrashSuspects* suspects) { suspects_ = suspects; }
+  /// Returns whether servers ended while requests with this head were running.
+  bool hasServerEnds(RequestFingerprint head) const {
+    return suspects_ != nullptr && suspects_->hasServerEnds(head);
+  }
+  /// Returns a suspect with this head whose trial is due at the server; empty if there is none.
+  RequestFingerprint trialAt(const ServerPointer& server, const Destination& to,
+                             RequestFingerprint head, TimePoint now) const;
   admission::CrashVerdict verdict(RequestFingerprint request, TimePoint now) const;
   /// Returns the retry delay for a crash suspect that may not run now.
   Duration suspectRetryAfter(RequestFingerprint request, TimePoint now) const;
--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -45,6 +45,8 @@
 
   void start() override;
   void onAttemptFailed(AttemptId attempt, AttemptFailure failure) override;
+  bool mayCompleteRequest(AttemptId attempt) override;
+  void onRequestWithheld(AttemptId attempt) override;
   void onAnswerHead(AttemptId attempt, const AnswerHead& answer) override;
   void onAnswerComplete(AttemptId attempt) override;
   void onAnswerCut(AttemptId attempt) override;
@@ -65,9 +67,8 @@
   // DeadlineEntry
   void onDeadline(TimePoint now) override;
 
-  RequestFingerprint fingerprint() const {
-    return head_.hop_class ? head_.hop_class->fingerprint : RequestFingerprint();
-  }
+  void identify();
+  bool isTrial() const;
   /// Returns the instance that an egress asked for as a server of this machine's service.
   std::string requestedInstance() const {
     const bool is_own_service =
@@ -92,6 +93,7 @@
   bool isProper(const AnswerHead& answer) const {
     return proxy::isProperAnswer(answer, head_.request_id, state_.settings().expects_signature);
   }
+  void noteRunAnswered(int status, TimePoint now);
   void onServerRefused(const AnswerHead& answer, TimePoint now);
   void onOtherInstance(const AnswerHead& answer, TimePoint now);
   void noteReports(const AnswerHead& answer, proxy::AnswerSource source,
@@ -119,7 +121,8 @@
   bool runs_large_ = false;    ///< Counted as running with an expected large answer.
   bool sends_large_ = false;   ///< Counted as sending a large answer.
   bool may_have_run_ = false;
-  bool is_trial_ = false;  ///< The only trial of its fingerprint at this ingress.
+  RequestFingerprints fingerprints_;
+  bool holds_trial_ = false;  ///< The only trial of its fingerprint at this ingress.
   bool was_answered_ = false;
   TimePoint started_;
   TimePoint deadline_;
@@ -131,6 +134,7 @@
   ++state_.statistics().requests;
   started_ = now;
   delivery_delay_ = state_.onDelivered(head_.hop_class, now);
+  if (head_.hop_class) fingerprints_ = head_.hop_class->fingerprints;
   phase_ = Phase::kWaiting;
   state_.onInstanceRequested(requestedInstance());
   if (const auto refusal = state_.refusal(head_.hop_class)) return conclude(*refusal, now);
@@ -193,11 +197,39 @@
   state_.largeAnswers().onReady(std::exchange(reserved_bytes_, 0));
 }
 
+/// Completes the fingerprints if the whole body has arrived, which the egress may not have awaited.
+void IngressFlow::identify() {
+  if (fingerprints_.head.empty() || !fingerprints_.whole.empty()) return;
+  if (const auto body = io_.bodyDigest()) fingerprints_.addBody(*body);
+}
+
+bool IngressFlow::isTrial() const {
+  const RequestFingerprint whole = fingerprints_.whole;
+  return head_.hop_class && !whole.empty() && head_.hop_class->trial_of == whole;
+}
+
 bool IngressFlow::passesCrashSuspectCheck(TimePoint now) {
-  if (state_.isSuspect(head_.hop_class, now)) return false;
-  const bool wants_trial = head_.hop_class && head_.hop_class->is_trial;
-  if (wants_trial) is_trial_ = state_.beginTrial(fingerprint());
-  return is_trial_ || !wants_trial;
+  if (!state_.mayRun(fingerprints_.whole, isTrial(), now)) return false;
+  if (!isTrial()) return true;
+  holds_trial_ = holds_trial_ || state_.beginTrial(fingerprints_.whole);
+  return holds_trial_;
+}
+
+/// The server begins with the request when it has all of it, so that a suspect does it no harm
+/// without the last part.
+bool IngressFlow::mayCompleteRequest(AttemptId attempt) {
+  if (attempt != attempt_ || !state_.hasServerEnds(fingerprints_)) return true;
+  identify();
+  return passesCrashSuspectCheck(environment_.now());
+}
+
+/// Whether the server began with the part that it got is not known.
+void IngressFlow::onRequestWithheld(AttemptId attempt) {
+  if (!isCurrent(attempt, Phase::kAttempting)) return;
+  ++state_.statistics().withheld;
+  may_have_run_ = io_.bytesSent(attempt);
+  io_.cancelAttempt(attempt);
+  conclude(Reason::kCrashesServers, environment_.now());
 }
 
 /// Returns false if the server would get no time for the request.
@@ -225,7 +257,7 @@
 void IngressFlow::onSlot(TimePoint now) {
   has_slot_ = true;
   // The request may have become a crash suspect while it waited.
-  if (state_.isSuspect(head_.hop_class, now)) return conclude(Reason::kCrashesServers, now);
+  if (!passesCrashSuspectCheck(now)) return conclude(Reason::kCrashesServers, now);
   runs_large_ = expectsLarge();
   if (runs_large_) state_.largeAnswers().onRunning();
   state_.retries().onStarted(run_);
@@ -272,7 +304,8 @@
     case AttemptFailure::kLostAfterSend:
       ++state_.statistics().server_lost;
       state_.onServerLost(attempt_started_, now);
-      state_.serverEnds().onLost(fingerprint(), attempt_started_, now);
+      identify();
+      state_.serverEnds().onLost(fingerprints_, attempt_started_, now);
       may_have_run_ = true;
       return conclude(Reason::kConnectionLost, now);
     case AttemptFailure::kMalformedAnswer:
@@ -309,15 +342,22 @@
   // crashed it.
   if (answer.status != kGatewayTimeout) {
     was_answered_ = true;
-    if (state_.onRunAnswered(fingerprint(), now)) {
-      note(proxy::DecisionKind::kServerEndsCleared, "", answer.status);
-    }
+    noteRunAnswered(answer.status, now);
   }
   phase_ = Phase::kForwarding;
   state_.deadlines().disarm(*this);
   io_.forwardAnswer(attempt_);
 }
 
+/// An answer that comes before the server has the whole body shows nothing about the request.
+void IngressFlow::noteRunAnswered(int status, TimePoint now) {
+  if (!state_.hasServerEnds(fingerprints_)) return;
+  identify();
+  const RequestFingerprint whole = fingerprints_.whole;
+  if (whole.empty() || !state_.onRunAnswered(whole, now)) return;
+  note(proxy::DecisionKind::kServerEndsCleared, "", status);
+}
+
 /// The flow object lives until its answer is sent; its destructor then calls onSent().
 void IngressFlow::noteSize(std::uint64_t bytes) {
   const LargeAnswerSettings& settings = state_.settings().large_answers;
@@ -377,7 +417,8 @@
   const TimePoint now = environment_.now();
   ++state_.statistics().answers_cut;
   note(proxy::DecisionKind::kAnswerCut, "", 0);
-  state_.serverEnds().onLost(fingerprint(), attempt_started_, now);
+  identify();
+  state_.serverEnds().onLost(fingerprints_, attempt_started_, now);
   finish(now);
 }
 
@@ -405,7 +446,7 @@
   decision.kind = kind;
   decision.side = proxy::kIngressSide;
   decision.request = head_.request_id;
-  decision.fingerprint = fingerprint();
+  decision.fingerprints = fingerprints_;
   if (head_.hop_class) decision.service = head_.hop_class->service;
   decision.attempt = attempt_;
   decision.server = instance_;
@@ -425,8 +466,8 @@
   state_.deadlines().disarm(*this);
   state_.leave(*this);
   state_.retries().remove(run_);
-  if (std::exchange(is_trial_, false)) {
-    state_.endTrial(fingerprint(), may_have_run_ && !was_answered_);
+  if (std::exchange(holds_trial_, false)) {
+    state_.endTrial(fingerprints_.whole, may_have_run_ && !was_answered_);
   }
   releaseLink();
   if (std::exchange(runs_large_, false)) state_.largeAnswers().onNotRunning();
--- a/src/ingress/ingress_state.cpp
+++ b/src/ingress/ingress_state.cpp
@@ -162,23 +162,29 @@
   return std::nullopt;
 }
 
-bool IngressState::isSuspect(const std::optional<proxy::HopClass>& hop, TimePoint now) const {
-  if (suspects_ == nullptr || !hop) return false;
-  const admission::CrashVerdict verdict = suspects_->verdict(hop->fingerprint, now);
-  if (verdict == admission::CrashVerdict::kTrialOnly) return !hop->is_trial;
-  return verdict == admission::CrashVerdict::kMayNotRun;
+bool IngressState::mayRun(RequestFingerprint whole, bool is_trial, TimePoint now) const {
+  if (suspects_ == nullptr) return true;
+  const admission::CrashVerdict verdict = suspects_->verdict(whole, now);
+  if (verdict == admission::CrashVerdict::kTrialOnly) return is_trial;
+  return verdict == admission::CrashVerdict::kMayRun;
 }
 
-bool IngressState::beginTrial(RequestFingerprint request) {
-  if (!trials_.insert(request).second) return false;
+bool IngressState::hasServerEnds(const RequestFingerprints& request) const {
+  if (suspects_ == nullptr) return false;
+  return request.whole.empty() ? suspects_->hasServerEnds(request.head)
+                               : suspects_->ends(request.whole) > 0;
+}
+
+bool IngressState::beginTrial(RequestFingerprint whole) {
+  if (!trials_.insert(whole).second) return false;
   ++statistics_.trials;
   return true;
 }
 
-void IngressState::endTrial(RequestFingerprint request, bool has_failed) {
-  trials_.erase(request);
+void IngressState::endTrial(RequestFingerprint whole, bool has_failed) {
+  trials_.erase(whole);
   if (suspects_ == nullptr || !has_failed) return;
-  suspects_->onTrialFailed(request, environment_.random(UINT64_MAX), environment_.now());
+  suspects_->onTrialFailed(whole, environment_.random(UINT64_MAX), environment_.now());
 }
 
 /// The entry of an earlier instance says nothing about the instance that has the address now.
--- a/src/ingress/ingress_state.h
+++ b/src/ingress/ingress_state.h
@@ -49,6 +49,7 @@
   std::uint64_t refused_draining = 0;   ///< The server, zone or node is leaving or drained.
   std::uint64_t refused_instance = 0;   ///< The address went to an instance of unknown service.
   std::uint64_t refused_suspects = 0;   ///< Crash suspects.
+  std::uint64_t withheld = 0;           ///< Of these, recognized by the last part of their body.
   std::uint64_t trials = 0;             ///< Crash suspects that were accepted as a trial.
   std::uint64_t refused_rejecting = 0;  ///< The server rejects too many requests.
   std::uint64_t refused_slow = 0;       ///< The server is slow now.
@@ -106,16 +107,18 @@
   ServerEndWatch& serverEnds() { return server_ends_; }
   /// `suspects` may be null: no request is refused as a crash suspect.
   void setSuspects(admission::CrashSuspects* suspects) { suspects_ = suspects; }
-  /// Returns whether the request is a crash suspect that may not run here. An egress that does not
-  /// know of the suspect yet sends it like any other request.
-  bool isSuspect(const std::optional<proxy::HopClass>& hop, TimePoint now) const;
+  /// Returns false if the request is a crash suspect that may not run here, or only as a trial. An
+  /// egress that does not know of the suspect yet sends it like any other request.
+  bool mayRun(RequestFingerprint whole, bool is_trial, TimePoint now) const;
   /// Accepts a trial; returns false while another trial of the same request is waiting or running.
-  bool beginTrial(RequestFingerprint request);
+  bool beginTrial(RequestFingerprint whole);
   /// Called when the trial has ended. `has_failed`: it may have run and was not answered.
-  void endTrial(RequestFingerprint request, bool has_failed);
+  void endTrial(RequestFingerprint whole, bool has_failed);
+  /// Returns whether servers ended under this request, or under one that it may turn out to be.
+  bool hasServerEnds(const RequestFingerprints& request) const;
   /// Called when the server answered the request. Returns whether this cleared server ends.
-  bool onRunAnswered(RequestFingerprint request, TimePoint now) {
-    return suspects_ != nullptr && suspects_->onAnswered(request, now);
+  bool onRunAnswered(RequestFingerprint whole, TimePoint now) {
+    return suspects_ != nullptr && suspects_->onAnswered(whole, now);
   }
   bool isCold(TimePoint now) const { return cold_start_.isCold(settings_.cold_start, now); }
   /// Announces a planned stop of this node: load reports tell egresses to send elsewhere. Requests
--- a/src/ingress/server_end_watch.cpp
+++ b/src/ingress/server_end_watch.cpp
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-void ServerEndWatch::onLost(RequestFingerprint request, TimePoint sent, TimePoint now) {
+void ServerEndWatch::onLost(const RequestFingerprints& request, TimePoint sent, TimePoint now) {
   if (request.empty()) return;
   // A request that was sent before the last end was detected belongs to that end.
   if (last_end_ && sent <= last_end_->seen) {
@@ -58,7 +58,7 @@
 void ServerEndWatch::declareEnd(TimePoint now) {
   if (lost_.empty()) return;
   last_end_ = End{environment_.random(UINT64_MAX), now};
-  std::vector<RequestFingerprint> requests;
+  std::vector<RequestFingerprints> requests;
   for (const Lost& lost : std::exchange(lost_, {})) requests.push_back(lost.request);
   notify(requests);
 }
--- a/src/ingress/server_end_watch.h
+++ b/src/ingress/server_end_watch.h
@@ -29,7 +29,7 @@
   /// Called for each end of the server with the requests that were lost; called again with the same
   /// end for requests whose loss is detected later.
   using EndHandler =
-      std::function<void(ServerEndId end, std::span<const RequestFingerprint> requests)>;
+      std::function<void(ServerEndId end, std::span<const RequestFingerprints> requests)>;
 
   /// `environment` must outlive the watch.
   explicit ServerEndWatch(Environment& environment) : environment_(environment) {}
@@ -43,14 +43,14 @@
 
   /// Called when a request that was sent to the server at `sent` lost its connection before its
   /// answer was complete.
-  void onLost(RequestFingerprint request, TimePoint sent, TimePoint now);
+  void onLost(const RequestFingerprints& request, TimePoint sent, TimePoint now);
   void onPort(ServerPort port, TimePoint now);
   /// Called when another instance of the server has the address.
   void onRestart(TimePoint now);
 
  private:
   struct Lost {
-    RequestFingerprint request;
+    RequestFingerprints request;
     TimePoint sent;
     TimePoint lost;
   };
@@ -60,7 +60,7 @@
   };
 
   void checkPort(TimePoint now);
-  void notify(std::span<const RequestFingerprint> requests) const {
+  void notify(std::span<const RequestFingerprints> requests) const {
     if (on_end_) on_end_(last_end_->id, requests);
   }
   void declareEnd(TimePoint now);
--- a/src/node/crash_watch.cpp
+++ b/src/node/crash_watch.cpp
@@ -23,7 +23,7 @@
   ends_.onPortCheckNeeded([this] {
     port_.probe([this](ingress::ServerPort port) { ends_.onPort(port, environment_.now()); });
   });
-  ends_.onEnd([this](ServerEndId end, std::span<const RequestFingerprint> requests) {
+  ends_.onEnd([this](ServerEndId end, std::span<const RequestFingerprints> requests) {
     onServerEnd(end, requests);
   });
   suspects_.onVerdict([this](RequestFingerprint request, std::size_t server_ends) {
@@ -32,12 +32,12 @@
   });
 }
 
-void CrashWatch::onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests) {
+void CrashWatch::onServerEnd(ServerEndId end, std::span<const RequestFingerprints> requests) {
   suspects_.onServerEnd(end, requests, environment_.now());
   std::string fingerprints;
-  for (const RequestFingerprint request :
+  for (const RequestFingerprints& request :
        requests.first(std::min(requests.size(), kMaxLoggedFingerprints))) {
-    fingerprints += (fingerprints.empty() ? "" : ",") + request.toHex();
+    fingerprints += (fingerprints.empty() ? "" : ",") + request.narrowest().toHex();
   }
   log_("server_ended", {{"end", RequestFingerprint(end).toHex()},
                         {"requests", std::to_string(requests.size())},
--- a/src/node/crash_watch.h
+++ b/src/node/crash_watch.h
@@ -48,7 +48,7 @@
   const admission::SuspectGossip& gossip() const { return gossip_; }
 
  private:
-  void onServerEnd(ServerEndId end, std::span<const RequestFingerprint> requests);
+  void onServerEnd(ServerEndId end, std::span<const RequestFingerprints> requests);
 
   Environment& environment_;
   ingress::ServerEndWatch& ends_;
--- a/src/node/suspect_exchange.cpp
+++ b/src/node/suspect_exchange.cpp
@@ -24,7 +24,7 @@
 json encodeReport(const SuspectReport& report) {
   return json::array({report.request.value(), report.round,
                       std::max<std::int64_t>(0, toMilliseconds(report.age)), report.ends,
-                      report.trials});
+                      report.trials, report.head.value()});
 }
 
 std::vector<std::uint64_t> decodeIds(const json& ids) {
@@ -42,6 +42,10 @@
   decoded.age = std::chrono::milliseconds(report.at(2).get<std::uint32_t>());
   decoded.ends = decodeIds(report.at(3));
   decoded.trials = decodeIds(report.at(4));
+  // Nodes of an earlier release do not send it.
+  constexpr std::size_t kHeadPosition = 5;
+  if (report.size() <= kHeadPosition) return decoded;
+  decoded.head = RequestFingerprint(report.at(kHeadPosition).get<std::uint64_t>());
   return decoded;
 }
 
--- a/src/node/two_hop_metrics.cpp
+++ b/src/node/two_hop_metrics.cpp
@@ -76,6 +76,8 @@
         &S::refused_link},
        {"ingress_refused_suspects_total", "Refused: servers ended under such requests.",
         &S::refused_suspects},
+       {"ingress_withheld_total", "Of these, recognized when the last part of the body arrived.",
+        &S::withheld},
        {"ingress_trials_total", "Of such requests, those let in to see whether it ends again.",
         &S::trials},
        {"ingress_refused_rejecting_total", "Turned away: the server rejects much of what it gets.",
--- a/src/node/two_hop_node.cpp
+++ b/src/node/two_hop_node.cpp
@@ -766,7 +766,8 @@
   std::vector<runtime::LogField> fields = {
       {"side", std::string(decision.side)},
       {"request", std::string(decision.request)},
-      {"fingerprint", decision.fingerprint.toHex()},
+      {"fingerprint", decision.fingerprints.whole.toHex()},
+      {"head_fingerprint", decision.fingerprints.head.toHex()},
       {"attempt", std::to_string(decision.attempt)},
       {"server", std::string(decision.server)},
       {"reason", std::string(decision.reason)},
--- a/src/proxy/decision_log.h
+++ b/src/proxy/decision_log.h
@@ -45,10 +45,10 @@
 /// One decision. The string views are only valid during the call.
 struct Decision {
   DecisionKind kind = DecisionKind::kForwarded;
-  std::string_view side;           ///< kEgressSide or kIngressSide.
-  std::string_view request;        ///< Request id.
-  RequestFingerprint fingerprint;  ///< Equal for requests that servers cannot distinguish.
-  std::string_view service;        ///< Empty if no route matched.
+  std::string_view side;             ///< kEgressSide or kIngressSide.
+  std::string_view request;          ///< Request id.
+  RequestFingerprints fingerprints;  ///< As far as they are known.
+  std::string_view service;          ///< Empty if no route matched.
   std::uint32_t attempt = 0;
   std::string_view server;  ///< Server of the attempt; empty if there was none.
   /// A stable name. For kForwarded: why the repeat yielded no answer, or empty without a repeat.
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -57,14 +57,18 @@
   double repeat_share = 0;
   /// Whether the request may wait for a slot. Otherwise it is refused if no slot is free.
   bool may_wait = true;
-  RequestFingerprint fingerprint{};  ///< Empty if not known.
-  /// The request is a crash suspect, and this run tests whether it crashes the server again.
-  bool is_trial = false;
+  RequestFingerprints fingerprints{};  ///< As far as they are known when the request is sent.
+  /// A crash suspect. If the request is this one, its run tests whether it crashes the server
+  /// again.
+  RequestFingerprint trial_of{};
   /// Limit of the target instance, from an earlier answer; empty if the egress knows of none.
   std::optional<double> server_limit = std::nullopt;
   /// The caller was refused before and came back at the time that it was told.
   bool is_returning = false;
   std::optional<SendTime> sent = std::nullopt;  ///< Empty: not known.
+
+  /// Whether this is known to be a trial; see `trial_of`.
+  bool isTrial() const { return !trial_of.empty() && trial_of == fingerprints.whole; }
 };
 
 /// Numbers of requests per second are sent between nodes in thousandths.
@@ -107,7 +111,8 @@
   std::string target_instance;        ///< The only instance that may run it; empty if any may.
   std::optional<Digest> key_digest;   ///< Digest of the request's API key.
   std::string tenant;  ///< Tenant according to the previous hop. Not trusted if sent by a caller.
-  RequestFingerprint fingerprint{};  ///< Fingerprint of the caller's request; empty at an ingress.
+  /// Fingerprints of the caller's request that are known from the start; empty at an ingress.
+  RequestFingerprints fingerprints{};
 };
 
 using AttemptId = std::uint32_t;
@@ -208,6 +213,8 @@
   virtual bool holdAnswer(AttemptId) { return false; }
   /// Sends the held answer to the caller. Ends the request as answerLocally() does.
   virtual void answerWithHeld() {}
+  /// Returns the digest of the request's whole body, or nothing while it is not known.
+  virtual std::optional<Digest> bodyDigest() const { return std::nullopt; }
   /// Streams the answer whose head was just reported to the caller.
   virtual void forwardAnswer(AttemptId attempt) = 0;
   virtual void answerLocally(const LocalAnswer& answer) = 0;
@@ -222,6 +229,11 @@
   virtual void onAttemptFailed(AttemptId attempt, AttemptFailure failure) = 0;
   /// Called when the next hop confirmed that it received the request.
   virtual void onAttemptReceived(AttemptId) {}
+  /// Called when the whole body has been received, before its last part is passed on. If this
+  /// returns false, the next hop never gets that part, and onRequestWithheld() follows, unless the
+  /// answer is being forwarded already.
+  virtual bool mayCompleteRequest(AttemptId) { return true; }
+  virtual void onRequestWithheld(AttemptId) {}
   virtual void onAnswerHead(AttemptId attempt, const AnswerHead& head) = 0;
   /// Called when the whole answer was forwarded.
   virtual void onAnswerComplete(AttemptId attempt) = 0;
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -19,9 +19,9 @@
 constexpr unsigned kContinueStatus = 100;
 /// Smaller bodies fit into one write and bypass the body gate.
 constexpr std::uint64_t kLargeBodyBytes = 16384;
-/// Number of leading body bytes that are part of a request's identity. This covers the whole body
-/// of most interfaces' requests and does not delay the start much.
-constexpr std::size_t kIdentifyingBytes = 4096;
+/// A body of up to this size is awaited before the request starts, so that the request is
+/// identified from the start. This covers most requests and does not delay the start much.
+constexpr std::size_t kIdentifiedAtStart = 4096;
 
 ParserLimits requestLimits(const ProxyServerShared& shared) {
   const ProxyServerSettings& settings = shared.settings;
@@ -32,6 +32,12 @@
   return limits;
 }
 
+/// An egress needs no identity of a body that it cannot send again; an ingress needs that of each
+/// request during which its server may end.
+RequestBodySettings bodySettings(const ProxyServerSettings& settings) {
+  return {settings.replay_bytes, settings.answer_style == AnswerStyle::kIngress};
+}
+
 proxy::AttemptFailure attemptFailureOf(UpstreamFailure failure) {
   switch (failure) {
     case UpstreamFailure::kConnectFailed:
@@ -56,7 +62,8 @@
 CallerExchange::CallerExchange(CallerConnection& connection)
     : connection_(connection),
       shared_(connection.shared()),
-      parser_(MessageParser::Kind::kRequest, requestLimits(shared_)) {}
+      parser_(MessageParser::Kind::kRequest, requestLimits(shared_)),
+      body_(bodySettings(shared_.settings)) {}
 
 // ---- Start
 
@@ -90,7 +97,7 @@
   if (shared_.settings.answer_style == AnswerStyle::kIngress) sendReceipt();
 }
 
-/// Takes the first part of the body, which is part of the request's identity. The bytes are kept
+/// Takes the first part of the body, which is the whole body of most requests. The bytes are kept
 /// for the attempts.
 void CallerExchange::identifyThenBegin() {
   if (!requestComplete() && !request_.expects_continue) {
@@ -100,22 +107,26 @@
   }
   if (!isIdentified()) return awaitIdentity();
   if (std::exchange(awaiting_identity_, false)) connection_.awaitCaller(*this);
-  head_.fingerprint = fingerprint();
+  head_.fingerprints = fingerprints();
   startFlow();
 }
 
-RequestFingerprint CallerExchange::fingerprint() const {
+/// A body that is awaited before the request starts is digested at once, others when that is asked
+/// for.
+RequestFingerprints CallerExchange::fingerprints() const {
   const std::string caller = head_.key_digest ? head_.key_digest->bytes() : std::string();
-  std::string body = replay_.substr(0, kIdentifyingBytes);
-  const MessageHead& head = parser_.head();
-  const bool is_longer = head.framing == BodyFraming::kLength && head.content_length > body.size();
-  if (is_longer) body.append(std::to_string(head.content_length));
-  return fingerprintOf({head_.method, head_.host, request_.origin_target, caller, body});
+  RequestFingerprints known;
+  known.head = fingerprintOfHead({head_.method, head_.host, request_.origin_target, caller});
+  const bool is_short = body_.received() <= kIdentifiedAtStart;
+  if (const auto body = is_short ? bodyDigest() : std::nullopt) known.addBody(*body);
+  const bool has_body = parser_.head().framing != BodyFraming::kNone;
+  if (!has_body) known.head = RequestFingerprint();
+  return known;
 }
 
-/// A request whose caller waits for 100 Continue is identified by its head alone.
+/// A request whose caller waits for 100 Continue starts without its body.
 bool CallerExchange::isIdentified() const {
-  return requestComplete() || request_.expects_continue || replay_.size() >= kIdentifyingBytes;
+  return requestComplete() || request_.expects_continue || body_.received() >= kIdentifiedAtStart;
 }
 
 void CallerExchange::awaitIdentity() {
@@ -124,6 +135,11 @@
   connection_.read();
 }
 
+std::optional<Digest> CallerExchange::bodyDigest() const {
+  if (!requestComplete()) return std::nullopt;
+  return body_.digest();
+}
+
 /// Confirms to the previous hop that the request has arrived. Silence after that means that this
 /// node is gone.
 void CallerExchange::sendReceipt() {
@@ -161,7 +177,7 @@
   request_sent_ = awaiting_head_written_ = false;
   collecting_ = false;
   // Without its first bytes the body cannot be sent again. Report this like a failed connection.
-  if (replay_lost_) return failAttemptLater(proxy::AttemptFailure::kCannotReplay);
+  if (!body_.isKept()) return failAttemptLater(proxy::AttemptFailure::kCannotReplay);
   if (mustConfirm()) return confirmThenSend();
   openUpstream();
 }
@@ -255,29 +271,27 @@
   if (plan_.endpoint.address.host == settings.upstream_own_host) return false;
   const MessageHead& head = parser_.head();
   const std::uint64_t size =
-      head.framing == BodyFraming::kLength ? head.content_length : body_bytes_received_;
+      head.framing == BodyFraming::kLength ? head.content_length : body_.received();
   return settings.upstream_link->isLarge(size);
 }
 
 void CallerExchange::sendBody() {
-  if (!replay_.empty()) appendBody(replay_);
-  // A malformed body is refused in a later event. Until then only the head is sent.
-  if (!takeBody()) {
-    postForAttempt([](CallerExchange& exchange) {
-      exchange.refuseBody(refusalOf(exchange.parser_.failure()));
-    });
-  }
+  if (!body_.bytes().empty()) appendBody(body_.bytes());
+  // The flow may be starting the attempt, so the attempt ends in a later event.
+  if (!takeBody()) return postForAttempt([](CallerExchange& exchange) { exchange.stopBody(); });
   upstream_->write();
 }
 
-/// Moves received body bytes into the upstream connection's output. Returns false when the body is
-/// malformed.
+/// Moves received body bytes into the upstream connection's output, which must not be written then
+/// if this returns false: the body is malformed, or the flow withholds its last part.
 bool CallerExchange::takeBody() {
   if (!requestComplete()) {
     ReceiveBuffer& received = connection_.received();
     received.consume(parser_.parseBody(received.data(), *this));
     if (parser_.failure() != ParseFailure::kNone) return false;
   }
+  const bool is_last_part = requestComplete() && !request_sent_;
+  if (is_last_part && !flow_->mayCompleteRequest(plan_.id)) return false;
   if (schedulesBody()) upstream_->scheduleOutput(*shared_.settings.upstream_link, flow_->dueAt());
   if (requestComplete()) leaveGate();
   if (requestComplete() && !request_sent_) {
@@ -288,15 +302,17 @@
   return true;
 }
 
+/// Ends the request after takeBody() returned false.
+void CallerExchange::stopBody() {
+  if (parser_.failure() != ParseFailure::kNone) return refuseBody(refusalOf(parser_.failure()));
+  // A server that answers early gets no more of the body. Its answer goes on.
+  if (!forwarding_) flow_->onRequestWithheld(plan_.id);
+}
+
 void CallerExchange::onBody(std::string_view piece) {
-  body_bytes_received_ += piece.size();
-  if (!upstream_ && flow_) return;  // Answered already: discard the rest.
-  if (!replay_lost_ && replay_.size() + piece.size() <= shared_.settings.replay_bytes) {
-    replay_.append(piece);
-  } else {
-    replay_lost_ = true;
-    replay_.clear();
-  }
+  const bool is_discarded = !upstream_ && flow_;  // Answered already.
+  if (is_discarded) return;
+  body_.add(piece);
   if (upstream_) appendBody(piece);
 }
 
@@ -318,7 +334,7 @@
   awaiting_body_ = false;
   if (awaiting_confirmation_) return;
   if (!upstream_ || !upstream_->isReady() || upstream_->isWriting()) return;
-  if (!takeBody()) return refuseBody(refusalOf(parser_.failure()));
+  if (!takeBody()) return stopBody();
   if (!upstream_->output().empty()) {
     connection_.awaitCaller(*this);
     return upstream_->write();
@@ -677,19 +693,18 @@
   held_.reset();
   request_.clear();
   clearBuffer(collected_);
-  clearBuffer(replay_);
+  body_.clear();
   clearBuffer(output_);
   plan_.id = 0;
   plan_.headers_to_set.clear();
   answer_framing_ = BodyFraming::kNone;
   answer_head_ = nullptr;
   may_run_concurrently_ = close_after_ = false;
-  replay_lost_ = request_sent_ = awaiting_body_ = continue_sent_ = awaiting_identity_ = false;
+  request_sent_ = awaiting_body_ = continue_sent_ = awaiting_identity_ = false;
   awaiting_confirmation_ = awaiting_head_written_ = awaiting_go_ahead_ = false;
   collecting_ = attempt_cancelled_ = forwarding_ = answer_complete_ = false;
   has_large_answer_ = false;
   unreceived_bytes_ = 0;
-  body_bytes_received_ = 0;
 }
 
 }  // namespace coursepond::runtime
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -14,6 +14,7 @@
 #include "runtime/http_parser.h"
 #include "runtime/kept_attempt.h"
 #include "runtime/proxy_server_shared.h"
+#include "runtime/request_body.h"
 #include "runtime/upstream_connection.h"
 
 namespace coursepond::runtime {
@@ -83,6 +84,7 @@
   void discardAnswer(proxy::AttemptId attempt) override;
   bool holdAnswer(proxy::AttemptId attempt) override;
   void answerWithHeld() override;
+  std::optional<Digest> bodyDigest() const override;
   void forwardAnswer(proxy::AttemptId attempt) override;
   void answerLocally(const proxy::LocalAnswer& answer) override;
 
@@ -109,7 +111,7 @@
   bool isIdentified() const;
   void awaitIdentity();
   void identifyThenBegin();
-  RequestFingerprint fingerprint() const;
+  RequestFingerprints fingerprints() const;
   void startFlow();
 
   // Sending the request to the server
@@ -126,6 +128,7 @@
   void leaveGate();
   void pumpBody();
   bool takeBody();
+  void stopBody();
   void appendBody(std::string_view piece);
   void failAttemptLater(proxy::AttemptFailure failure);
   void giveUp();
@@ -163,13 +166,12 @@
   const MessageHead* answer_head_ = nullptr;  ///< Set only while its event is being handled.
   std::string collected_;  ///< Body received so far of an answer that is not complete yet.
   BodyFraming answer_framing_ = BodyFraming::kNone;
-  std::string replay_;  ///< Body bytes already consumed, kept for a retry.
+  RequestBody body_;    ///< Body bytes already consumed.
   std::string output_;  ///< Bytes of the answer that are not written yet.
 
   bool is_starting_ = false;  ///< The flow's start() is running.
   bool may_run_concurrently_ = false;
   bool close_after_ = false;
-  bool replay_lost_ = false;   ///< The body exceeded the replay limit: no retry is possible.
   bool request_sent_ = false;  ///< The whole request was sent on the current attempt.
   /// Waits for the first part of the body, which identifies the request.
   bool awaiting_identity_ = false;
@@ -191,7 +193,6 @@
   bool forwarding_ = false;
   bool has_large_answer_ = false;
   std::uint64_t unreceived_bytes_ = 0;
-  std::uint64_t body_bytes_received_ = 0;  ///< Of the request.
   bool answer_complete_ = false;
   TimePoint due_;
 };
--- a/src/runtime/caller_request.cpp
+++ b/src/runtime/caller_request.cpp
@@ -156,7 +156,7 @@
 constexpr std::uint64_t kMaxClockMs = std::uint64_t{100} * 365 * 86'400'000;
 
 /// Nodes of an earlier release do not send it.
-std::optional<proxy::SendTime> parseSendTime(std::string_view text) {
+std::optional<proxy::SendTime> takeSendTime(std::string_view& text) {
   const auto clock = parseNumber<std::uint32_t>(takeItem(text));
   const auto at_ms = parseNumber<std::uint64_t>(takeItem(text));
   if (!clock || !at_ms || *at_ms > kMaxClockMs) return std::nullopt;
@@ -181,11 +181,14 @@
   hop.repeat_share = std::min(1.0, repeat_units.value_or(0) / proxy::kRepeatShareUnits);
   // Nor this: their requests may wait, and cannot be distinguished from others.
   hop.may_wait = takeItem(text) != "0";
-  hop.fingerprint = parseFingerprint(takeItem(text));
-  hop.is_trial = takeItem(text) == "1";
+  hop.fingerprints.whole = parseFingerprint(takeItem(text));
+  const bool is_trial = takeItem(text) == "1";
   hop.server_limit = parseLimitUnits(takeItem(text));
   hop.is_returning = takeItem(text) == "1";
-  hop.sent = parseSendTime(text);
+  hop.sent = takeSendTime(text);
+  hop.fingerprints.head = parseFingerprint(takeItem(text));
+  hop.trial_of = parseFingerprint(takeItem(text));
+  if (is_trial) hop.trial_of = hop.fingerprints.whole;
   return hop;
 }
 
--- a/src/runtime/http_head_writer.cpp
+++ b/src/runtime/http_head_writer.cpp
@@ -154,6 +154,12 @@
   out.append(kLineEnd);
 }
 
+/// An item of kHopClass that may be empty.
+void appendOptionalFingerprint(std::string& out, RequestFingerprint fingerprint) {
+  out.append(",");
+  if (!fingerprint.empty()) out.append(fingerprint.toHex());
+}
+
 void appendHopClass(std::string& out, const proxy::HopClass& hop) {
   out.append(http_headers::kHopClass).append(": ").append(hop.service).append(",");
   appendNumber(out, hop.rank);
@@ -163,8 +169,8 @@
   out.append(hop.is_call ? ",1," : ",0,");
   appendNumber(
       out, static_cast<std::uint64_t>(std::lround(hop.repeat_share * proxy::kRepeatShareUnits)));
-  out.append(hop.may_wait ? ",1," : ",0,").append(hop.fingerprint.toHex());
-  out.append(hop.is_trial ? ",1," : ",0,");
+  out.append(hop.may_wait ? ",1," : ",0,").append(hop.fingerprints.whole.toHex());
+  out.append(hop.isTrial() ? ",1," : ",0,");
   if (hop.server_limit) appendLimit(out, *hop.server_limit);
   out.append(hop.is_returning ? ",1" : ",0");
   if (hop.sent) {
@@ -172,6 +178,12 @@
     appendNumber(out, hop.sent->clock);
     out.append(",");
     appendNumber(out, static_cast<std::uint64_t>(toMilliseconds(hop.sent->at)));
+  } else if (!hop.fingerprints.head.empty()) {
+    out.append(",,");
+  }
+  if (!hop.fingerprints.head.empty()) {
+    appendOptionalFingerprint(out, hop.fingerprints.head);
+    appendOptionalFingerprint(out, hop.isTrial() ? RequestFingerprint() : hop.trial_of);
   }
   out.append(kLineEnd);
 }
--- a/tests/admission/crash_suspects_test.cpp
+++ b/tests/admission/crash_suspects_test.cpp
@@ -4,6 +4,8 @@
 
 #include <vector>
 
+#include "support/fingerprints.h"
+
 namespace coursepond::admission {
 namespace {
 
@@ -14,10 +16,12 @@
 constexpr TimePoint kStart = TimePoint(hours(10));
 const RequestFingerprint kGuilty(77);
 const RequestFingerprint kInnocent(78);
+/// Fingerprint of the head that both requests have in common.
+const RequestFingerprint kHead(70);
 
 void endServer(CrashSuspects& suspects, ServerEndId end, std::vector<RequestFingerprint> requests,
                TimePoint now = kStart) {
-  suspects.onServerEnd(end, requests, now);
+  suspects.onServerEnd(end, wholeRequests(requests), now);
 }
 
 /// Sends the reports of `from` to `to`, as in an exchange of messages. Returns whether any of them
@@ -150,4 +154,74 @@
   CHECK(reported_ends == std::vector<std::size_t>{2, 0});
 }
 
+TEST_CASE("suspects are found by the head of their requests until they are cleared") {
+  CrashSuspects suspects;
+  const RequestFingerprints guilty{kHead, kGuilty};
+  CHECK_FALSE(suspects.hasServerEnds(kHead));
+  suspects.onServerEnd(1, std::vector{guilty}, kStart);
+  CHECK(suspects.hasServerEnds(kHead));
+  CHECK(suspects.suspectsWith(kHead).empty());
+  suspects.onServerEnd(2, std::vector{guilty}, kStart);
+  REQUIRE(suspects.suspectsWith(kHead).size() == 1);
+  CHECK(suspects.suspectsWith(kHead)[0] == kGuilty);
+  CHECK(suspects.suspectsWith(RequestFingerprint(1)).empty());
+  CHECK(suspects.verdict(kInnocent, kStart) == CrashVerdict::kMayRun);
+  CHECK_FALSE(suspects.onAnswered(kInnocent, kStart));
+  CHECK(suspects.suspectsWith(kHead).size() == 1);
+  CHECK(suspects.onAnswered(kGuilty, kStart));
+  CHECK_FALSE(suspects.hasServerEnds(kHead));
+}
+
+TEST_CASE("server ends of which only the head of the request is known make no suspect") {
+  CrashSuspects suspects;
+  std::size_t verdicts = 0;
+  suspects.onVerdict([&](RequestFingerprint, std::size_t) { ++verdicts; });
+  for (const ServerEndId end : {1, 2}) {
+    suspects.onServerEnd(end, std::vector{RequestFingerprints{kHead, {}}}, kStart);
+  }
+  CHECK(suspects.hasServerEnds(kHead));
+  CHECK(suspects.suspectsWith(kHead).empty());
+  CHECK(verdicts == 0);
+}
+
+// Guards against a suspect that is no longer found by its head in a rolling update: nodes of an
+// earlier release pass reports on without the head.
+TEST_CASE("a report without a head does not remove the head that is known") {
+  CrashSuspects suspects;
+  const RequestFingerprints guilty{kHead, kGuilty};
+  suspects.onServerEnd(1, std::vector{guilty}, kStart);
+  suspects.onServerEnd(2, std::vector{guilty}, kStart);
+  SuspectReport report = suspects.reports(kStart, 1).at(0);
+  report.head = {};
+  report.round = 1;
+  report.ends = {3, 4};
+  CHECK(suspects.merge(std::vector{report}, kStart));
+  CHECK(suspects.suspectsWith(kHead).size() == 1);
+  // And it is added once it is known.
+  CrashSuspects other;
+  CHECK(other.merge(std::vector{report}, kStart));
+  CHECK_FALSE(other.hasServerEnds(kHead));
+  report.head = kHead;
+  CHECK(other.merge(std::vector{report}, kStart));
+  CHECK(other.suspectsWith(kHead).size() == 1);
+}
+
+// Guards against a crashing request that is forgotten because many others ran beside its ends.
+TEST_CASE("a flood of distinct bodies at server ends does not push out a suspect") {
+  CrashSuspects suspects;
+  endServer(suspects, 1, {kGuilty});
+  endServer(suspects, 2, {kGuilty});
+  constexpr std::uint64_t kRequestsPerSecond = 60;
+  constexpr std::uint64_t kSeconds = 600;
+  std::uint64_t next = 1000;
+  for (std::uint64_t second = 1; second <= kSeconds; ++second) {
+    std::vector<RequestFingerprints> lost;
+    for (std::uint64_t count = 0; count < kRequestsPerSecond; ++count) {
+      lost.push_back({kHead, RequestFingerprint(++next)});
+    }
+    suspects.onServerEnd(second + 2, lost, kStart + seconds(second));
+  }
+  CHECK(suspects.verdict(kGuilty, kStart + seconds(kSeconds)) != CrashVerdict::kMayRun);
+}
+
 }  // namespace coursepond::admission
--- a/tests/admission/suspect_gossip_test.cpp
+++ b/tests/admission/suspect_gossip_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 
+#include "support/fingerprints.h"
 #include "support/virtual_environment.h"
 
 namespace coursepond::admission {
@@ -37,7 +38,8 @@
   /// The server of each of these nodes ends while it runs the request.
   void endServers(std::initializer_list<std::size_t> indexes) {
     for (const std::size_t index : indexes) {
-      nodes_[index]->suspects.onServerEnd(++last_end_, std::vector{kGuilty}, environment.now());
+      nodes_[index]->suspects.onServerEnd(++last_end_, std::vector{wholeRequest(kGuilty)},
+                                          environment.now());
     }
   }
   void run(Duration span) { environment.advance(span); }
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -3,8 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 
 #include "support/exchange_io.h"
+#include "support/fingerprints.h"
 #include "support/virtual_environment.h"
 
 namespace coursepond::egress {
@@ -120,7 +122,21 @@
                                      RequestFingerprint fingerprint = {},
                                      Duration deadline = seconds(5)) {
     proxy::RequestHead head;
-    head.fingerprint = fingerprint;
+    head.fingerprints = wholeRequest(fingerprint);
+    return sendHead(std::move(head), path, parent, key_digest, deadline);
+  }
+
+  /// Sends a request of which only the head is known from the start.
+  std::unique_ptr<TestExchange> sendWithHead(RequestFingerprint head_fingerprint,
+                                             Duration deadline = seconds(5)) {
+    proxy::RequestHead head;
+    head.fingerprints.head = head_fingerprint;
+    return sendHead(std::move(head), "/stock", "", std::nullopt, deadline);
+  }
+
+  std::unique_ptr<TestExchange> sendHead(proxy::RequestHead head, const std::string& path,
+                                         const std::string& parent,
+                                         std::optional<Digest> key_digest, Duration deadline) {
     head.key_digest = key_digest;
     head.request_id = (parent.empty() ? "r" : parent + ".") + std::to_string(++last_request_);
     head.method = "POST";
@@ -1617,7 +1633,7 @@
     endServer(2);
   }
   void endServer(ServerEndId end) {
-    suspects.onServerEnd(end, std::vector{kCrashingRequest}, environment.now());
+    suspects.onServerEnd(end, std::vector{wholeRequest(kCrashingRequest)}, environment.now());
   }
   admission::CrashSuspects suspects;
 };
@@ -1639,11 +1655,11 @@
   SuspectFixture other;
   const auto first = one.sendWithFingerprint(kCrashingRequest);
   REQUIRE(first->io.plans.size() == 1);
-  CHECK(first->plan().hop_class->is_trial);
+  CHECK(first->plan().hop_class->isTrial());
   for (int count = 0; count < 5; ++count) {
     CHECK(other.sendWithFingerprint(kCrashingRequest)->server() == first->server());
   }
-  CHECK_FALSE(one.sendWithFingerprint(RequestFingerprint(78))->plan().hop_class->is_trial);
+  CHECK_FALSE(one.sendWithFingerprint(RequestFingerprint(78))->plan().hop_class->isTrial());
 }
 
 TEST_CASE("a trial that was refused or lost its answer is not sent to another server") {
@@ -1673,6 +1689,62 @@
         std::chrono::minutes(5));
 }
 
+namespace {
+
+const RequestFingerprint kCommonHead(70);
+
+/// An egress that knows of two server ends under a request with kCommonHead and this body.
+struct LookAlikeFixture : EgressFixture {
+  LookAlikeFixture() {
+    begin(4);
+    state.setSuspects(&suspects);
+    for (const ServerEndId end : {1, 2}) {
+      suspects.onServerEnd(end, std::vector{crashing}, environment.now());
+    }
+  }
+  Digest crashing_body = Digest::of("crash");
+  RequestFingerprints crashing{kCommonHead, fingerprintOfWhole(kCommonHead, crashing_body)};
+  admission::CrashSuspects suspects;
+};
+
+}  // namespace
+
+// Guards against a suspect with a long body that nobody ever tries again: an innocent one would be
+// refused until it is forgotten.
+TEST_CASE("a request that may be a suspect is allowed a trial at the suspect's server only") {
+  LookAlikeFixture egress;
+  std::set<std::string> trial_servers;
+  for (int count = 0; count < 40; ++count) {
+    const auto exchange = egress.sendWithHead(kCommonHead);
+    REQUIRE(exchange->io.plans.size() == 1);
+    const proxy::HopClass& hop = *exchange->plan().hop_class;
+    CHECK_FALSE(hop.isTrial());
+    if (hop.trial_of.empty()) continue;
+    CHECK(hop.trial_of == egress.crashing.whole);
+    trial_servers.insert(exchange->server());
+  }
+  CHECK(trial_servers.size() == 1);
+}
+
+TEST_CASE("no trial is allowed while none is due, nor of a suspect with another head") {
+  LookAlikeFixture egress;
+  const auto other = egress.sendWithHead(RequestFingerprint(71));
+  CHECK(other->plan().hop_class->trial_of.empty());
+  egress.suspects.onTrialFailed(egress.crashing.whole, 1, egress.environment.now());
+  for (int count = 0; count < 40; ++count) {
+    const auto exchange = egress.sendWithHead(kCommonHead);
+    CHECK(exchange->plan().hop_class->trial_of.empty());
+  }
+}
+
+TEST_CASE("a request whose body turns out to be a suspect's is not sent again") {
+  LookAlikeFixture egress;
+  const auto exchange = egress.sendWithHead(kCommonHead);
+  exchange->io.body_digest = egress.crashing_body;
+  exchange->answer(lostByServer(exchange->id));
+  CHECK(exchange->io.plans.size() == 1);
+}
+
 TEST_CASE("a request whose answer was lost by two servers is not sent to a third one") {
   EgressFixture egress;
   egress.route_max_attempts = 4;
@@ -1690,7 +1762,7 @@
   const RequestFingerprint later(79);
   const auto exchange = egress.sendWithFingerprint(later);
   for (const ServerEndId end : {3, 4}) {
-    egress.suspects.onServerEnd(end, std::vector{later}, egress.environment.now());
+    egress.suspects.onServerEnd(end, std::vector{wholeRequest(later)}, egress.environment.now());
   }
   exchange->answer(lostByServer(exchange->id));
   CHECK(exchange->io.plans.size() == 1);
--- a/tests/ingress/ingress_flow_test.cpp
+++ b/tests/ingress/ingress_flow_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "support/exchange_io.h"
+#include "support/fingerprints.h"
 #include "support/virtual_environment.h"
 
 namespace coursepond::ingress {
@@ -48,8 +49,8 @@
   std::unique_ptr<TestExchange> sendWithFingerprint(RequestFingerprint fingerprint,
                                                     const std::string& id, bool is_trial = false) {
     proxy::HopClass hop{"stock", 1, milliseconds(1000), true};
-    hop.fingerprint = fingerprint;
-    hop.is_trial = is_trial;
+    hop.fingerprints = wholeRequest(fingerprint);
+    if (is_trial) hop.trial_of = fingerprint;
     return sendOf(hop, id);
   }
 
@@ -803,7 +804,7 @@
   SuspectFixture() {
     state.setSuspects(&suspects);
     for (const ServerEndId end : {1, 2}) {
-      suspects.onServerEnd(end, std::vector{kCrashingRequest}, environment.now());
+      suspects.onServerEnd(end, std::vector{wholeRequest(kCrashingRequest)}, environment.now());
     }
   }
   admission::CrashSuspects suspects;
@@ -846,13 +847,150 @@
   admission::CrashSuspects suspects;
   fixture.state.setDecisionLog(&log);
   fixture.state.setSuspects(&suspects);
-  suspects.onServerEnd(1, std::vector{kCrashingRequest}, fixture.environment.now());
+  suspects.onServerEnd(1, std::vector{wholeRequest(kCrashingRequest)}, fixture.environment.now());
   fixture.sendWithFingerprint(RequestFingerprint(78), "r1")->answerWhole();
   fixture.sendWithFingerprint(kCrashingRequest, "r2")->answerWhole();
   fixture.sendWithFingerprint(kCrashingRequest, "r3")->answerWhole();
   CHECK(log.requests == std::vector<std::string>{"r2"});
 }
 
+namespace {
+
+const RequestFingerprint kCommonHead(70);
+
+/// An ingress whose egresses know only the head of each request, which is the same for all.
+struct LookAlikeFixture : IngressFixture {
+  LookAlikeFixture() {
+    state.setSuspects(&suspects);
+    state.serverEnds().onEnd(
+        [this](ServerEndId end, std::span<const RequestFingerprints> requests) {
+          reported.insert(reported.end(), requests.begin(), requests.end());
+          suspects.onServerEnd(end, requests, environment.now());
+        });
+  }
+
+  std::unique_ptr<TestExchange> sendWithHead(const std::string& id,
+                                             RequestFingerprint trial_of = {}) {
+    proxy::HopClass hop{"stock", 1, milliseconds(1000), true};
+    hop.fingerprints.head = kCommonHead;
+    hop.trial_of = trial_of;
+    return sendOf(hop, id);
+  }
+
+  /// Delivers the rest of the body, as the I/O layer does. Returns whether the server gets it.
+  static bool receiveBody(TestExchange& exchange, const std::string& body) {
+    exchange.io.body_digest = Digest::of(body);
+    const bool is_sent = exchange.flow->mayCompleteRequest(exchange.plan().id);
+    if (!is_sent) exchange.flow->onRequestWithheld(exchange.plan().id);
+    return is_sent;
+  }
+
+  /// Sends a request with this body. Returns false if the server did not get all of it. The server
+  /// ends if the body is "crash", and answers otherwise.
+  bool run(const std::string& body, RequestFingerprint trial_of = {}) {
+    const auto exchange = sendWithHead("r" + std::to_string(++last_id), trial_of);
+    if (exchange->io.plans.empty() || !receiveBody(*exchange, body)) return false;
+    if (body != "crash") {
+      exchange->answerWhole();
+      return true;
+    }
+    exchange->fail(AttemptFailure::kLostAfterSend);
+    state.serverEnds().onRestart(environment.now());
+    environment.advance(milliseconds(1));
+    return true;
+  }
+
+  RequestFingerprints crashing{kCommonHead, fingerprintOfWhole(kCommonHead, Digest::of("crash"))};
+  admission::CrashSuspects suspects;
+  std::vector<RequestFingerprints> reported;
+  int last_id = 0;
+};
+
+}  // namespace
+
+// Guards against a crashing request that reaches servers without end, because the answers to other
+// requests that begin alike clear it.
+TEST_CASE("answers to requests that begin alike do not clear a crashing request") {
+  LookAlikeFixture fixture;
+  for (const int round : {1, 2}) {
+    CAPTURE(round);
+    CHECK(fixture.run("crash"));
+    CHECK(fixture.run("sound"));
+  }
+  CHECK_FALSE(fixture.run("crash"));
+  CHECK(fixture.run("sound"));
+  CHECK(fixture.suspects.ends(fixture.crashing.whole) == 2);
+  CHECK(fixture.state.statistics().withheld == 1);
+}
+
+TEST_CASE("the answer to the same whole request clears its server ends") {
+  LookAlikeFixture fixture;
+  fixture.run("crash");
+  const auto same = fixture.sendWithHead("same");
+  REQUIRE(LookAlikeFixture::receiveBody(*same, "crash"));
+  same->answerWhole();
+  CHECK(fixture.suspects.ends(fixture.crashing.whole) == 0);
+}
+
+TEST_CASE("an answer that comes before the whole body clears nothing") {
+  LookAlikeFixture fixture;
+  fixture.run("crash");
+  fixture.sendWithHead("early")->answerWhole();
+  CHECK(fixture.suspects.ends(fixture.crashing.whole) == 1);
+}
+
+TEST_CASE("a request whose last part is withheld is not run only if the server got none of it") {
+  for (const bool was_begun : {false, true}) {
+    LookAlikeFixture fixture;
+    fixture.run("crash");
+    fixture.run("crash");
+    const auto exchange = fixture.sendWithHead("last");
+    exchange->io.bytes_sent = was_begun;
+    CHECK_FALSE(LookAlikeFixture::receiveBody(*exchange, "crash"));
+    CHECK(exchange->io.cancelled.size() == 1);
+    REQUIRE(exchange->io.answers.size() == 1);
+    const proxy::LocalAnswer& answer = exchange->io.answers[0];
+    CHECK(answer.reason == "crashes_servers");
+    CHECK(answer.outcome == (was_begun ? proxy::Outcome::kUnknown : proxy::Outcome::kNotRun));
+    CHECK(answer.status == (was_begun ? 502 : 503));
+    CHECK(fixture.state.running() == 0);
+  }
+}
+
+TEST_CASE("a lost request is recorded by its head alone if its body was not whole") {
+  LookAlikeFixture fixture;
+  fixture.sendWithHead("r1")->fail(AttemptFailure::kLostAfterSend);
+  const auto whole = fixture.sendWithHead("r2");
+  REQUIRE(LookAlikeFixture::receiveBody(*whole, "crash"));
+  whole->fail(AttemptFailure::kLostAfterSend);
+  fixture.state.serverEnds().onRestart(fixture.environment.now());
+  CHECK(fixture.reported == std::vector{RequestFingerprints{kCommonHead, {}}, fixture.crashing});
+}
+
+TEST_CASE("a request that turns out to be the suspect of its trial runs, one at a time") {
+  LookAlikeFixture fixture;
+  fixture.run("crash");
+  fixture.run("crash");
+  CHECK(fixture.run("sound", fixture.crashing.whole));
+  CHECK(fixture.suspects.ends(fixture.crashing.whole) == 2);
+
+  const auto trial = fixture.sendWithHead("trial", fixture.crashing.whole);
+  REQUIRE(LookAlikeFixture::receiveBody(*trial, "crash"));
+  CHECK(fixture.state.statistics().trials == 1);
+  CHECK_FALSE(fixture.run("crash", fixture.crashing.whole));
+  trial->answerWhole();
+  CHECK(fixture.suspects.ends(fixture.crashing.whole) == 0);
+}
+
+TEST_CASE("a failed trial of a long body is not followed by another one at once") {
+  LookAlikeFixture fixture;
+  fixture.run("crash");
+  fixture.run("crash");
+  CHECK(fixture.run("crash", fixture.crashing.whole));
+  CHECK_FALSE(fixture.run("crash", fixture.crashing.whole));
+  CHECK(fixture.run("sound"));
+}
+
 TEST_CASE("a failed trial is not followed by another one at once") {
   SuspectFixture fixture;
   const auto trial = fixture.sendWithFingerprint(kCrashingRequest, "r1", /*is_trial=*/true);
@@ -879,7 +1017,7 @@
   const auto waiting = fixture.sendWithFingerprint(later, "r3");
   CHECK(waiting->io.plans.empty());
   for (const ServerEndId end : {3, 4}) {
-    fixture.suspects.onServerEnd(end, std::vector{later}, fixture.environment.now());
+    fixture.suspects.onServerEnd(end, std::vector{wholeRequest(later)}, fixture.environment.now());
   }
   first->answerWhole();
   checkRefused(*waiting, "crashes_servers");
@@ -888,8 +1026,8 @@
 
 TEST_CASE("a restart under the same id that the port check missed is still detected as an end") {
   IngressFixture fixture;
-  std::vector<RequestFingerprint> reported;
-  fixture.state.serverEnds().onEnd([&](ServerEndId, std::span<const RequestFingerprint> requests) {
+  std::vector<RequestFingerprints> reported;
+  fixture.state.serverEnds().onEnd([&](ServerEndId, std::span<const RequestFingerprints> requests) {
     reported.insert(reported.end(), requests.begin(), requests.end());
   });
   fixture.sendWithFingerprint(kCrashingRequest, "r1")->fail(AttemptFailure::kLostAfterSend);
@@ -898,7 +1036,7 @@
   model::ServerEntry entry = *fixture.state.server();
   entry.started_ms = 1'700'000'000'000;
   fixture.state.setServer(entry);
-  CHECK(reported == std::vector{kCrashingRequest});
+  CHECK(reported == wholeRequests({kCrashingRequest}));
 }
 
 namespace {
--- a/tests/ingress/server_end_watch_test.cpp
+++ b/tests/ingress/server_end_watch_test.cpp
@@ -4,6 +4,7 @@
 
 #include <vector>
 
+#include "support/fingerprints.h"
 #include "support/virtual_environment.h"
 
 namespace coursepond::ingress {
@@ -16,7 +17,7 @@
 struct WatchFixture {
   WatchFixture() {
     watch.onPortCheckNeeded([this] { ++port_checks; });
-    watch.onEnd([this](ServerEndId end, std::span<const RequestFingerprint> requests) {
+    watch.onEnd([this](ServerEndId end, std::span<const RequestFingerprints> requests) {
       ends.push_back(end);
       reported.insert(reported.end(), requests.begin(), requests.end());
     });
@@ -25,14 +26,14 @@
   /// Reports the loss of a request that was sent `sent_ago` before now.
   void lose(std::uint64_t request, milliseconds sent_ago) {
     const TimePoint now = environment.now();
-    watch.onLost(RequestFingerprint(request), now - sent_ago, now);
+    watch.onLost(wholeRequest(RequestFingerprint(request)), now - sent_ago, now);
   }
 
   proxy::VirtualEnvironment environment;
   ServerEndWatch watch{environment};
   int port_checks = 0;
   std::vector<ServerEndId> ends;
-  std::vector<RequestFingerprint> reported;
+  std::vector<RequestFingerprints> reported;
 };
 
 }  // namespace
@@ -45,7 +46,7 @@
   CHECK(fixture.ends.empty());
   fixture.watch.onPort(ServerPort::kClosed, fixture.environment.now());
   CHECK(fixture.ends.size() == 1);
-  CHECK(fixture.reported == std::vector{RequestFingerprint(1), RequestFingerprint(2)});
+  CHECK(fixture.reported == wholeRequests({RequestFingerprint(1), RequestFingerprint(2)}));
 }
 
 TEST_CASE("a loss detected late belongs to the known end, the loss of a later request does not") {
@@ -88,7 +89,7 @@
   fixture.environment.advance(seconds(1));
   fixture.lose(2, milliseconds(50));
   fixture.watch.onPort(ServerPort::kClosed, fixture.environment.now());
-  CHECK(fixture.reported == std::vector{RequestFingerprint(2)});
+  CHECK(fixture.reported == wholeRequests({RequestFingerprint(2)}));
 }
 
 TEST_CASE("a restart that is faster than the port check is detected by the new instance") {
@@ -97,7 +98,7 @@
   fixture.watch.onPort(ServerPort::kOpen, fixture.environment.now());
   fixture.environment.advance(milliseconds(500));
   fixture.watch.onRestart(fixture.environment.now());
-  CHECK(fixture.reported == std::vector{RequestFingerprint(1)});
+  CHECK(fixture.reported == wholeRequests({RequestFingerprint(1)}));
 
   // A request lost long before a restart is not related to it.
   fixture.environment.advance(seconds(1));
--- a/tests/node/suspect_exchange_test.cpp
+++ b/tests/node/suspect_exchange_test.cpp
@@ -4,6 +4,7 @@
 
 #include <random>
 
+#include "support/fingerprints.h"
 #include "support/virtual_environment.h"
 
 namespace coursepond::node {
@@ -18,6 +19,12 @@
   message.summary = 0xfedcba9876543210;
   message.reports.push_back({RequestFingerprint(7), 3, milliseconds(1500), {1, 2}, {9}});
   message.reports.push_back({RequestFingerprint(8), 0, milliseconds(0), {}, {}});
+  message.reports.push_back({RequestFingerprint(9),
+                             1,
+                             milliseconds(20),
+                             {3},
+                             {},
+                             RequestFingerprint(0xfedcba9876543210)});
   return message;
 }
 
@@ -60,7 +67,7 @@
   NoPeers no_peers;
   admission::SuspectGossip gossip(suspects, no_peers, environment);
   for (const ServerEndId end : {1, 2}) {
-    suspects.onServerEnd(end, std::vector{RequestFingerprint(7)}, environment.now());
+    suspects.onServerEnd(end, std::vector{wholeRequest(RequestFingerprint(7))}, environment.now());
   }
   runtime::HttpRequest request;
   request.body = encodeSuspects({});
--- a/tests/runtime/request_identity_test.cpp
+++ b/tests/runtime/request_identity_test.cpp
@@ -10,7 +10,7 @@
   IdentityFixture() : state(ZoneId("z"), proxy::Settings{}, environment) {
     ExchangeSource source = directExchanges(state, environment);
     source.make = [this, make = source.make](proxy::RequestHead head, proxy::RequestIo& io) {
-      seen.push_back(head.fingerprint);
+      seen.push_back(head.fingerprints);
       deadlines.push_back(head.deadline);
       return make(std::move(head), io);
     };
@@ -21,8 +21,10 @@
         std::move(ProxyServer::create(context, settings, std::move(source), environment).value());
   }
 
-  /// Sends the bytes on a separate connection, and returns the request's fingerprint.
-  RequestFingerprint identify(const std::string& bytes) {
+  /// Sends the bytes on a separate connection, and returns the fingerprint of the whole request.
+  RequestFingerprint identify(const std::string& bytes) { return identifyAll(bytes).whole; }
+  /// Returns all fingerprints that are known from the start.
+  RequestFingerprints identifyAll(const std::string& bytes) {
     RawCaller caller(context, server->address().port);
     caller.send(bytes);
     const std::size_t before = seen.size();
@@ -34,7 +36,7 @@
   AsioEnvironment environment{context};
   proxy::ProxyState state;
   std::unique_ptr<ProxyServer> server;
-  std::vector<RequestFingerprint> seen;
+  std::vector<RequestFingerprints> seen;
   std::vector<std::optional<Duration>> deadlines;
 };
 
@@ -66,9 +68,8 @@
   all.push_back(fixture.identify(simpleGet("/a", "X-Api-Key: k2\r\n")));
   all.push_back(fixture.identify(post("abc")));
   all.push_back(fixture.identify(post("abd")));
-  // Bodies that differ only after the identifying part are distinguished by their length.
-  all.push_back(fixture.identify(post(std::string(9000, 'x'))));
-  all.push_back(fixture.identify(post(std::string(9001, 'x'))));
+  all.push_back(fixture.identify(post(std::string(4095, 'x') + "y")));
+  all.push_back(fixture.identify(post(std::string(4096, 'x'))));
   std::sort(all.begin(), all.end());
   CHECK(std::adjacent_find(all.begin(), all.end()) == all.end());
 }
@@ -86,9 +87,19 @@
   CHECK(fixture.seen.size() == 1);
   caller.send(bytes.substr(bytes.size() - 3));
   caller.runUntil([&] { return fixture.seen.size() == 2; });
-  CHECK(fixture.seen[1] == whole);
+  CHECK(fixture.seen[1].whole == whole);
   REQUIRE(fixture.deadlines[1].has_value());
   CHECK(*fixture.deadlines[1] <= std::chrono::milliseconds(4940));
 }
 
+// Guards against a crashing request that is cleared by the answer to another one, because both
+// begin alike.
+TEST_CASE("a request with a long body is not identified by the beginning of its body") {
+  IdentityFixture fixture;
+  const RequestFingerprints known = fixture.identifyAll(post(std::string(4097, 'x')));
+  CHECK(known.whole.empty());
+  CHECK_FALSE(known.head.empty());
+  CHECK(fixture.identifyAll(post("abc")).head == known.head);
+}
+
 }  // namespace coursepond::runtime
--- a/tests/support/exchange_io.h
+++ b/tests/support/exchange_io.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,7 @@
     return can_hold;
   }
   void answerWithHeld() override { ++held_sent; }
+  std::optional<Digest> bodyDigest() const override { return body_digest; }
   void forwardAnswer(AttemptId attempt) override { forwarded.push_back(attempt); }
   void answerLocally(const LocalAnswer& answer) override { answers.push_back(answer); }
 
@@ -39,8 +41,9 @@
   std::vector<LocalAnswer> answers;
   bool bytes_sent = true;
   bool can_keep = true;
-  bool can_hold = false;  ///< Answers are short enough to be held.
-  int held_sent = 0;      ///< Calls of answerWithHeld().
+  bool can_hold = false;              ///< Answers are short enough to be held.
+  int held_sent = 0;                  ///< Calls of answerWithHeld().
+  std::optional<Digest> body_digest;  ///< Of the request's body; empty until it has arrived.
 };
 
 /// One exchange and its fake I/O layer.
--- a/tests/support/simulated_mesh.h
+++ b/tests/support/simulated_mesh.h
@@ -129,7 +129,7 @@
     return nodes_[index]->suspects;
   }
   static RequestFingerprint fingerprintOfPath(const std::string& path) {
-    return fingerprintOf({"GET", "mesh", path, {}, {}});
+    return fingerprintOfHead({"GET", "mesh", path, {}});
   }
   /// Returns the fingerprint of the requests that `load()` with `alike` sends for this service.
   static RequestFingerprint fingerprintOfAlike(const std::string& service) {
@@ -276,7 +276,7 @@
       head.method = "GET";
       head.host = "mesh";
       head.path = path_;
-      head.fingerprint = fingerprintOfPath(path_);
+      head.fingerprints.whole = fingerprintOfPath(path_);
       head.deadline = deadline;
       flow_ = egress::makeEgressFlow(std::move(head), node_.egress, mesh_.environment_, *this);
       flow_->start();
@@ -545,7 +545,7 @@
     list(node, nodes_.size());
     ingress::ServerEndWatch& ends = node.ingress.serverEnds();
     ends.onPortCheckNeeded([this, &node] { probePort(node); });
-    ends.onEnd([this, &node](ServerEndId end, std::span<const RequestFingerprint> requests) {
+    ends.onEnd([this, &node](ServerEndId end, std::span<const RequestFingerprints> requests) {
       node.suspects.onServerEnd(end, requests, now());
     });
     std::vector<std::string> own_zone;
