Egress: bodies are awaited while a crash suspect has the same head

What callers saw: a request that ends servers before they have its whole body was never recognized, since its ends name only its head; and a suspect with a body of more than 4 KiB went to a server's slot before it was recognized at the ingress by the last part of its body, so that its caller got 502 and its trial ran only where chance took it.

Cause: the egress sends such a request before its body has come.

While one with the same head is a suspect, or ended a server before its body was whole, an egress awaits the whole body, up to 1 MiB a request and 8 MiB a node. Suspects are refused there as not run, and trials find their server. A body that may not be held any longer is sent on and judged by the ingress alone: nothing is refused for want of memory. All other requests start as before.

--- a/src/admission/crash_suspects.cpp
+++ b/src/admission/crash_suspects.cpp
@@ -57,7 +57,14 @@
   if (records_.empty()) return {};
   const auto found = byHead().find(head);
   if (found == byHead().end()) return {};
-  return found->second;
+  return found->second.suspects;
+}
+
+bool CrashSuspects::mustIdentify(RequestFingerprint head) const {
+  if (records_.empty()) return false;
+  const auto found = byHead().find(head);
+  if (found == byHead().end()) return false;
+  return found->second.has_unidentified_end || !found->second.suspects.empty();
 }
 
 const CrashSuspects::HeadIndex& CrashSuspects::byHead() const {
@@ -65,9 +72,12 @@
   by_head_.emplace();
   for (const auto& [request, record] : records_) {
     if (record.ends.empty() || record.head.empty()) continue;
-    std::vector<RequestFingerprint>& suspects = (*by_head_)[record.head];
-    const bool is_identified = request != record.head;
-    if (is_identified && isSuspected(record)) suspects.push_back(request);
+    HeadRecords& of_head = (*by_head_)[record.head];
+    if (request == record.head) {
+      of_head.has_unidentified_end = true;
+    } else if (isSuspected(record)) {
+      of_head.suspects.push_back(request);
+    }
   }
   return *by_head_;
 }
--- a/src/admission/crash_suspects.h
+++ b/src/admission/crash_suspects.h
@@ -14,7 +14,8 @@
 ///
 /// Records are kept by the fingerprint of the whole request, so that only an answer to the same
 /// request clears one. A server may end before it has the whole body; such an end is recorded by
-/// the head alone, which restricts no request.
+/// the head alone. This restricts no request, but has those with the same head identified before
+/// they are sent.
 ///
 /// Each node has its own table. Merging tables is commutative and idempotent, so that all nodes
 /// converge to the same table (see SuspectGossip). An answer starts a new round of a record, which
@@ -81,6 +82,9 @@
 
   /// Returns whether servers ended while requests with this head were running.
   bool hasServerEnds(RequestFingerprint head) const;
+  /// Returns whether requests with this head must be identified before they are sent to a server,
+  /// because one of them is a suspect, or ended a server before it was known which one it was.
+  bool mustIdentify(RequestFingerprint head) const;
   /// Returns the suspects with this head; valid until the next change.
   std::span<const RequestFingerprint> suspectsWith(RequestFingerprint head) const;
 
@@ -130,9 +134,12 @@
     TimePoint learned_at;           ///< When this node last learned of a change.
     RequestFingerprint head;        ///< Empty if it is not known, or if there is no body.
   };
-  /// Suspects by the head of their requests. A head with server ends has an entry even if none of
-  /// its requests is a suspect.
-  using HeadIndex = std::unordered_map<RequestFingerprint, std::vector<RequestFingerprint>>;
+  /// What is recorded of all requests with one head.
+  struct HeadRecords {
+    std::vector<RequestFingerprint> suspects;
+    bool has_unidentified_end = false;
+  };
+  using HeadIndex = std::unordered_map<RequestFingerprint, HeadRecords>;
   using Records = std::unordered_map<RequestFingerprint, Record>;
 
   static bool isSuspected(const Record& record);
--- a/src/egress/egress_flow.cpp
+++ b/src/egress/egress_flow.cpp
@@ -85,6 +85,7 @@
   void start() override;
   void onAttemptFailed(AttemptId attempt, AttemptFailure failure) override;
   void onAttemptReceived(AttemptId attempt) override;
+  void onBodyAwaited() override;
   void onAnswerHead(AttemptId attempt, const AnswerHead& answer) override;
   void onAnswerComplete(AttemptId attempt) override;
   void onAnswerCut(AttemptId attempt) override;
@@ -96,7 +97,15 @@
   TimePoint latestEnd() const override { return deadline_; }
 
  private:
-  enum class Phase { kNew, kAskingQuota, kWaiting, kAttempting, kForwarding, kFinished };
+  enum class Phase {
+    kNew,
+    kAskingQuota,
+    kAwaitingBody,
+    kWaiting,
+    kAttempting,
+    kForwarding,
+    kFinished
+  };
 
   /// An attempt whose ingress was silent although its server may be running the request. It stays
   /// open beside the next one until either has an answer of its server.
@@ -125,6 +134,8 @@
   void sendOrWait(TimePoint now);
   bool placeLarge(TimePoint now);
   ServerPointer pickForRepeat(TimePoint now) const;
+  void identifyBody();
+  bool awaitsBody();
   void sendTrial(TimePoint now);
   CrashVerdict verdict(TimePoint now);
   RequestFingerprint allowedTrial(TimePoint now) const;
@@ -390,6 +401,7 @@
 
 void EgressFlow::sendOrWait(TimePoint now) {
   if (mayOutlastStop(now)) return conclude(Reason::kStopping);
+  if (awaitsBody()) return;
   if (verdict(now) != CrashVerdict::kMayRun) return sendTrial(now);
   if (large_ && placeLarge(now)) return;
   const ServerPointer server = state_.pick(destination(), tried_, now, slots_->asksOwnZone());
@@ -439,14 +451,36 @@
   return state_.pick(destination(), tried_, now);
 }
 
-/// Uses what is known of the body by now: a request may become a suspect while it runs. The ingress
-/// judges requests whose body is not known here.
-CrashVerdict EgressFlow::verdict(TimePoint now) {
+/// Completes the fingerprints if the whole body has arrived and is of interest.
+void EgressFlow::identifyBody() {
   RequestFingerprints& known = head_.fingerprints;
-  if (known.whole.empty() && state_.hasServerEnds(known.head)) {
-    if (const auto body = io_.bodyDigest()) known.addBody(*body);
-  }
-  return state_.verdict(known.whole, now);
+  if (!known.whole.empty() || !state_.hasServerEnds(known.head)) return;
+  if (const auto body = io_.bodyDigest()) known.addBody(*body);
+}
+
+/// A suspect with the same head is told apart by its body, so the request is not sent before its
+/// body has arrived. Returns false if it is identified, or need not or cannot be.
+bool EgressFlow::awaitsBody() {
+  identifyBody();
+  if (!head_.fingerprints.whole.empty()) return false;
+  if (!state_.mustIdentify(head_.fingerprints.head) || !io_.awaitBody()) return false;
+  if (phase_ != Phase::kAwaitingBody) ++state_.statistics().bodies_awaited;
+  phase_ = Phase::kAwaitingBody;
+  state_.deadlines().arm(*this, effectiveDeadline());
+  return true;
+}
+
+void EgressFlow::onBodyAwaited() {
+  if (phase_ != Phase::kAwaitingBody) return;
+  phase_ = Phase::kWaiting;
+  sendOrWait(environment_.now());
+}
+
+/// The ingress judges requests whose whole body is not known here. It may become known, and the
+/// request a suspect, while the request runs.
+CrashVerdict EgressFlow::verdict(TimePoint now) {
+  identifyBody();
+  return state_.verdict(head_.fingerprints.whole, now);
 }
 
 /// Returns the suspect that the request may turn out to be, if its trial is due at the server of
--- a/src/egress/egress_state.h
+++ b/src/egress/egress_state.h
@@ -50,8 +50,10 @@
   std::uint64_t bad_answers = 0;             ///< For another request, unsigned, or malformed.
   std::uint64_t refused = 0;                 ///< 503: not run.
   std::uint64_t crash_suspects_refused = 0;  ///< Of these, refused as crash suspects.
-  std::uint64_t throttled = 0;               ///< Of these, refused by the AdmissionThrottle.
-  std::uint64_t refused_late = 0;            ///< Of these, refused as too close to the deadline.
+  /// Requests whose bodies were awaited first, because a crash suspect may have the same head.
+  std::uint64_t bodies_awaited = 0;
+  std::uint64_t throttled = 0;     ///< Of these, refused by the AdmissionThrottle.
+  std::uint64_t refused_late = 0;  ///< Of these, refused as too close to the deadline.
   std::uint64_t refused_link = 0;  ///< Of these, since no link can send the answer in time.
   // Requests with large answers that were sent to a server,
   std::uint64_t large_own_machine = 0;  ///< of this machine,
@@ -198,6 +200,10 @@
   bool hasServerEnds(RequestFingerprint head) const {
     return suspects_ != nullptr && suspects_->hasServerEnds(head);
   }
+  /// Returns whether requests with this head must be identified before they are sent.
+  bool mustIdentify(RequestFingerprint head) const {
+    return suspects_ != nullptr && suspects_->mustIdentify(head);
+  }
   /// Returns a suspect with this head whose trial is due at the server; empty if there is none.
   RequestFingerprint trialAt(const ServerPointer& server, const Destination& to,
                              RequestFingerprint head, TimePoint now) const;
--- a/src/proxy/request_flow.h
+++ b/src/proxy/request_flow.h
@@ -215,6 +215,10 @@
   virtual void answerWithHeld() {}
   /// Returns the digest of the request's whole body, or nothing while it is not known.
   virtual std::optional<Digest> bodyDigest() const { return std::nullopt; }
+  /// Receives the body before the request is sent to a server, until it is whole or more may not be
+  /// held. Exchange::onBodyAwaited() follows in a later event. Returns false if nothing more can be
+  /// held.
+  virtual bool awaitBody() { return false; }
   /// Streams the answer whose head was just reported to the caller.
   virtual void forwardAnswer(AttemptId attempt) = 0;
   virtual void answerLocally(const LocalAnswer& answer) = 0;
@@ -229,6 +233,8 @@
   virtual void onAttemptFailed(AttemptId attempt, AttemptFailure failure) = 0;
   /// Called when the next hop confirmed that it received the request.
   virtual void onAttemptReceived(AttemptId) {}
+  /// Called after RequestIo::awaitBody() returned true.
+  virtual void onBodyAwaited() {}
   /// Called when the whole body has been received, before its last part is passed on. If this
   /// returns false, the next hop never gets that part, and onRequestWithheld() follows, unless the
   /// answer is being forwarded already.
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -35,7 +35,8 @@
 /// An egress needs no identity of a body that it cannot send again; an ingress needs that of each
 /// request during which its server may end.
 RequestBodySettings bodySettings(const ProxyServerSettings& settings) {
-  return {settings.replay_bytes, settings.answer_style == AnswerStyle::kIngress};
+  return {settings.replay_bytes, settings.answer_style == AnswerStyle::kIngress,
+          settings.held_body_bytes};
 }
 
 proxy::AttemptFailure attemptFailureOf(UpstreamFailure failure) {
@@ -63,7 +64,7 @@
     : connection_(connection),
       shared_(connection.shared()),
       parser_(MessageParser::Kind::kRequest, requestLimits(shared_)),
-      body_(bodySettings(shared_.settings)) {}
+      body_(bodySettings(shared_.settings), shared_.held_bodies) {}
 
 // ---- Start
 
@@ -140,6 +141,42 @@
   return body_.digest();
 }
 
+bool CallerExchange::awaitBody() {
+  if (awaiting_whole_body_) return true;
+  const MessageHead& head = parser_.head();
+  const bool is_too_long = head.framing == BodyFraming::kLength &&
+                           head.content_length > shared_.settings.held_body_bytes;
+  if (requestComplete() || is_too_long || !body_.mayHoldMore()) return false;
+  body_.beginHold();
+  awaiting_whole_body_ = true;
+  // The flow may be starting the request.
+  asio::post(connection_.executor(),
+             [self = shared_from_this(), connection = connection_.shared_from_this()] {
+               const bool is_open = self->flow_ && !self->answer_complete_;
+               if (is_open && self->awaiting_whole_body_) self->collectBody();
+             });
+  return true;
+}
+
+/// Receives the body until it is whole or no more of it may be held.
+void CallerExchange::collectBody() {
+  ReceiveBuffer& received = connection_.received();
+  received.consume(parser_.parseBody(received.data(), *this));
+  if (parser_.failure() != ParseFailure::kNone) return refuseBody(refusalOf(parser_.failure()));
+  if (requestComplete() || !body_.mayHoldMore()) {
+    awaiting_whole_body_ = false;
+    body_.endHold();
+    connection_.awaitCaller(*this);
+    return flow_->onBodyAwaited();
+  }
+  if (request_.expects_continue && !std::exchange(continue_sent_, true)) {
+    output_.append(kContinueAnswer);
+    connection_.flush(*this);
+  }
+  connection_.awaitCaller(*this);
+  connection_.read();
+}
+
 /// Confirms to the previous hop that the request has arrived. Silence after that means that this
 /// node is gone.
 void CallerExchange::sendReceipt() {
@@ -152,6 +189,8 @@
 void CallerExchange::onBytes() {
   if (awaiting_identity_) {
     identifyThenBegin();
+  } else if (awaiting_whole_body_) {
+    collectBody();
   } else if (awaiting_go_ahead_) {
     awaiting_go_ahead_ = false;
     connection_.awaitCaller(*this);
@@ -167,7 +206,8 @@
     const Duration body_timeout = shared_.settings.body_timeout;
     return std::min(body_timeout, head_.deadline.value_or(body_timeout));
   }
-  return awaiting_body_ ? shared_.settings.body_timeout : Duration(0);
+  const bool awaits_bytes = awaiting_body_ || awaiting_whole_body_;
+  return awaits_bytes ? shared_.settings.body_timeout : Duration(0);
 }
 
 // ---- Sending the request to the server
@@ -310,8 +350,8 @@
 }
 
 void CallerExchange::onBody(std::string_view piece) {
-  const bool is_discarded = !upstream_ && flow_;  // Answered already.
-  if (is_discarded) return;
+  const bool is_discarded = !upstream_ && flow_ && !awaiting_whole_body_;  // Answered already.
+  if (is_discarded) return body_.discardRest();
   body_.add(piece);
   if (upstream_) appendBody(piece);
 }
@@ -638,7 +678,7 @@
   }
   if (!requestComplete()) close_after_ = true;
   leaveGate();
-  awaiting_body_ = awaiting_identity_ = false;
+  awaiting_body_ = awaiting_identity_ = awaiting_whole_body_ = false;
   answer_complete_ = true;
 }
 
@@ -700,7 +740,8 @@
   answer_framing_ = BodyFraming::kNone;
   answer_head_ = nullptr;
   may_run_concurrently_ = close_after_ = false;
-  request_sent_ = awaiting_body_ = continue_sent_ = awaiting_identity_ = false;
+  request_sent_ = awaiting_body_ = continue_sent_ = false;
+  awaiting_identity_ = awaiting_whole_body_ = false;
   awaiting_confirmation_ = awaiting_head_written_ = awaiting_go_ahead_ = false;
   collecting_ = attempt_cancelled_ = forwarding_ = answer_complete_ = false;
   has_large_answer_ = false;
--- a/src/runtime/caller_exchange.h
+++ b/src/runtime/caller_exchange.h
@@ -85,6 +85,7 @@
   bool holdAnswer(proxy::AttemptId attempt) override;
   void answerWithHeld() override;
   std::optional<Digest> bodyDigest() const override;
+  bool awaitBody() override;
   void forwardAnswer(proxy::AttemptId attempt) override;
   void answerLocally(const proxy::LocalAnswer& answer) override;
 
@@ -113,6 +114,7 @@
   void identifyThenBegin();
   RequestFingerprints fingerprints() const;
   void startFlow();
+  void collectBody();
 
   // Sending the request to the server
   void sendReceipt();
@@ -175,6 +177,7 @@
   bool request_sent_ = false;  ///< The whole request was sent on the current attempt.
   /// Waits for the first part of the body, which identifies the request.
   bool awaiting_identity_ = false;
+  bool awaiting_whole_body_ = false;  ///< See proxy::RequestIo::awaitBody().
   TimePoint head_received_;
   bool awaiting_body_ = false;
   /// The next hop has received the head; the body is sent after its 100 Continue.
--- a/src/runtime/proxy_server.cpp
+++ b/src/runtime/proxy_server.cpp
@@ -130,6 +130,7 @@
                               watch,
                               UpstreamPool(context, watch, upstream, policy),
                               BodyGate(settings.max_large_bodies),
+                              std::make_shared<HeldBodyBudget>(settings.held_bodies_bytes),
                               {},
                               {},
                               false,
--- a/src/runtime/proxy_server.h
+++ b/src/runtime/proxy_server.h
@@ -33,6 +33,10 @@
   std::uint32_t buffer_bytes = 32 * 1024;  ///< Size of the receive buffer per caller.
   /// Leading bytes of a request body that are kept for a retry.
   std::uint32_t replay_bytes = 64 * 1024;
+  /// Maximum size of a body that is held until its request is identified.
+  std::size_t held_body_bytes = std::size_t{1024} * 1024;
+  /// Maximum size of all of these together.
+  std::size_t held_bodies_bytes = std::size_t{8} * 1024 * 1024;
   /// How long a kept connection may stay without a request.
   Duration idle_timeout = std::chrono::seconds(60);
   Duration head_timeout = std::chrono::seconds(10);  ///< From a head's first byte to its last.
--- a/src/runtime/proxy_server_shared.h
+++ b/src/runtime/proxy_server_shared.h
@@ -12,6 +12,7 @@
 #include "runtime/deadline_watch.h"
 #include "runtime/http_parser.h"
 #include "runtime/proxy_server.h"
+#include "runtime/request_body.h"
 #include "runtime/upstream_pool.h"
 
 namespace coursepond::runtime {
@@ -27,6 +28,7 @@
   std::shared_ptr<DeadlineWatch> watch;
   UpstreamPool pool;
   BodyGate body_gate;
+  std::shared_ptr<HeldBodyBudget> held_bodies;
   ProxyServerStatistics statistics;
   std::unordered_set<CallerConnection*> connections;
   bool stopping = false;           ///< Every answer ends its connection.
--- a/tests/admission/crash_suspects_test.cpp
+++ b/tests/admission/crash_suspects_test.cpp
@@ -161,7 +161,10 @@
   suspects.onServerEnd(1, std::vector{guilty}, kStart);
   CHECK(suspects.hasServerEnds(kHead));
   CHECK(suspects.suspectsWith(kHead).empty());
+  CHECK_FALSE(suspects.mustIdentify(kHead));
   suspects.onServerEnd(2, std::vector{guilty}, kStart);
+  CHECK(suspects.mustIdentify(kHead));
+  CHECK_FALSE(suspects.mustIdentify(RequestFingerprint(1)));
   REQUIRE(suspects.suspectsWith(kHead).size() == 1);
   CHECK(suspects.suspectsWith(kHead)[0] == kGuilty);
   CHECK(suspects.suspectsWith(RequestFingerprint(1)).empty());
@@ -170,14 +173,18 @@
   CHECK(suspects.suspectsWith(kHead).size() == 1);
   CHECK(suspects.onAnswered(kGuilty, kStart));
   CHECK_FALSE(suspects.hasServerEnds(kHead));
+  CHECK_FALSE(suspects.mustIdentify(kHead));
 }
 
-TEST_CASE("server ends of which only the head of the request is known make no suspect") {
+// Guards against a request that is never recognized because each of its servers ended before its
+// body had been sent.
+TEST_CASE("a server end of which only the head is known has the next requests identified") {
   CrashSuspects suspects;
   std::size_t verdicts = 0;
   suspects.onVerdict([&](RequestFingerprint, std::size_t) { ++verdicts; });
   for (const ServerEndId end : {1, 2}) {
     suspects.onServerEnd(end, std::vector{RequestFingerprints{kHead, {}}}, kStart);
+    CHECK(suspects.mustIdentify(kHead));
   }
   CHECK(suspects.hasServerEnds(kHead));
   CHECK(suspects.suspectsWith(kHead).empty());
--- a/tests/egress/egress_flow_test.cpp
+++ b/tests/egress/egress_flow_test.cpp
@@ -145,6 +145,7 @@
     head.deadline = deadline;
     auto exchange = std::make_unique<TestExchange>();
     exchange->id = head.request_id;
+    exchange->io.can_await_body = can_await_body;
     exchange->flow = makeEgressFlow(std::move(head), state, environment, exchange->io);
     exchange->flow->start();
     return exchange;
@@ -156,6 +157,7 @@
     return count;
   }
 
+  bool can_await_body = false;  ///< Of the requests that are sent; see ExchangeIo.
   proxy::VirtualEnvironment environment;
   proxy::RetryAccounts retries;
   EgressState state;
@@ -1737,6 +1739,77 @@
   }
 }
 
+// Guards against a crash suspect that reaches an ingress because its body had not arrived.
+TEST_CASE("a request with the head of a crash suspect is sent when its body is known") {
+  LookAlikeFixture egress;
+  egress.can_await_body = true;
+  const auto sound = egress.sendWithHead(kCommonHead);
+  CHECK(sound->io.plans.empty());
+  CHECK(sound->io.body_waits == 1);
+  CHECK(egress.state.statistics().bodies_awaited == 1);
+  sound->io.body_digest = Digest::of("sound");
+  sound->flow->onBodyAwaited();
+  REQUIRE(sound->io.plans.size() == 1);
+  CHECK(sound->plan().hop_class->trial_of.empty());
+  CHECK(sound->plan().hop_class->fingerprints.whole ==
+        fingerprintOfWhole(kCommonHead, Digest::of("sound")));
+
+  const auto crashing = egress.sendWithHead(kCommonHead);
+  crashing->io.body_digest = egress.crashing_body;
+  crashing->flow->onBodyAwaited();
+  REQUIRE(crashing->io.plans.size() == 1);
+  CHECK(crashing->plan().hop_class->isTrial());
+
+  egress.suspects.onTrialFailed(egress.crashing.whole, 1, egress.environment.now());
+  const auto refused = egress.sendWithHead(kCommonHead);
+  refused->io.body_digest = egress.crashing_body;
+  refused->flow->onBodyAwaited();
+  CHECK(refused->io.plans.empty());
+  checkAnswered(*refused, 503, proxy::Outcome::kNotRun);
+}
+
+TEST_CASE("a body is not awaited while no request with the same head is a crash suspect") {
+  LookAlikeFixture egress;
+  egress.can_await_body = true;
+  const auto other = egress.sendWithHead(RequestFingerprint(71));
+  CHECK(other->io.plans.size() == 1);
+  CHECK(other->io.body_waits == 0);
+}
+
+// Guards against sound requests that are refused because a crash suspect has the same head.
+TEST_CASE("a request whose body may not be held any longer is sent without being identified") {
+  LookAlikeFixture egress;
+  egress.can_await_body = true;
+  const auto exchange = egress.sendWithHead(kCommonHead);
+  CHECK(exchange->io.plans.empty());
+  exchange->io.can_await_body = false;
+  exchange->flow->onBodyAwaited();
+  REQUIRE(exchange->io.plans.size() == 1);
+  CHECK(exchange->plan().hop_class->fingerprints.whole.empty());
+}
+
+TEST_CASE("a request whose body does not arrive by its deadline is answered then as not run") {
+  LookAlikeFixture egress;
+  egress.can_await_body = true;
+  const auto exchange = egress.sendWithHead(kCommonHead, seconds(1));
+  egress.environment.advance(milliseconds(999));
+  CHECK(exchange->io.answers.empty());
+  egress.environment.advance(milliseconds(2));
+  CHECK(exchange->io.plans.empty());
+  checkAnswered(*exchange, 503, proxy::Outcome::kNotRun);
+}
+
+TEST_CASE("a caller that leaves while its body is awaited leaves nothing behind") {
+  LookAlikeFixture egress;
+  egress.can_await_body = true;
+  const auto exchange = egress.sendWithHead(kCommonHead);
+  exchange->flow->onCallerGone();
+  CHECK(egress.state.inFlight() == 0);
+  egress.environment.advance(seconds(6));
+  CHECK(exchange->io.plans.empty());
+  CHECK(exchange->io.answers.empty());
+}
+
 TEST_CASE("a request whose body turns out to be a suspect's is not sent again") {
   LookAlikeFixture egress;
   const auto exchange = egress.sendWithHead(kCommonHead);
--- a/tests/node/crash_look_alikes_test.cpp
+++ b/tests/node/crash_look_alikes_test.cpp
@@ -146,7 +146,11 @@
     return statusOf(caller.received);
   }
 
-  void setCrashing(std::string body) { crashing_ = std::move(body); }
+  /// Makes the server end as soon as it has received this many bytes of the body.
+  void setCrashing(std::string body, std::size_t crash_after) {
+    crashing_ = std::move(body);
+    crash_after_ = crash_after;
+  }
   int crashes() const { return crashes_; }
   int runs() const { return runs_; }
   admission::CrashSuspects& suspects() { return suspects_; }
@@ -239,8 +243,9 @@
     if (!request.hasHead()) return;
     std::optional<std::size_t> end;
     const std::string body = request.body(end);
+    const bool is_crashing = crashing_.starts_with(body) && body.size() >= crash_after_;
+    if (is_crashing && (end || crash_after_ < crashing_.size())) return crash();
     if (!end) return;
-    if (body == crashing_) return crash();
     ++runs_;
     const std::string id = request.field("X-Request-Id");
     connection.received.erase(0, *end);
@@ -268,6 +273,7 @@
   std::unique_ptr<ProxyServer> egress_server_;
   std::vector<std::unique_ptr<RawCaller>> callers_;
   std::string crashing_;
+  std::size_t crash_after_ = 0;
   int last_request_ = 0;
   int crashes_ = 0;
   int runs_ = 0;
@@ -279,20 +285,24 @@
   int sound = 0;       ///< Sound requests that were sent.
   int served = 0;      ///< Of these, answered with 200.
   int unanswered = 0;  ///< Crashing requests without any answer.
+  int refused = 0;     ///< Crashing requests answered with 503: not run.
 };
 
 constexpr int kRounds = 7;
 
-/// Sends the crashing request in these shapes by turns.
-Outcome play(const std::vector<Shape>& shapes) {
+/// Sends the crashing request in these shapes by turns. `crash_after`: how much of its body the
+/// server has received when it ends; zero: all of it.
+Outcome play(const std::vector<Shape>& shapes, std::size_t crash_after = 0) {
   LookAlikeNode node;
   const std::string crashing = bodyOf("crash", shapes[0].body_bytes);
-  node.setCrashing(crashing);
+  node.setCrashing(crashing, crash_after > 0 ? crash_after : crashing.size());
   Outcome outcome;
   std::size_t next_shape = 0;
   const auto nextShape = [&] { return shapes[next_shape++ % shapes.size()]; };
   for (int round = 0; round < kRounds; ++round) {
-    if (node.send(crashing, nextShape()) == 0) ++outcome.unanswered;
+    const int status = node.send(crashing, nextShape());
+    if (status == 0) ++outcome.unanswered;
+    if (status == 503) ++outcome.refused;
     for (int number = 0; number < 3; ++number) {
       const std::string name = std::to_string(10'000 + round * 10 + number);
       ++outcome.sound;
@@ -303,10 +313,12 @@
   return outcome;
 }
 
-void checkContained(const Outcome& outcome) {
+/// `size`: length of the bodies. Those that an egress may hold are refused as not run.
+void checkContained(const Outcome& outcome, std::size_t size) {
   CHECK(outcome.crashes >= 2);
   CHECK(outcome.crashes <= kMaxRuns);
   CHECK(outcome.unanswered == 0);
+  if (size <= ProxyServerSettings().held_body_bytes) CHECK(outcome.refused >= kRounds - kMaxRuns);
   CHECK(outcome.served == outcome.sound);
 }
 
@@ -327,7 +339,7 @@
           CAPTURE(static_cast<int>(framing));
           CAPTURE(static_cast<int>(pace));
           CAPTURE(path);
-          checkContained(play({{size, framing, pace, path}}));
+          checkContained(play({{size, framing, pace, path}}), size);
         }
       }
     }
@@ -341,7 +353,7 @@
     Shape shape;
     shape.body_bytes = size;
     shape.expects_continue = true;
-    checkContained(play({shape}));
+    checkContained(play({shape}), size);
   }
 }
 
@@ -356,7 +368,21 @@
                          {size, Framing::kChunked, Pace::kAtOnce},
                          {size, Framing::kLength, Pace::kInTwoParts},
                          expecting,
-                         {size, Framing::kChunked, Pace::kInTwoParts}}));
+                         {size, Framing::kChunked, Pace::kInTwoParts}}),
+                   size);
+  }
+}
+
+// Guards against a request that is never recognized because its servers end before they have all of
+// its body.
+TEST_CASE("a request that ends servers before its body is whole is recognized") {
+  for (const std::size_t size : {std::size_t{16'385}, std::size_t{300'000}, kMebibyte}) {
+    CAPTURE(size);
+    const Outcome outcome = play({{size, Framing::kLength, Pace::kInTwoParts}}, kCommonBytes + 100);
+    CHECK(outcome.crashes >= 2);
+    // The first end is recorded by the head alone.
+    CHECK(outcome.crashes <= kMaxRuns + 1);
+    CHECK(outcome.served == outcome.sound);
   }
 }
 
--- a/tests/support/exchange_io.h
+++ b/tests/support/exchange_io.h
@@ -28,6 +28,10 @@
   }
   void answerWithHeld() override { ++held_sent; }
   std::optional<Digest> bodyDigest() const override { return body_digest; }
+  bool awaitBody() override {
+    if (can_await_body) ++body_waits;
+    return can_await_body;
+  }
   void forwardAnswer(AttemptId attempt) override { forwarded.push_back(attempt); }
   void answerLocally(const LocalAnswer& answer) override { answers.push_back(answer); }
 
@@ -43,6 +47,8 @@
   bool can_keep = true;
   bool can_hold = false;              ///< Answers are short enough to be held.
   int held_sent = 0;                  ///< Calls of answerWithHeld().
+  int body_waits = 0;                 ///< Calls of awaitBody().
+  bool can_await_body = false;        ///< The body has not arrived and may be held.
   std::optional<Digest> body_digest;  ///< Of the request's body; empty until it has arrived.
 };
 
