--- a/src/ingress/ingress_flow.cpp
+++ b/src/ingress/ingress_flow.cpp
@@ -215,15 +215,16 @@
   return holds_trial_;
 }
 
-/// The server begins with the request when it has all of it, so that a suspect does it no harm
-/// without the last part.
+/// Most servers begin with a request when they have all of it. Without the last part, a suspect
+/// does them no harm.
 bool IngressFlow::mayCompleteRequest(AttemptId attempt) {
   if (attempt != attempt_ || !state_.hasServerEnds(fingerprints_)) return true;
   identify();
   return passesCrashSuspectCheck(environment_.now());
 }
 
-/// Whether the server began with the part that it got is not known.
+/// Some servers begin with a part of a request, so the request counts as not run only if nothing of
+/// it was sent.
 void IngressFlow::onRequestWithheld(AttemptId attempt) {
   if (!isCurrent(attempt, Phase::kAttempting)) return;
   ++state_.statistics().withheld;
--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -32,8 +32,8 @@
   return limits;
 }
 
-/// An egress needs no identity of a body that it cannot send again; an ingress needs that of each
-/// request during which its server may end.
+/// An egress identifies the requests whose body it keeps. An ingress identifies all of them, because
+/// its server may end during any of them.
 RequestBodySettings bodySettings(const ProxyServerSettings& settings) {
   return {settings.replay_bytes, settings.answer_style == AnswerStyle::kIngress,
           settings.held_body_bytes};
