--- a/src/runtime/caller_exchange.cpp
+++ b/src/runtime/caller_exchange.cpp
@@ -32,8 +32,8 @@
   return limits;
 }
 
-/// An egress identifies the requests whose body it keeps. An ingress identifies all of them, because
-/// its server may end during any of them.
+/// An egress identifies the requests whose body it keeps. An ingress identifies all of them,
+/// because its server may end during any of them.
 RequestBodySettings bodySettings(const ProxyServerSettings& settings) {
   return {settings.replay_bytes, settings.answer_style == AnswerStyle::kIngress,
           settings.held_body_bytes};
