Test fixture: the pieces that a caller sends do not mix

node_test "sound requests that begin alike do not clear a crashing request, and are served" failed once on the final code, beside other work (load 19): 20 of 21 sound requests served, for bodies of 300 kB and 1.5 MB that are sent in two parts. Traced by printing the answer that such a request got: 400, malformed_request. RawCaller::sendLater() began a second write while the first one was under way, so that the bytes of two parts of a long body were mixed on the wire. It queues them now. A fault of the test; no check changed.

--- a/tests/runtime/proxy_server_fixture.h
+++ b/tests/runtime/proxy_server_fixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,11 +38,11 @@
     boost::system::error_code ignored;  // The server may already have closed.
     boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
   }
-  /// Sends while the context runs, as far as the other side accepts the bytes.
+  /// Sends while the context runs, as far as the other side accepts the bytes, and after what was
+  /// given to it before.
   void sendLater(std::string bytes) {
-    const auto held = std::make_shared<const std::string>(std::move(bytes));
-    boost::asio::async_write(socket_, boost::asio::buffer(*held),
-                             [held](const boost::system::error_code&, std::size_t) {});
+    unsent_.push_back(std::make_shared<const std::string>(std::move(bytes)));
+    if (unsent_.size() == 1) sendNext();
   }
   void close() { socket_.close(); }
 
@@ -62,6 +63,18 @@
   bool reset = false;  ///< The connection was reset instead of closed.
 
  private:
+  /// A further write while one is under way would mix their bytes.
+  void sendNext() {
+    const std::shared_ptr<const std::string> held = unsent_.front();
+    boost::asio::async_write(socket_, boost::asio::buffer(*held),
+                             [this, held, alive = std::weak_ptr<int>(alive_)](
+                                 const boost::system::error_code& error, std::size_t) {
+                               if (alive.expired() || error) return;
+                               unsent_.pop_front();
+                               if (!unsent_.empty()) sendNext();
+                             });
+  }
+
   void read() {
     socket_.async_read_some(boost::asio::buffer(chunk_),
                             [this, alive = std::weak_ptr<int>(alive_)](
@@ -77,6 +90,7 @@
   boost::asio::io_context& context_;
   Tcp::socket socket_;
   std::array<char, 4096> chunk_{};
+  std::deque<std::shared_ptr<const std::string>> unsent_;  ///< The first one is being sent.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
